--- /dev/null
+++ b/src/hawthorndrumd/part.cpp
@@ -0,0 +1,2 @@
+/// Links the part together.
+#include "base/findings.h"
--- /dev/null
+++ b/src/libhawthorndrum/base/counter.h
@@ -0,0 +1,21 @@
+/// A count of one kind of event.
+#pragma once
+
+#include <cstdint>
+
+namespace hawthorndrum {
+
+/**
+ * A count that rises, or a gauge that is set. One thread uses it.
+ */
+class counter {
+ public:
+  void Add(std::uint64_t amount = 1) { value_ += amount; }
+  void Set(std::uint64_t value) { value_ = value; }
+  std::uint64_t value() const { return value_; }
+
+ private:
+  std::uint64_t value_ = 0;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/base/findings.h
@@ -0,0 +1,29 @@
+/// The findings of one check, collected so that they are reported together.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/finding.h"
+
+namespace hawthorndrum {
+
+/**
+ * Collects findings in the order in which they were made.
+ */
+class findings {
+ public:
+  void Add(place where, std::string message, std::string hint = {});
+  void Append(const findings& other);
+
+  bool empty() const { return items_.empty(); }
+  const std::vector<finding>& items() const { return items_; }
+
+  /** One line each: `file:line:column: message (hint)`. */
+  std::string ToText() const;
+
+ private:
+  std::vector<finding> items_;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/base/outcome.h
@@ -0,0 +1,28 @@
+/// What a caller is told about a request that was not answered whole.
+#pragma once
+
+#include <string_view>
+
+namespace hawthorndrum {
+
+/**
+ * kNotRun is said only when no byte of the request can have reached an upstream, or the upstream
+ * proved that it did not start. kUnknown: it may have run. kFailed: it ran and did not succeed.
+ */
+enum class outcome { kAnswered, kNotRun, kUnknown, kFailed };
+
+constexpr std::string_view ToText(outcome value) {
+  switch (value) {
+    case outcome::kAnswered:
+      return "answered";
+    case outcome::kNotRun:
+      return "not_run";
+    case outcome::kUnknown:
+      return "unknown";
+    case outcome::kFailed:
+      return "failed";
+  }
+  return "unknown";
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/ports/attempt_event.h
@@ -0,0 +1,42 @@
+/// What the shell reports about an attempt at an upstream.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/http_message.h"
+#include "base/ids.h"
+
+namespace hawthorndrum {
+
+/** The answer's status line and headers have arrived. */
+struct attempt_head {
+  attempt_id attempt;
+  int status = 0;
+  std::vector<http_header> headers;
+};
+
+/** Bytes of the answer's body, transfer coding removed. */
+struct attempt_bytes {
+  attempt_id attempt;
+  std::string bytes;
+};
+
+/** The whole answer has arrived. */
+struct attempt_finished {
+  attempt_id attempt;
+};
+
+enum class attempt_failure { kNotConnected, kConnectionLost, kMalformed, kTimeout };
+
+/**
+ * The attempt ended without a whole answer. `bytes_sent` is false only when no byte of the request
+ * can have reached the upstream.
+ */
+struct attempt_lost {
+  attempt_id attempt;
+  attempt_failure failure = attempt_failure::kConnectionLost;
+  bool bytes_sent = true;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/ports/caller_port.h
@@ -0,0 +1,30 @@
+/// The port to the callers: answers go out through it.
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+#include "base/http_message.h"
+#include "base/ids.h"
+
+namespace hawthorndrum {
+
+/**
+ * Answers callers. Each request gets either one Answer, or Begin, any number of Write, and then
+ * End or Abort.
+ */
+class caller_port {
+ public:
+  virtual ~caller_port() = default;
+  /** A whole answer at once. */
+  virtual void Answer(request_id request, http_answer answer) = 0;
+  /** The head of an answer whose body follows in parts. */
+  virtual void Begin(request_id request, int status, std::vector<http_header> headers) = 0;
+  virtual void Write(request_id request, std::string_view bytes) = 0;
+  /** Ends the answer as complete. */
+  virtual void End(request_id request) = 0;
+  /** Closes the connection so that the answer can't be taken for complete. */
+  virtual void Abort(request_id request) = 0;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/ports/engine_order.h
@@ -0,0 +1,38 @@
+/// Orders to engines and what engines say of them.
+#pragma once
+
+#include <string>
+
+#include "base/ids.h"
+
+namespace hawthorndrum {
+
+enum class engine_role { kMixed, kPrefill, kDecode };
+
+enum class order_kind { kSetRole, kLoadModel, kUnloadModel, kLoadAdapter };
+
+/**
+ * One order. `role` belongs to kSetRole; `model`, `version` and `adapter` to the others.
+ */
+struct engine_order {
+  order_id id;
+  lease_term term;
+  upstream_id engine;
+  order_kind kind = order_kind::kSetRole;
+  engine_role role = engine_role::kMixed;
+  std::string model;
+  std::string version;
+  std::string adapter;
+};
+
+/** kBusy: another order runs. kStaleTerm: the engine has seen a higher term. */
+enum class order_outcome { kAccepted, kStaleTerm, kBusy, kNotSent, kUnknown };
+
+struct order_answer {
+  order_id id;
+  order_outcome outcome = order_outcome::kUnknown;
+  /** The engine's highest term, for kStaleTerm. */
+  lease_term seen_term;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/ports/peer_message.h
@@ -0,0 +1,45 @@
+/// The envelope of messages between daemons.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "base/ids.h"
+
+namespace hawthorndrum {
+
+/**
+ * What a message is about. Numbers are part of the protocol: never reused, only added.
+ */
+enum class peer_topic : std::uint16_t {
+  kHello = 1,
+  kHeartbeat = 2,
+  kProbe = 3,
+  kProbeRequest = 4,
+  kProbeAnswer = 5,
+  kLoadDelta = 10,
+  kUpstreamLeaving = 11,
+  kCacheHint = 12,
+  kSuspect = 20,
+  kSuspectTurn = 21,
+  kClaimForward = 30,
+  kClaimQuery = 31,
+  kClaimReply = 32,
+  kLeaseHolder = 40,
+  kAuthorityLost = 41,
+  kConfigHead = 50,
+  kConfigRequest = 51,
+  kConfigPart = 52,
+  kStatus = 60,
+  kDrain = 61,
+};
+
+/**
+ * One message. `body` is the CBOR of the topic's own message type.
+ */
+struct peer_message {
+  peer_topic topic = peer_topic::kHello;
+  std::vector<std::uint8_t> body;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/standin/main.cpp
@@ -0,0 +1,2 @@
+/// Entry point.
+int main() { return 0; }
