Read settings and service files from YAML

Cause: a daemon and the publishing step need checked input, and every finding with its place. Change: a YAML tree built from yaml-cpp's events (places of keys, no aliases, anchors or tags, bounded size, depth and number of values), typed fields with hints for misspelt words, the readers of settings and service files, examples for both users. The shortest service file has two lines, the shortest settings file six.

--- /dev/null
+++ b/src/libhawthorndrum/base/yaml_node.h
@@ -0,0 +1,35 @@
+/// A YAML document as a tree in which every key and value knows its place.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/place.h"
+
+namespace hawthorndrum {
+
+enum class yaml_kind { kNull, kScalar, kList, kMap };
+
+struct yaml_member;
+
+/**
+ * One node. `text` belongs to kScalar, `items` to kList, `members` to kMap.
+ *
+ * Invariant: the keys of `members` differ from each other.
+ */
+struct yaml_node {
+  yaml_kind kind = yaml_kind::kNull;
+  place where;
+  std::string text;
+  std::vector<yaml_node> items;
+  std::vector<yaml_member> members;
+};
+
+/** A key of a map and its value. */
+struct yaml_member {
+  std::string key;
+  place where;
+  yaml_node value;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/base/yaml_parser.cpp
@@ -0,0 +1,198 @@
+/// Builds the tree from yaml-cpp's events, because its own nodes don't tell the places of keys and
+/// follow aliases silently.
+#include "base/yaml_parser.h"
+
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/exceptions.h>
+#include <yaml-cpp/parser.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace hawthorndrum {
+namespace {
+
+/** Thrown inside a parse when going on is pointless; never leaves this file. */
+struct parse_stopped {};
+
+class tree_builder : public YAML::EventHandler {
+ public:
+  tree_builder(const std::string& file, findings& found) : file_(file), found_(found) {}
+
+  yaml_node TakeRoot() { return std::move(root_); }
+
+  void OnDocumentStart(const YAML::Mark& mark) override {}
+  void OnDocumentEnd() override {}
+
+  void OnNull(const YAML::Mark& mark, YAML::anchor_t anchor) override {
+    CheckAnchor(mark, anchor);
+    AddLeaf(MakeNode(yaml_kind::kNull, mark));
+  }
+
+  void OnAlias(const YAML::Mark& mark, YAML::anchor_t /*anchor*/) override {
+    Stop(mark, "aliases are not allowed", "write the value out");
+  }
+
+  void OnScalar(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
+                const std::string& value) override {
+    CheckAnchor(mark, anchor);
+    CheckTag(mark, tag);
+    const bool plain_null = tag == "?" && (value == "~" || value == "null");
+    yaml_node node = MakeNode(plain_null ? yaml_kind::kNull : yaml_kind::kScalar, mark);
+    node.text = value;
+    AddLeaf(std::move(node));
+  }
+
+  void OnSequenceStart(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
+                       YAML::EmitterStyle::value /*style*/) override {
+    Open(yaml_kind::kList, mark, tag, anchor);
+  }
+  void OnSequenceEnd() override { Close(); }
+
+  void OnMapStart(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
+                  YAML::EmitterStyle::value /*style*/) override {
+    Open(yaml_kind::kMap, mark, tag, anchor);
+  }
+  void OnMapEnd() override { Close(); }
+
+  place PlaceOf(const YAML::Mark& mark) const {
+    return place{file_, std::max(mark.line, 0) + 1, std::max(mark.column, 0) + 1};
+  }
+
+ private:
+  /** A list or map that is still open. */
+  struct open_node {
+    yaml_node node;
+    /** Whether a map's key was read and its value has yet to come. */
+    bool has_key = false;
+    std::string key;
+    place key_place;
+  };
+
+  yaml_node MakeNode(yaml_kind kind, const YAML::Mark& mark) {
+    nodes_ += 1;
+    if (nodes_ > kMaxYamlNodes) Stop(mark, "too many values in one file", "split the file");
+    yaml_node node;
+    node.kind = kind;
+    node.where = PlaceOf(mark);
+    return node;
+  }
+
+  void CheckAnchor(const YAML::Mark& mark, YAML::anchor_t anchor) {
+    if (anchor != 0) found_.Add(PlaceOf(mark), "anchors are not allowed", "write the value out");
+  }
+
+  void CheckTag(const YAML::Mark& mark, const std::string& tag) {
+    if (tag.empty() || tag == "?" || tag == "!") return;
+    found_.Add(PlaceOf(mark), "tags are not allowed", "remove \"" + tag + "\"");
+  }
+
+  void Open(yaml_kind kind, const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor) {
+    CheckAnchor(mark, anchor);
+    CheckTag(mark, tag);
+    if (open_.size() >= kMaxYamlDepth) Stop(mark, "nested too deeply", {});
+    open_.push_back(open_node{MakeNode(kind, mark), false, {}, {}});
+  }
+
+  void Close() {
+    yaml_node node = std::move(open_.back().node);
+    open_.pop_back();
+    AddLeaf(std::move(node));
+  }
+
+  void AddLeaf(yaml_node node) {
+    if (open_.empty()) {
+      root_ = std::move(node);
+      return;
+    }
+    open_node& parent = open_.back();
+    if (parent.node.kind == yaml_kind::kList) {
+      parent.node.items.push_back(std::move(node));
+      return;
+    }
+    if (!parent.has_key) {
+      TakeKey(parent, node);
+      return;
+    }
+    AddMember(parent, std::move(node));
+  }
+
+  void TakeKey(open_node& parent, const yaml_node& node) {
+    if (node.kind != yaml_kind::kScalar) found_.Add(node.where, "a key must be plain text");
+    parent.has_key = true;
+    parent.key = node.text;
+    parent.key_place = node.where;
+  }
+
+  void AddMember(open_node& parent, yaml_node value) {
+    parent.has_key = false;
+    for (const yaml_member& member : parent.node.members) {
+      if (member.key != parent.key) continue;
+      found_.Add(parent.key_place, "key \"" + parent.key + "\" is given twice",
+                 "first on line " + std::to_string(member.where.line));
+      return;
+    }
+    parent.node.members.push_back({parent.key, parent.key_place, std::move(value)});
+  }
+
+  [[noreturn]] void Stop(const YAML::Mark& mark, std::string message, std::string hint) {
+    found_.Add(PlaceOf(mark), std::move(message), std::move(hint));
+    throw parse_stopped();
+  }
+
+  const std::string& file_;
+  findings& found_;
+  yaml_node root_;
+  std::vector<open_node> open_;
+  std::size_t nodes_ = 0;
+};
+
+/** The place of the first control character that YAML does not allow, or a place with line 0. */
+place FindControlCharacter(const std::string& file, std::string_view text) {
+  place here{file, 1, 1};
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    const bool allowed = byte >= 0x20 || c == '\n' || c == '\t' || c == '\r';
+    if (!allowed || byte == 0x7f) return here;
+    here.column += 1;
+    if (c == '\n') here = place{file, here.line + 1, 1};
+  }
+  return place{file, 0, 0};
+}
+
+}  // namespace
+
+yaml_node ParseYaml(const std::string& file, std::string_view text, findings& found) {
+  if (text.size() > kMaxYamlBytes) {
+    found.Add(place{file, 1, 1}, "larger than " + std::to_string(kMaxYamlBytes / 1024) + " KiB",
+              "split the file");
+    return {};
+  }
+  const place control = FindControlCharacter(file, text);
+  if (control.line != 0) {
+    found.Add(control, "control character", "save the file as UTF-8 text");
+    return {};
+  }
+  tree_builder builder(file, found);
+  try {
+    std::istringstream stream{std::string(text)};
+    YAML::Parser parser(stream);
+    if (!parser.HandleNextDocument(builder)) {
+      found.Add(place{file, 1, 1}, "the file is empty");
+      return {};
+    }
+    yaml_node root = builder.TakeRoot();
+    tree_builder rest(file, found);
+    if (parser.HandleNextDocument(rest)) {
+      found.Add(rest.TakeRoot().where, "a second document", "keep one document a file");
+    }
+    return root;
+  } catch (const YAML::Exception& problem) {
+    found.Add(builder.PlaceOf(problem.mark), problem.msg);
+  } catch (const parse_stopped&) {
+    return {};
+  }
+  return {};
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/service_file_reader.cpp
@@ -0,0 +1,191 @@
+/// Service files from YAML.
+#include "systems/service_file_reader.h"
+
+#include <algorithm>
+#include <map>
+
+#include "base/quantity.h"
+#include "base/yaml_fields.h"
+#include "base/yaml_parser.h"
+
+namespace hawthorndrum {
+namespace {
+
+constexpr std::size_t kLongestName = 63;
+constexpr std::size_t kLongestText = 200;
+constexpr duration kShortestTime = milliseconds(1);
+constexpr duration kLongestTime = std::chrono::hours(24);
+constexpr int kHighestPriority = 9;
+constexpr std::uint32_t kHighestCount = 1'000'000;
+
+/** Reads one service; `found` gets only this service's findings. */
+class service_reader {
+ public:
+  service_reader(const yaml_node& node, findings& found) : fields_(node, found), found_(found) {}
+
+  service_config Read() {
+    if (!fields_.valid()) return config_;
+    ReadNames();
+    ReadUpstreams();
+    ReadRepeating();
+    ReadTimes();
+    ReadLimits();
+    fields_.ReportUnknown();
+    return config_;
+  }
+
+ private:
+  void ReadNames() {
+    fields_.Require("service", "the name in its URL, for example \"stock-checks\"");
+    if (fields_.Text("service", config_.name) && !IsServiceName(config_.name)) {
+      found_.Add(fields_.PlaceOf("service"),
+                 "service: use small letters, digits and dashes, 63 at most");
+    }
+    config_.team = config_.name;
+    ReadShortText("team", config_.team);
+  }
+
+  bool ReadShortText(std::string_view key, std::string& target) {
+    if (!fields_.Text(key, target)) return false;
+    if (target.size() <= kLongestText) return true;
+    found_.Add(fields_.PlaceOf(key), std::string(key) + ": longer than 200 characters");
+    return false;
+  }
+
+  void ReadUpstreams() {
+    const bool model = fields_.Has("model");
+    const bool pool = fields_.Has("pool");
+    if (model == pool && fields_.valid()) {
+      found_.Add(fields_.PlaceOf(model ? "pool" : "service"),
+                 model ? "a service has a model or a pool, not both" : "the upstreams are missing",
+                 "model: NAME@VERSION for engines, pool: NAME for a plain service");
+    }
+    config_.kind = pool && !model ? service_kind::kPlain : service_kind::kModel;
+    ReadShortText("pool", config_.pool);
+    if (const yaml_node* node = fields_.Child("model")) ReadModel(*node);
+    fields_.Flag("spill", config_.spill);
+  }
+
+  void ReadModel(const yaml_node& node) {
+    if (node.kind == yaml_kind::kScalar) {
+      SplitModel(node);
+      return;
+    }
+    yaml_fields fields(node, found_);
+    if (!fields.valid()) return;
+    fields.Text("name", config_.model.name);
+    fields.Text("version", config_.model.version);
+    fields.Text("adapter", config_.model.adapter);
+    fields.Require("name", "the model's name");
+    fields.Require("version", "the model's version");
+    fields.ReportUnknown();
+    CheckModelTexts(node);
+  }
+
+  void SplitModel(const yaml_node& node) {
+    const std::size_t at = node.text.find('@');
+    config_.model.name = node.text.substr(0, at);
+    if (at != std::string::npos) config_.model.version = node.text.substr(at + 1);
+    if (config_.model.name.empty() || config_.model.version.empty()) {
+      found_.Add(node.where, "model: expected NAME@VERSION", "for example oak-7b@3");
+    }
+    CheckModelTexts(node);
+  }
+
+  void CheckModelTexts(const yaml_node& node) {
+    const model_use& model = config_.model;
+    const std::size_t longest =
+        std::max({model.name.size(), model.version.size(), model.adapter.size()});
+    if (longest > kLongestText) found_.Add(node.where, "model: longer than 200 characters");
+  }
+
+  void ReadRepeating() {
+    fields_.Flag("repeatable", config_.repeatable);
+    std::size_t choice = 0;
+    if (fields_.Choice("idempotency_key", {"required", "optional"}, choice)) {
+      config_.key_required = choice == 0;
+      Refuse("idempotency_key", config_.repeatable, "belongs to a service with repeatable: false");
+    }
+    if (!ReadShortText("lookup", config_.lookup_path)) return;
+    Refuse("lookup", config_.lookup_path.front() != '/', "expected a path that starts with /");
+    Refuse("lookup", config_.kind != service_kind::kPlain, "belongs to a service with a pool");
+    Refuse("lookup", config_.repeatable, "belongs to a service with repeatable: false");
+  }
+
+  void Refuse(std::string_view key, bool wrong, std::string_view message) {
+    if (!wrong) return;
+    found_.Add(fields_.PlaceOf(key), std::string(key) + ": " + std::string(message));
+  }
+
+  void ReadTimes() {
+    std::uint32_t priority = static_cast<std::uint32_t>(config_.priority);
+    fields_.Whole("priority", priority, 0, kHighestPriority);
+    config_.priority = static_cast<int>(priority);
+    fields_.Duration("useful_within", config_.useful_within, kShortestTime, kLongestTime);
+    config_.longest_deadline = std::max(config_.longest_deadline, config_.useful_within);
+    fields_.Duration("longest_deadline", config_.longest_deadline, kShortestTime, kLongestTime);
+    Refuse("longest_deadline", config_.longest_deadline < config_.useful_within,
+           "must not be below useful_within, " + FormatDuration(config_.useful_within));
+  }
+
+  void ReadLimits() {
+    const yaml_node* node = fields_.Child("limits");
+    if (node == nullptr) return;
+    yaml_fields fields(*node, found_);
+    if (!fields.valid()) return;
+    service_limits& limits = config_.limits;
+    fields.Whole("concurrency", limits.concurrency, 1, kHighestCount);
+    fields.Number("requests_per_second", limits.requests_per_second, 0.001, kHighestCount);
+    fields.Whole("burst", limits.burst, 1, kHighestCount);
+    fields.Whole("queue_length", limits.queue_length, 0, kHighestCount);
+    fields.Whole("max_tokens", limits.max_tokens, 1, kHighestCount);
+    fields.ReportUnknown();
+  }
+
+  yaml_fields fields_;
+  findings& found_;
+  service_config config_;
+};
+
+void ReadOne(const yaml_node& node, findings& found, std::vector<stated_service>& services) {
+  findings own;
+  service_config config = service_reader(node, own).Read();
+  found.Append(own);
+  if (own.empty()) services.push_back({std::move(config), node.where});
+}
+
+}  // namespace
+
+bool IsServiceName(std::string_view name) {
+  constexpr std::string_view kAllowed = "abcdefghijklmnopqrstuvwxyz0123456789-";
+  if (name.empty() || name.size() > kLongestName) return false;
+  const bool starts_with_letter = name.front() >= 'a' && name.front() <= 'z';
+  return starts_with_letter && name.find_first_not_of(kAllowed) == std::string_view::npos;
+}
+
+std::vector<stated_service> ReadServiceFile(const std::string& file, std::string_view text,
+                                            findings& found) {
+  std::vector<stated_service> services;
+  findings parsing;
+  const yaml_node root = ParseYaml(file, text, parsing);
+  found.Append(parsing);
+  if (!parsing.empty()) return services;
+  if (root.kind != yaml_kind::kList) {
+    ReadOne(root, found, services);
+    return services;
+  }
+  for (const yaml_node& item : root.items) ReadOne(item, found, services);
+  return services;
+}
+
+void CheckServicesTogether(const std::vector<stated_service>& services, findings& found) {
+  std::map<std::string_view, const place*> first;
+  for (const stated_service& service : services) {
+    const auto [seen, added] = first.try_emplace(service.config.name, &service.where);
+    if (added) continue;
+    found.Add(service.where, "service \"" + service.config.name + "\" is stated twice",
+              "first in " + seen->second->file + ":" + std::to_string(seen->second->line));
+  }
+}
+
+}  // namespace hawthorndrum
