--- /dev/null
+++ b/src/libtransport/http_client.h
@@ -0,0 +1,36 @@
+/// An HTTP/1.1 client by Boost.Beast that hands answers on as they arrive.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+
+#include "http_call.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace hawthorndrum {
+
+class http_call_listener;
+
+/**
+ * Makes calls and keeps idle connections for those that may reuse one.
+ */
+class http_client {
+ public:
+  explicit http_client(boost::asio::io_context& io);
+  ~http_client();
+
+  /** The listener must outlive the call, or the call must be cancelled before. */
+  http_call_id Start(http_call call, http_call_listener& listener);
+  /** Closes the call's connection; its listener hears nothing more. */
+  void Cancel(http_call_id id);
+  std::size_t open_calls() const;
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libtransport/http_server.cpp
@@ -0,0 +1,186 @@
+/// Accepting connections and matching answers to them.
+#include "http_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <unordered_map>
+
+#include "base/counter.h"
+#include "base/metrics_registry.h"
+#include "endpoint.h"
+#include "http_handler.h"
+#include "http_stream_session.h"
+#include "ports/random_source.h"
+
+namespace hawthorndrum {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+class http_server::impl : public http_session_owner,
+                          public std::enable_shared_from_this<http_server::impl> {
+ public:
+  impl(asio::io_context& io, http_handler& handler, random_source& random,
+       metrics_registry& metrics, std::string_view name, http_limits limits,
+       std::shared_ptr<asio::ssl::context> tls)
+      : acceptor_(io),
+        handler_(handler),
+        random_(random),
+        limits_(limits),
+        tls_(std::move(tls)),
+        accepted_(metrics.Counter("http_connections_total", MetricLabel("server", name))),
+        open_(metrics.Counter("http_connections_open", MetricLabel("server", name))),
+        over_limit_(metrics.Counter("http_connections_refused_total", MetricLabel("server", name))),
+        rejected_(metrics.Counter("http_requests_rejected_total", MetricLabel("server", name))) {}
+
+  expected<std::uint16_t> Listen(std::string_view address);
+  void StopListening();
+  void ReplaceTls(std::shared_ptr<asio::ssl::context> tls) { tls_ = std::move(tls); }
+  std::size_t connections() const { return sessions_.size(); }
+  http_session* FindSession(request_id request) const {
+    const auto found = requests_.find(request);
+    return found == requests_.end() ? nullptr : found->second;
+  }
+
+  const http_limits& limits() const override { return limits_; }
+  request_id OnSessionRequest(http_session& session, http_request request) override;
+  void OnSessionDone(request_id request, bool gone) override;
+  void OnSessionClosed(http_session& session) override;
+  void OnSessionRejected(int) override { rejected_.Add(); }
+
+ private:
+  void Accept();
+  void OnAccepted(tcp::socket socket);
+  template <typename Stream>
+  void Open(Stream stream);
+
+  tcp::acceptor acceptor_;
+  http_handler& handler_;
+  random_source& random_;
+  http_limits limits_;
+  std::shared_ptr<asio::ssl::context> tls_;
+  counter& accepted_;
+  counter& open_;
+  counter& over_limit_;
+  counter& rejected_;
+  std::unordered_map<http_session*, std::shared_ptr<http_session>> sessions_;
+  /** The connection of each request whose answer is not complete. */
+  std::unordered_map<request_id, http_session*> requests_;
+};
+
+expected<std::uint16_t> http_server::impl::Listen(std::string_view address) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) return tl::make_unexpected(endpoint.error());
+  boost::system::error_code failed;
+  acceptor_.open(endpoint->protocol(), failed);
+  if (!failed) acceptor_.set_option(tcp::acceptor::reuse_address(true), failed);
+  if (!failed) acceptor_.bind(*endpoint, failed);
+  if (!failed) acceptor_.listen(asio::socket_base::max_listen_connections, failed);
+  if (failed) {
+    return tl::make_unexpected(
+        error{error_code::kUnavailable, std::string(address) + ": " + failed.message()});
+  }
+  Accept();
+  return acceptor_.local_endpoint().port();
+}
+
+void http_server::impl::StopListening() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  const auto sessions = sessions_;
+  for (const auto& [session, kept] : sessions) session->CloseWhenIdle();
+}
+
+void http_server::impl::Accept() {
+  acceptor_.async_accept(
+      [self = weak_from_this()](boost::system::error_code failed, tcp::socket socket) {
+        const auto server = self.lock();
+        if (!server || failed == asio::error::operation_aborted || !server->acceptor_.is_open())
+          return;
+        if (!failed) server->OnAccepted(std::move(socket));
+        server->Accept();
+      });
+}
+
+void http_server::impl::OnAccepted(tcp::socket socket) {
+  accepted_.Add();
+  if (sessions_.size() >= limits_.connections) {
+    over_limit_.Add();
+    return;
+  }
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  boost::beast::tcp_stream stream(std::move(socket));
+  if (!tls_) return Open(std::move(stream));
+  Open(boost::beast::ssl_stream<boost::beast::tcp_stream>(std::move(stream), *tls_));
+}
+
+template <typename Stream>
+void http_server::impl::Open(Stream stream) {
+  auto session =
+      std::make_shared<http_stream_session<Stream>>(std::move(stream), weak_from_this(), limits_);
+  sessions_.emplace(session.get(), session);
+  open_.Set(sessions_.size());
+  session->Start();
+}
+
+request_id http_server::impl::OnSessionRequest(http_session& session, http_request request) {
+  const request_id id(random_.Draw());
+  requests_[id] = &session;
+  handler_.OnRequest(id, std::move(request));
+  return requests_.count(id) > 0 ? id : request_id();
+}
+
+void http_server::impl::OnSessionDone(request_id request, bool gone) {
+  requests_.erase(request);
+  if (gone) handler_.OnCallerGone(request);
+}
+
+void http_server::impl::OnSessionClosed(http_session& session) {
+  sessions_.erase(&session);
+  open_.Set(sessions_.size());
+}
+
+http_server::http_server(asio::io_context& io, http_handler& handler, random_source& random,
+                         metrics_registry& metrics, std::string_view name, http_limits limits,
+                         std::shared_ptr<asio::ssl::context> tls)
+    : impl_(std::make_shared<impl>(io, handler, random, metrics, name, limits, std::move(tls))) {}
+
+http_server::~http_server() { impl_->StopListening(); }
+
+expected<std::uint16_t> http_server::Listen(std::string_view address) {
+  return impl_->Listen(address);
+}
+
+void http_server::StopListening() { impl_->StopListening(); }
+
+void http_server::ReplaceTls(std::shared_ptr<asio::ssl::context> tls) {
+  impl_->ReplaceTls(std::move(tls));
+}
+
+std::size_t http_server::connections() const { return impl_->connections(); }
+
+void http_server::Answer(request_id request, http_answer answer) {
+  if (http_session* session = impl_->FindSession(request)) session->Answer(std::move(answer));
+}
+
+void http_server::Begin(request_id request, int status, std::vector<http_header> headers) {
+  if (http_session* session = impl_->FindSession(request)) {
+    session->Begin(status, std::move(headers));
+  }
+}
+
+void http_server::Write(request_id request, std::string_view bytes) {
+  if (http_session* session = impl_->FindSession(request)) session->Write(bytes);
+}
+
+void http_server::End(request_id request) {
+  if (http_session* session = impl_->FindSession(request)) session->End();
+}
+
+void http_server::Abort(request_id request) {
+  if (http_session* session = impl_->FindSession(request)) session->Abort();
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libtransport/http_server.h
@@ -0,0 +1,56 @@
+/// An HTTP/1.1 server by Boost.Beast, plain or with TLS.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+#include "base/error.h"
+#include "http_limits.h"
+#include "ports/caller_port.h"
+
+namespace boost::asio {
+class io_context;
+namespace ssl {
+class context;
+}
+}  // namespace boost::asio
+
+namespace hawthorndrum {
+
+class http_handler;
+class metrics_registry;
+class random_source;
+
+/**
+ * Accepts connections and hands whole requests to its handler, one at a time on each connection.
+ * Requests that break HTTP or a limit are answered here and never reach the handler.
+ */
+class http_server : public caller_port {
+ public:
+  /** `name` labels the metrics. With a TLS context only TLS connections are served. */
+  http_server(boost::asio::io_context& io, http_handler& handler, random_source& random,
+              metrics_registry& metrics, std::string_view name, http_limits limits,
+              std::shared_ptr<boost::asio::ssl::context> tls = nullptr);
+  ~http_server() override;
+
+  /** Listens on `ip:port`; port 0 chooses a free one. Returns the port. */
+  expected<std::uint16_t> Listen(std::string_view address);
+  /** Closes the listening socket; connections go on. */
+  void StopListening();
+  /** Connections made from now on use this context. */
+  void ReplaceTls(std::shared_ptr<boost::asio::ssl::context> tls);
+  std::size_t connections() const;
+
+  void Answer(request_id request, http_answer answer) override;
+  void Begin(request_id request, int status, std::vector<http_header> headers) override;
+  void Write(request_id request, std::string_view bytes) override;
+  void End(request_id request) override;
+  void Abort(request_id request) override;
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libtransport/http_session.h
@@ -0,0 +1,28 @@
+/// One connection of the HTTP server.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/http_message.h"
+
+namespace hawthorndrum {
+
+/**
+ * What the server asks of a connection, whether plain or with TLS.
+ */
+class http_session {
+ public:
+  virtual ~http_session() = default;
+  virtual void Start() = 0;
+  virtual void Answer(http_answer answer) = 0;
+  virtual void Begin(int status, std::vector<http_header> headers) = 0;
+  virtual void Write(std::string_view bytes) = 0;
+  virtual void End() = 0;
+  virtual void Abort() = 0;
+  /** Closes at once when no request is being answered, else after its answer. */
+  virtual void CloseWhenIdle() = 0;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libtransport/http_stream_session.h
@@ -0,0 +1,292 @@
+/// One connection of the HTTP server over a given kind of stream.
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ssl/stream_base.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/ssl/ssl_stream.hpp>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <type_traits>
+#include <utility>
+
+#include "http_session.h"
+#include "http_session_owner.h"
+#include "http_wire.h"
+
+namespace hawthorndrum {
+
+/**
+ * Reads requests one after another, watches for the caller going away while one is answered, and
+ * writes answers in order. Stream is beast::tcp_stream or beast::ssl_stream over one.
+ *
+ * Invariants: at most one request is open (request_ is set); at most one write runs (writing_);
+ * after Close nothing more is read or written.
+ */
+template <typename Stream>
+class http_stream_session final : public http_session,
+                                  public std::enable_shared_from_this<http_stream_session<Stream>> {
+ public:
+  http_stream_session(Stream stream, std::weak_ptr<http_session_owner> owner, http_limits limits)
+      : stream_(std::move(stream)), owner_(std::move(owner)), limits_(limits) {}
+
+  void Start() override;
+  void Answer(http_answer answer) override;
+  void Begin(int status, std::vector<http_header> headers) override;
+  void Write(std::string_view bytes) override;
+  void End() override;
+  void Abort() override { Close(); }
+  void CloseWhenIdle() override;
+
+ private:
+  using error_type = boost::beast::error_code;
+  using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  static constexpr bool kTls = !std::is_same_v<Stream, boost::beast::tcp_stream>;
+
+  auto Self() { return this->shared_from_this(); }
+  void Expire(duration time) { boost::beast::get_lowest_layer(stream_).expires_after(time); }
+  boost::asio::ip::tcp::socket& Socket() {
+    return boost::beast::get_lowest_layer(stream_).socket();
+  }
+
+  void ReadHeader();
+  void OnHeader(error_type failed);
+  void ReadBody();
+  void OnBody(error_type failed);
+  void Reject(int status, std::string_view detail);
+  void OnReadError(error_type failed);
+  void WatchForClose();
+  void Queue(std::string bytes);
+  void WriteNext();
+  void OnWritten(error_type failed);
+  void FinishAnswer();
+  void Close();
+
+  Stream stream_;
+  std::weak_ptr<http_session_owner> owner_;
+  http_limits limits_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<parser> parser_;
+  request_id request_;
+  unsigned version_ = 11;
+  bool keep_alive_ = true;
+  bool head_only_ = false;
+  bool chunked_ = false;
+  bool answer_ended_ = false;
+  bool writing_ = false;
+  bool closing_ = false;
+  bool closed_ = false;
+  std::deque<std::string> unsent_;
+  std::size_t unsent_bytes_ = 0;
+};
+
+template <typename Stream>
+void http_stream_session<Stream>::Start() {
+  if constexpr (kTls) {
+    Expire(limits_.header_timeout);
+    stream_.async_handshake(boost::asio::ssl::stream_base::server,
+                            [self = Self()](error_type failed) {
+                              if (failed) return self->Close();
+                              self->ReadHeader();
+                            });
+  } else {
+    ReadHeader();
+  }
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::ReadHeader() {
+  if (closing_) return Close();
+  parser_.emplace();
+  parser_->header_limit(limits_.header_bytes);
+  parser_->body_limit(limits_.body_bytes);
+  // The wait for the first byte may be long; once a header has begun it must come quickly.
+  Expire(buffer_.size() == 0 ? limits_.idle_timeout : limits_.header_timeout);
+  if (buffer_.size() > 0) {
+    boost::beast::http::async_read_header(
+        stream_, buffer_, *parser_,
+        [self = Self()](error_type failed, std::size_t) { self->OnHeader(failed); });
+    return;
+  }
+  stream_.async_read_some(buffer_.prepare(limits_.header_bytes),
+                          [self = Self()](error_type failed, std::size_t size) {
+                            if (failed) return self->Close();
+                            self->buffer_.commit(size);
+                            self->ReadHeader();
+                          });
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::OnHeader(error_type failed) {
+  if (failed) return OnReadError(failed);
+  const auto& message = parser_->get();
+  version_ = message.version();
+  head_only_ = message.method() == boost::beast::http::verb::head;
+  if (boost::beast::iequals(message[boost::beast::http::field::expect], "100-continue")) {
+    Queue("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  ReadBody();
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::ReadBody() {
+  Expire(limits_.body_timeout);
+  boost::beast::http::async_read(
+      stream_, buffer_, *parser_,
+      [self = Self()](error_type failed, std::size_t) { self->OnBody(failed); });
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::OnBody(error_type failed) {
+  if (failed) return OnReadError(failed);
+  const auto owner = owner_.lock();
+  if (!owner) return Close();
+  keep_alive_ = parser_->get().keep_alive();
+  answer_ended_ = false;
+  boost::beast::get_lowest_layer(stream_).expires_never();
+  request_ = owner->OnSessionRequest(*this, ToRequest(parser_->release()));
+  if (closed_ && request_) owner->OnSessionDone(std::exchange(request_, request_id()), true);
+  WatchForClose();
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::OnReadError(error_type failed) {
+  namespace http = boost::beast::http;
+  if (failed == http::error::header_limit) return Reject(431, "the header is too large");
+  if (failed == http::error::body_limit) return Reject(413, "the body is too large");
+  if (failed == boost::beast::error::timeout) return Reject(408, "the request came too slowly");
+  if (failed == http::error::partial_message || failed == http::error::end_of_stream) {
+    return Close();
+  }
+  if (failed.category() == make_error_code(http::error::bad_method).category()) {
+    return Reject(400, "the request is not valid HTTP: " + failed.message());
+  }
+  Close();
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::Reject(int status, std::string_view detail) {
+  if (const auto owner = owner_.lock()) owner->OnSessionRejected(status);
+  keep_alive_ = false;
+  closing_ = true;
+  answer_ended_ = true;
+  Expire(limits_.write_timeout);
+  Queue(AnswerBytes(TransportProblem(status, detail), 11, false, false));
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::WatchForClose() {
+  if (closed_) return;
+  Socket().async_wait(boost::asio::ip::tcp::socket::wait_read,
+                      [self = Self(), watched = request_](error_type failed) {
+                        if (failed || self->closed_ || self->request_ != watched) return;
+                        error_type ignored;
+                        // Readable with nothing to read: the caller closed. Anything else is
+                        // the next request, which waits its turn.
+                        if (self->Socket().available(ignored) == 0) self->Close();
+                      });
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::Answer(http_answer answer) {
+  if (closed_ || answer_ended_) return;
+  answer_ended_ = true;
+  if (answer.status == 408 || answer.status == 413) keep_alive_ = false;
+  Queue(AnswerBytes(answer, version_, keep_alive_ && !closing_, head_only_));
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::Begin(int status, std::vector<http_header> headers) {
+  if (closed_) return;
+  chunked_ = version_ >= 11;
+  if (!chunked_) keep_alive_ = false;
+  Queue(HeadBytes(status, headers, version_, keep_alive_ && !closing_, chunked_));
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::Write(std::string_view bytes) {
+  if (closed_ || answer_ended_ || bytes.empty() || head_only_) return;
+  Queue(chunked_ ? ChunkBytes(bytes) : std::string(bytes));
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::End() {
+  if (closed_ || answer_ended_) return;
+  answer_ended_ = true;
+  if (chunked_ && !head_only_) return Queue(ChunkBytes({}));
+  if (!writing_) FinishAnswer();
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::CloseWhenIdle() {
+  closing_ = true;
+  if (!request_ && !writing_) Close();
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::Queue(std::string bytes) {
+  unsent_bytes_ += bytes.size();
+  if (!answer_ended_ && unsent_bytes_ > limits_.unsent_bytes) return Close();
+  unsent_.push_back(std::move(bytes));
+  if (!writing_) WriteNext();
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::WriteNext() {
+  writing_ = true;
+  // All that waits goes out in one write.
+  while (unsent_.size() > 1) {
+    unsent_[0] += unsent_[1];
+    unsent_.erase(unsent_.begin() + 1);
+  }
+  Expire(limits_.write_timeout);
+  boost::asio::async_write(
+      stream_, boost::asio::buffer(unsent_.front()),
+      [self = Self()](error_type failed, std::size_t) { self->OnWritten(failed); });
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::OnWritten(error_type failed) {
+  writing_ = false;
+  if (failed || closed_) return Close();
+  unsent_bytes_ -= unsent_.front().size();
+  unsent_.pop_front();
+  if (!unsent_.empty()) return WriteNext();
+  if (request_) boost::beast::get_lowest_layer(stream_).expires_never();
+  if (answer_ended_) FinishAnswer();
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::FinishAnswer() {
+  const request_id finished = std::exchange(request_, request_id());
+  const auto owner = owner_.lock();
+  if (finished && owner) owner->OnSessionDone(finished, false);
+  if (!keep_alive_ || closing_ || !owner) return Close();
+  error_type ignored;
+  Socket().cancel(ignored);
+  ReadHeader();
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::Close() {
+  if (closed_) return;
+  closed_ = true;
+  error_type ignored;
+  Socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  Socket().close(ignored);
+  const auto owner = owner_.lock();
+  if (!owner) return;
+  const auto self = Self();
+  if (request_) owner->OnSessionDone(std::exchange(request_, request_id()), true);
+  owner->OnSessionClosed(*this);
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libtransport/http_wire.cpp
@@ -0,0 +1,123 @@
+/// Turning the core's messages into Beast's and back.
+#include "http_wire.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+namespace hawthorndrum {
+
+namespace http = boost::beast::http;
+using boost::algorithm::iequals;
+
+namespace {
+
+/** Headers that belong to one connection and are never passed on. */
+bool IsHopHeader(std::string_view name) {
+  for (const std::string_view hop : {"Connection", "Keep-Alive", "Proxy-Connection", "TE",
+                                     "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}) {
+    if (iequals(name, hop)) return true;
+  }
+  return false;
+}
+
+template <typename Message>
+void SetHeaders(Message& message, const std::vector<http_header>& headers) {
+  for (const http_header& header : headers) {
+    if (!IsHopHeader(header.name)) message.insert(header.name, header.value);
+  }
+}
+
+template <typename Message>
+std::string MessageText(const Message& message) {
+  std::ostringstream text;
+  text << message;
+  return text.str();
+}
+
+}  // namespace
+
+std::vector<http_header> ToHeaders(const http::fields& fields) {
+  std::vector<http_header> headers;
+  for (const auto& field : fields) {
+    if (IsHopHeader({field.name_string().data(), field.name_string().size()})) continue;
+    headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  return headers;
+}
+
+http_request ToRequest(beast_request&& message) {
+  http_request request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.headers = ToHeaders(message);
+  request.body = std::move(message.body());
+  return request;
+}
+
+beast_request ToBeast(http_request&& request, std::string_view address) {
+  beast_request message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  SetHeaders(message, request.headers);
+  message.set(http::field::host, boost::beast::string_view(address.data(), address.size()));
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  return message;
+}
+
+std::string AnswerBytes(const http_answer& answer, unsigned version, bool keep_alive, bool head) {
+  if (head) {
+    http::response<http::empty_body> message;
+    message.result(static_cast<unsigned>(answer.status));
+    message.version(version);
+    SetHeaders(message, answer.headers);
+    message.content_length(answer.body.size());
+    message.keep_alive(keep_alive);
+    return MessageText(message);
+  }
+  http::response<http::string_body> message;
+  message.result(static_cast<unsigned>(answer.status));
+  message.version(version);
+  SetHeaders(message, answer.headers);
+  message.body() = answer.body;
+  message.prepare_payload();
+  message.keep_alive(keep_alive);
+  return MessageText(message);
+}
+
+std::string HeadBytes(int status, const std::vector<http_header>& headers, unsigned version,
+                      bool keep_alive, bool chunked) {
+  http::response<http::empty_body> message;
+  message.result(static_cast<unsigned>(status));
+  message.version(version);
+  SetHeaders(message, headers);
+  if (chunked) message.chunked(true);
+  message.keep_alive(keep_alive);
+  std::ostringstream text;
+  text << message.base();
+  return text.str();
+}
+
+std::string ChunkBytes(std::string_view bytes) {
+  if (bytes.empty()) return boost::beast::buffers_to_string(http::make_chunk_last());
+  return boost::beast::buffers_to_string(
+      http::make_chunk(boost::asio::buffer(bytes.data(), bytes.size())));
+}
+
+http_answer TransportProblem(int status, std::string_view detail) {
+  const nlohmann::json body = {{"type", "about:blank"},
+                               {"title", std::string(detail)},
+                               {"status", status},
+                               {"outcome", "not_run"}};
+  return {status, {{"Content-Type", "application/problem+json"}}, body.dump()};
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libtransport/http_wire.h
@@ -0,0 +1,38 @@
+/// Turning the core's messages into Beast's and back.
+#pragma once
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/http_message.h"
+
+namespace hawthorndrum {
+
+using beast_request = boost::beast::http::request<boost::beast::http::string_body>;
+
+/** Moves a parsed request into the core's type. */
+http_request ToRequest(beast_request&& message);
+
+std::vector<http_header> ToHeaders(const boost::beast::http::fields& fields);
+
+/** Builds a request to `address`, with Host and Content-Length set. */
+beast_request ToBeast(http_request&& request, std::string_view address);
+
+/** The bytes of a whole answer. */
+std::string AnswerBytes(const http_answer& answer, unsigned version, bool keep_alive, bool head);
+
+/** The bytes of the head of an answer whose body follows in parts. */
+std::string HeadBytes(int status, const std::vector<http_header>& headers, unsigned version,
+                      bool keep_alive, bool chunked);
+
+/** One chunk of a chunked body; empty bytes give the last chunk. */
+std::string ChunkBytes(std::string_view bytes);
+
+/** A problem+json answer made by the transport itself: nothing was run. */
+http_answer TransportProblem(int status, std::string_view detail);
+
+}  // namespace hawthorndrum
