Add the tick loop and the HTTP side of the ports

Cause: the core's ports had no implementation over a network. Change: events and the tick loop that gives them out; upstreams, engines, the object API and the host list over the HTTP client; clock and random source. Measured: builds and lints; not yet run, the daemon is not assembled. Conclusion: the daemon can be assembled as its systems land.

--- /dev/null
+++ b/src/hawthorndrumd/host_list_reader.cpp
@@ -0,0 +1,102 @@
+/// Reads the platform's host list again and again.
+#include "host_list_reader.h"
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "ports/event_sink.h"
+#include "ports/random_source.h"
+#include "whole_calls.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr duration kInterval = milliseconds(1000);
+constexpr duration kJitter = milliseconds(200);
+constexpr duration kTimeout = seconds(2);
+
+std::string ReadText(const json& item, const char* name) {
+  const auto found = item.find(name);
+  return found != item.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+std::optional<host_entry> ReadEntry(const json& item) {
+  if (!item.is_object()) return std::nullopt;
+  host_entry entry;
+  entry.address = ReadText(item, "address");
+  if (entry.address.empty()) return std::nullopt;
+  const std::string kind = ReadText(item, "kind");
+  if (kind == "engine") {
+    entry.kind = host_kind::kEngine;
+  } else if (kind == "service") {
+    entry.kind = host_kind::kService;
+  } else if (kind == "daemon") {
+    entry.kind = host_kind::kDaemon;
+  } else {
+    return std::nullopt;
+  }
+  entry.pool = ReadText(item, "pool");
+  entry.data_centre = ReadText(item, "data_centre");
+  entry.leaving = ReadText(item, "state") == "leaving";
+  const auto fencing = item.find("checks_fencing");
+  // An engine that is not known to check fencing numbers is treated as one that does not.
+  entry.checks_fencing = fencing != item.end() && fencing->is_boolean() && fencing->get<bool>();
+  const auto incarnation = item.find("incarnation");
+  if (incarnation != item.end() && incarnation->is_number_unsigned()) {
+    entry.incarnation = incarnation->get<std::uint64_t>();
+  }
+  return entry;
+}
+
+/** Reads the whole list; nothing when any of it can't be read. */
+std::optional<std::vector<host_entry>> ReadList(const std::string& body) {
+  const json text = json::parse(body, nullptr, false);
+  if (!text.is_object()) return std::nullopt;
+  const auto hosts = text.find("hosts");
+  if (hosts == text.end() || !hosts->is_array()) return std::nullopt;
+  std::vector<host_entry> entries;
+  for (const json& item : *hosts) {
+    auto entry = ReadEntry(item);
+    if (!entry) return std::nullopt;
+    entries.push_back(std::move(*entry));
+  }
+  return entries;
+}
+
+}  // namespace
+
+host_list_reader::host_list_reader(boost::asio::io_context& io, whole_calls& calls,
+                                   event_sink& events, random_source& random, std::string address)
+    : timer_(io), calls_(calls), events_(events), random_(random), address_(std::move(address)) {}
+
+void host_list_reader::Start() { Read(); }
+
+void host_list_reader::Read() {
+  http_call call;
+  call.address = address_;
+  call.request.method = "GET";
+  call.request.target = "/v1/hosts";
+  call.total_timeout = kTimeout;
+  calls_.Start(std::move(call), [this](whole_answer ended) {
+    if (ended.received && ended.answer.status == 200) {
+      if (auto hosts = ReadList(ended.answer.body)) events_.Post(hosts_listed{std::move(*hosts)});
+    }
+    Wait();
+  });
+}
+
+void host_list_reader::Wait() {
+  const auto jitter = static_cast<std::uint64_t>(kJitter.count());
+  timer_.expires_after(kInterval + duration(random_.Below(jitter)));
+  timer_.async_wait([this](boost::system::error_code failed) {
+    if (!failed) Read();
+  });
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/hawthorndrumd/host_list_reader.h
@@ -0,0 +1,37 @@
+/// Reads the platform's host list again and again.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <string>
+
+#include "base/units.h"
+
+namespace hawthorndrum {
+
+class event_sink;
+class random_source;
+class whole_calls;
+
+/**
+ * Posts a hosts_listed event for each list that could be read whole. Readers of several daemons
+ * are spread by jitter.
+ */
+class host_list_reader {
+ public:
+  host_list_reader(boost::asio::io_context& io, whole_calls& calls, event_sink& events,
+                   random_source& random, std::string address);
+
+  void Start();
+
+ private:
+  void Read();
+  void Wait();
+
+  boost::asio::steady_timer timer_;
+  whole_calls& calls_;
+  event_sink& events_;
+  random_source& random_;
+  std::string address_;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/hawthorndrumd/http_engine_port.h
@@ -0,0 +1,24 @@
+/// The control side of the engines over HTTP: orders and load reports.
+#pragma once
+
+#include "ports/engine_port.h"
+
+namespace hawthorndrum {
+
+class event_sink;
+class whole_calls;
+
+class http_engine_port : public engine_port {
+ public:
+  http_engine_port(whole_calls& calls, event_sink& events) : calls_(calls), events_(events) {}
+
+  void Order(std::string_view address, const engine_order& order,
+             order_listener& listener) override;
+  void PollLoad(upstream_id upstream, std::string_view address) override;
+
+ private:
+  whole_calls& calls_;
+  event_sink& events_;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/hawthorndrumd/http_upstream_port.cpp
@@ -0,0 +1,65 @@
+/// The request side of the upstreams over HTTP.
+#include "http_upstream_port.h"
+
+#include "http_client.h"
+#include "ports/event_sink.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+constexpr duration kConnectTimeout = milliseconds(500);
+/** An upstream that sends nothing for so long is taken for lost. */
+constexpr duration kSilenceTimeout = seconds(120);
+constexpr std::string_view kCompletions = "/v1/chat/completions";
+
+/** Whether a request does no harm when a kept connection makes it arrive twice. */
+bool MayReuseConnection(const http_request& request) {
+  if (!FindHeader(request.headers, "Idempotency-Key").empty()) return false;
+  return request.method == "GET" || request.method == "HEAD" || request.target == kCompletions;
+}
+
+}  // namespace
+
+void http_upstream_port::Send(attempt_id attempt, std::string_view address, http_request request) {
+  http_call call;
+  call.address = std::string(address);
+  call.reuse = MayReuseConnection(request);
+  call.request = std::move(request);
+  call.connect_timeout = kConnectTimeout;
+  call.idle_timeout = kSilenceTimeout;
+  const http_call_id id = client_.Start(std::move(call), *this);
+  attempts_[id] = attempt;
+  calls_[attempt] = id;
+}
+
+void http_upstream_port::Cancel(attempt_id attempt) {
+  const auto found = calls_.find(attempt);
+  if (found == calls_.end()) return;
+  client_.Cancel(found->second);
+  attempts_.erase(found->second);
+  calls_.erase(found);
+}
+
+void http_upstream_port::OnHead(http_call_id id, int status, std::vector<http_header> headers) {
+  events_.Post(attempt_head{attempts_[id], status, std::move(headers)});
+}
+
+void http_upstream_port::OnBody(http_call_id id, std::string bytes) {
+  events_.Post(attempt_bytes{attempts_[id], std::move(bytes)});
+}
+
+void http_upstream_port::OnFinished(http_call_id id) { events_.Post(attempt_finished{Forget(id)}); }
+
+void http_upstream_port::OnLost(http_call_id id, attempt_failure failure, bool bytes_sent) {
+  events_.Post(attempt_lost{Forget(id), failure, bytes_sent});
+}
+
+attempt_id http_upstream_port::Forget(http_call_id id) {
+  const attempt_id attempt = attempts_[id];
+  attempts_.erase(id);
+  calls_.erase(attempt);
+  return attempt;
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/hawthorndrumd/whole_calls.h
@@ -0,0 +1,49 @@
+/// Collects the whole answer of an HTTP call.
+#pragma once
+
+#include <functional>
+#include <unordered_map>
+
+#include "http_call_listener.h"
+
+namespace hawthorndrum {
+
+class http_client;
+
+/** How a whole call ended. */
+struct whole_answer {
+  bool received = false;
+  /** False only when no byte of the request can have left this host. */
+  bool bytes_sent = true;
+  http_answer answer;
+};
+
+/**
+ * Makes calls whose answers are wanted whole, and hands each to its own handler.
+ */
+class whole_calls : public http_call_listener {
+ public:
+  using handler = std::function<void(whole_answer)>;
+
+  explicit whole_calls(http_client& client) : client_(client) {}
+
+  http_call_id Start(http_call call, handler done);
+
+  void OnHead(http_call_id id, int status, std::vector<http_header> headers) override;
+  void OnBody(http_call_id id, std::string bytes) override;
+  void OnFinished(http_call_id id) override;
+  void OnLost(http_call_id id, attempt_failure failure, bool bytes_sent) override;
+
+ private:
+  struct open_call {
+    handler done;
+    whole_answer collected;
+  };
+
+  open_call Take(http_call_id id);
+
+  http_client& client_;
+  std::unordered_map<http_call_id, open_call> calls_;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/event.h
@@ -0,0 +1,64 @@
+/// Everything that can happen to a daemon from outside.
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/http_message.h"
+#include "base/ids.h"
+#include "ports/attempt_event.h"
+#include "ports/engine_order.h"
+#include "ports/host_entry.h"
+#include "ports/load_report.h"
+#include "ports/store_call.h"
+
+namespace hawthorndrum {
+
+class order_listener;
+class store_listener;
+
+/** A whole request came in on the callers' port. */
+struct request_arrived {
+  request_id request;
+  http_request message;
+};
+
+/** A caller closed its connection before its answer was complete. */
+struct caller_gone {
+  request_id request;
+};
+
+/** A store call ended; its listener is told. */
+struct store_answered {
+  store_call_id call;
+  store_answer answer;
+  store_listener* listener = nullptr;
+};
+
+/** An order ended; its listener is told. */
+struct order_answered {
+  order_answer answer;
+  order_listener* listener = nullptr;
+};
+
+/** An engine reported its load. */
+struct load_reported {
+  load_report report;
+};
+
+/** An engine could not be asked for its load. */
+struct load_failed {
+  upstream_id upstream;
+};
+
+/** The platform's host list was read. */
+struct hosts_listed {
+  std::vector<host_entry> hosts;
+};
+
+using event = std::variant<request_arrived, caller_gone, attempt_head, attempt_bytes,
+                           attempt_finished, attempt_lost, store_answered, order_answered,
+                           load_reported, load_failed, hosts_listed>;
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/event_receiver.h
@@ -0,0 +1,14 @@
+/// Who acts on events.
+#pragma once
+
+#include "systems/event.h"
+
+namespace hawthorndrum {
+
+class event_receiver {
+ public:
+  virtual ~event_receiver() = default;
+  virtual void Receive(event happened) = 0;
+};
+
+}  // namespace hawthorndrum
--- a/src/standin/engine_orders.cpp
+++ b/src/standin/engine_orders.cpp
@@ -1,6 +1,7 @@
 /// Orders to the engine stand-in, and what it says of itself.
 #include <algorithm>
 
+#include "base/role_names.h"
 #include "engine_standin.h"
 
 namespace hawthorndrum {
@@ -10,38 +11,8 @@
 /** How much of its rate an engine keeps for the work that its role is not for. */
 constexpr double kOffRoleShare = 0.25;
 
-std::string StateName(engine_state state) {
-  switch (state) {
-    case engine_state::kReady:
-      return "ready";
-    case engine_state::kChanging:
-      return "changing";
-    case engine_state::kDraining:
-      return "draining";
-  }
-  return "ready";
-}
-
 }  // namespace
 
-std::string RoleName(engine_role role) {
-  switch (role) {
-    case engine_role::kMixed:
-      return "mixed";
-    case engine_role::kPrefill:
-      return "prefill";
-    case engine_role::kDecode:
-      return "decode";
-  }
-  return "mixed";
-}
-
-engine_role RoleOf(std::string_view name) {
-  if (name == "prefill") return engine_role::kPrefill;
-  if (name == "decode") return engine_role::kDecode;
-  return engine_role::kMixed;
-}
-
 void engine_standin::TakeOrder(standin_reply reply, const http_request& message) {
   const auto order = nlohmann::json::parse(message.body, nullptr, false);
   if (!order.is_object()) return reply.Answer(400, "{}");
--- a/src/standin/engine_standin.h
+++ b/src/standin/engine_standin.h
@@ -108,9 +108,4 @@
   std::map<std::string, std::uint64_t> runs_;
 };
 
-/** The role's name in the engine protocol. */
-std::string RoleName(engine_role role);
-/** The role of that name; kMixed for an unknown one. */
-engine_role RoleOf(std::string_view name);
-
 }  // namespace hawthorndrum
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "base/role_names.h"
 #include "engine_standin.h"
 #include "host_list_standin.h"
 #include "service_standin.h"
