Add the request path: reading, admission, routing, attempts and answers

Cause: the daemon needs a request path that it can be assembled with. Change: request_system leads each request through reading, admission, its claim, a priority queue, its attempts and the answer. Attempts are matched by id; streams resume at the exact token at another engine or another daemon; requests that may not be repeated go through the claim gate and their bytes to at most one upstream.

--- /dev/null
+++ b/src/libhawthorndrum/systems/admission_system.cpp
@@ -0,0 +1,202 @@
+/// Lets requests in, keeps those that must wait in order, and refuses early what can't be in time.
+#include "systems/admission_system.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "systems/routing_system.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+constexpr int kHighestPriority = 9;
+/** From this effective priority on a request never waits for a short upstream queue. */
+constexpr int kUrgentPriority = 7;
+/** The wait at an upstream that each step of priority below urgent may meet. */
+constexpr duration kWaitPerPriority = milliseconds(60);
+constexpr duration kSortPeriod = milliseconds(20);
+constexpr duration kShortestRetryAfter = seconds(1);
+constexpr duration kLongestRetryAfter = seconds(60);
+constexpr duration kNoUpstreamRetryAfter = seconds(5);
+constexpr duration kSweepPeriod = seconds(10);
+constexpr duration kServiceIdle = seconds(120);
+constexpr double kDrainWeight = 0.2;
+constexpr double kLongestDrainSeconds = 5;
+
+duration RetryAfter(duration wanted) {
+  return std::clamp(wanted, kShortestRetryAfter, kLongestRetryAfter);
+}
+
+refusal NotRun(int status, std::string code, std::string detail, duration retry_after) {
+  return {status, outcome::kNotRun, std::move(code), std::move(detail), RetryAfter(retry_after)};
+}
+
+}  // namespace
+
+admission_system::admission_system(const request_table& requests, const routing_system& routing)
+    : requests_(requests), routing_(routing) {}
+
+std::optional<refusal> admission_system::Admit(const request_row& request, time_point now) {
+  if (held_bytes_ + request.body.size() > kMostHeldBytes) {
+    return NotRun(503, "overloaded", "this daemon holds too many requests", kShortestRetryAfter);
+  }
+  if (!routing_.IsServed(*request.service)) {
+    return NotRun(503, "no_upstream", "no upstream known here holds what this service needs",
+                  kNoUpstreamRetryAfter);
+  }
+  if (auto why = RefuseByTime(request, now)) return why;
+  return RefuseByLimits(request, now);
+}
+
+std::optional<refusal> admission_system::RefuseByLimits(const request_row& request,
+                                                        time_point now) {
+  const service_limits& limits = request.service->limits;
+  service_state& state = StateOf(*request.service);
+  state.used = now;
+  const std::uint64_t room = std::uint64_t{limits.concurrency} + limits.queue_length;
+  if (state.held >= room || queue_.size() >= kLongestQueue) {
+    return NotRun(429, "queue_full", "the service's queue is full", QueueWait(request, now));
+  }
+  if (!state.rate.Take(now)) {
+    return NotRun(429, "rate_limited", "the service is over its request rate",
+                  state.rate.UntilNext());
+  }
+  return std::nullopt;
+}
+
+std::optional<refusal> admission_system::RefuseByTime(const request_row& request,
+                                                      time_point now) const {
+  const auto choice = routing_.Choose(request, now);
+  if (!choice) return std::nullopt;
+  const duration needed = choice->best().estimate.whole + QueueWait(request, now);
+  const duration left = request.useful_by - now;
+  if (needed <= left) return std::nullopt;
+  return NotRun(503, "too_late", "no upstream can answer in time", needed - left);
+}
+
+void admission_system::Hold(const request_row& request) {
+  held_bytes_ += request.body.size();
+  StateOf(*request.service).held += 1;
+}
+
+void admission_system::Release(const request_row& request) {
+  held_bytes_ -= std::min(held_bytes_, request.body.size());
+  service_state& state = StateOf(*request.service);
+  if (state.held > 0) state.held -= 1;
+}
+
+void admission_system::Enqueue(const request_row& request) {
+  queue_.push_back(request.id);
+  sorted_ = false;
+}
+
+void admission_system::Dequeue(request_id request) {
+  const auto found = std::find(queue_.begin(), queue_.end(), request);
+  if (found != queue_.end()) queue_.erase(found);
+}
+
+void admission_system::Opened(const request_row& request, time_point now) {
+  StateOf(*request.service).open += 1;
+  drain_state& drain = drains_[upstream_index::KeyOf(*request.service)];
+  if (drain.last != time_point()) {
+    const double gap = std::min(ToSeconds(now - drain.last), kLongestDrainSeconds);
+    drain.seconds_between += kDrainWeight * (gap - drain.seconds_between);
+  }
+  drain.last = now;
+}
+
+void admission_system::Closed(const request_row& request) {
+  service_state& state = StateOf(*request.service);
+  if (state.open > 0) state.open -= 1;
+}
+
+const std::vector<request_id>& admission_system::InOrder(time_point now) {
+  if (sorted_ && now - sorted_at_ < kSortPeriod) return queue_;
+  struct key {
+    int priority;
+    time_point useful_by;
+    request_id id;
+  };
+  std::vector<key> keys;
+  keys.reserve(queue_.size());
+  for (const request_id id : queue_) {
+    const request_row* row = requests_.Find(id);
+    if (row) keys.push_back({EffectivePriority(*row, now), row->useful_by, id});
+  }
+  std::sort(keys.begin(), keys.end(), [](const key& a, const key& b) {
+    if (a.priority != b.priority) return a.priority > b.priority;
+    return a.useful_by != b.useful_by ? a.useful_by < b.useful_by : a.id < b.id;
+  });
+  queue_.clear();
+  for (const key& one : keys) queue_.push_back(one.id);
+  sorted_ = true;
+  sorted_at_ = now;
+  return queue_;
+}
+
+bool admission_system::MayOpen(const request_row& request) const {
+  const auto found = services_.find(request.service->name);
+  return found == services_.end() || found->second.open < request.service->limits.concurrency;
+}
+
+bool admission_system::HasRoom(const request_row& request, const load_estimate& estimate,
+                               time_point now) const {
+  // What can't be in time there waits: its upstream may get faster, or the queue gives it up.
+  if (now + estimate.whole > request.useful_by && request.attempts == 0) return false;
+  const int priority = EffectivePriority(request, now);
+  return priority >= kUrgentPriority || estimate.wait <= kWaitPerPriority * (priority + 1);
+}
+
+time_point admission_system::GiveUpAt(const request_row& request, time_point now) const {
+  const auto choice = routing_.Choose(request, now);
+  if (!choice) return request.useful_by;
+  const load_estimate& estimate = choice->best().estimate;
+  return request.useful_by - (estimate.whole - estimate.wait);
+}
+
+int admission_system::EffectivePriority(const request_row& request, time_point now) {
+  const duration whole = request.useful_by - request.arrived;
+  if (whole <= duration::zero()) return kHighestPriority;
+  const duration waited = now - request.arrived;
+  const auto raised = static_cast<int>((kHighestPriority + 1) * waited.count() / whole.count());
+  return std::clamp(request.priority + raised, 0, kHighestPriority);
+}
+
+duration admission_system::QueueWait(const request_row& request, time_point now) const {
+  const std::uint64_t group = upstream_index::KeyOf(*request.service);
+  const auto drain = drains_.find(group);
+  if (drain == drains_.end()) return duration::zero();
+  const int priority = EffectivePriority(request, now);
+  std::size_t ahead = 0;
+  for (const request_id id : queue_) {
+    const request_row* row = requests_.Find(id);
+    if (!row || upstream_index::KeyOf(*row->service) != group) continue;
+    if (EffectivePriority(*row, now) >= priority) ahead += 1;
+  }
+  const double wait = static_cast<double>(ahead) * drain->second.seconds_between;
+  return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
+}
+
+admission_system::service_state& admission_system::StateOf(const service_config& service) {
+  const service_limits& limits = service.limits;
+  const auto found = services_.find(service.name);
+  if (found != services_.end()) {
+    found->second.rate.SetLimits(limits.requests_per_second, limits.burst);
+    return found->second;
+  }
+  service_state state{token_bucket(limits.requests_per_second, limits.burst), 0, 0, {}};
+  return services_.emplace(service.name, state).first->second;
+}
+
+void admission_system::Run(time_point now) {
+  if (now - swept_ < kSweepPeriod) return;
+  swept_ = now;
+  for (auto one = services_.begin(); one != services_.end();) {
+    const service_state& state = one->second;
+    const bool idle = state.held == 0 && state.open == 0 && now - state.used > kServiceIdle;
+    one = idle ? services_.erase(one) : std::next(one);
+  }
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/answer_writer.h
@@ -0,0 +1,58 @@
+/// Writes answers to callers, and counts and traces how requests end.
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "base/http_message.h"
+#include "base/outcome.h"
+#include "systems/problem_answer.h"
+#include "systems/request_ports.h"
+#include "systems/sse_parser.h"
+#include "tables/attempt_row.h"
+#include "tables/request_row.h"
+
+namespace hawthorndrum {
+
+class decision_log;
+
+/**
+ * The only writer to the caller port. A stream that is cut gets an error event and an aborted
+ * connection, never `[DONE]` or a clean end.
+ */
+class answer_writer {
+ public:
+  answer_writer(const request_ports& ports, decision_log& decisions);
+
+  /** Refuses a request that has no row yet. */
+  void RefuseUnread(request_id request, const refusal& why);
+  /** Tells the caller that there is no whole answer, in the form that what it has got allows. */
+  void Fail(const request_row& request, const refusal& why);
+  void Whole(const request_row& request, http_answer answer);
+
+  /** Starts a stream of tokens, once. */
+  void BeginStream(request_row& request);
+  /** Passes a token on; its id becomes one that any daemon can resume from. */
+  void Token(const request_row& request, upstream_id upstream, sse_event event);
+  void EndStream(const request_row& request);
+
+  /** Starts a plain answer whose body is passed on in parts. */
+  void BeginRaw(request_row& request, const http_answer& head);
+  void Raw(const request_row& request, std::string_view bytes);
+  void EndRaw(const request_row& request);
+
+  void RecordFirstToken(const request_row& request, time_point now);
+  /** The span of one attempt. */
+  void RecordAttempt(const request_row& request, const attempt_row& attempt, std::string result);
+
+ private:
+  void RecordEnd(const request_row& request, outcome what, std::string code);
+  std::string LabelOf(const service_config& service);
+
+  request_ports ports_;
+  decision_log& decisions_;
+  /** Services with their own label; the rest share one, which bounds the metrics' size. */
+  std::set<std::string> labelled_;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/load_estimate.cpp
@@ -0,0 +1,57 @@
+/// How long an answer would take at an upstream.
+#include "systems/load_estimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "systems/own_work.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+constexpr double kDefaultPrefillRate = 8000;
+constexpr double kDefaultDecodeRate = 800;
+/** Other daemons keep sending, so a reported queue fades more slowly than the engine works. */
+constexpr double kReportHalfLifeSeconds = 2;
+/** A plain service's worker is taken to answer in this time for each open request. */
+constexpr double kPlainSecondsPerRequest = 0.01;
+
+duration FromSeconds(double time) {
+  return std::chrono::duration_cast<duration>(std::chrono::duration<double>(time));
+}
+
+}  // namespace
+
+load_estimate EstimateLoad(const upstream& row, const own_work& own, const work_shape& work,
+                           time_point now) {
+  load_estimate estimate;
+  const duration lateness = own.Lateness(row.id, now);
+  if (row.kind == host_kind::kService) {
+    estimate.wait = FromSeconds(kPlainSecondsPerRequest * row.own_in_flight) + lateness;
+    estimate.first_token = estimate.wait + FromSeconds(kPlainSecondsPerRequest);
+    estimate.whole = estimate.first_token;
+    return estimate;
+  }
+  const load_report& report = row.report;
+  const double prefill_rate =
+      report.prefill_tokens_per_second > 0 ? report.prefill_tokens_per_second : kDefaultPrefillRate;
+  const double decode_rate =
+      report.decode_tokens_per_second > 0 ? report.decode_tokens_per_second : kDefaultDecodeRate;
+  const double age = std::max(0.0, ToSeconds(now - row.report_time));
+  const double fade = std::exp2(-age / kReportHalfLifeSeconds);
+  const double reported = static_cast<double>(report.queued_prefill_tokens) * fade;
+  const auto own_waiting = static_cast<double>(own.WaitingTokens(row.id, row.report_time));
+  const double own_open = own.OpenSince(row.id, row.report_time);
+  const double queued = report.queued * fade;
+  const auto output = static_cast<double>(work.output_tokens);
+  const double wait = (reported + own_waiting) / prefill_rate + queued * output / decode_rate;
+  estimate.wait = FromSeconds(wait) + lateness;
+  const double prefill = static_cast<double>(work.prefill_tokens) / prefill_rate;
+  estimate.first_token = estimate.wait + FromSeconds(prefill);
+  const double batch = report.running + own_open + 1;
+  estimate.whole = estimate.first_token + FromSeconds(output * batch / decode_rate);
+  return estimate;
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/own_work.h
@@ -0,0 +1,54 @@
+/// What this daemon has sent to each upstream and not yet seen answered.
+#pragma once
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/units.h"
+#include "tables/upstream_table.h"
+
+namespace hawthorndrum {
+
+/**
+ * Corrects lagging reports by this daemon's own work, and learns how wrong its estimates of an
+ * upstream were lately. Writes the own counts in the upstream rows.
+ */
+class own_work {
+ public:
+  explicit own_work(upstream_table& upstreams);
+
+  void Sent(upstream_id upstream, attempt_id attempt, std::uint64_t prefill_tokens, time_point now);
+  /** The first byte of the answer came, `late_by` after it was expected (negative: early). */
+  void Started(upstream_id upstream, attempt_id attempt, duration late_by, time_point now);
+  /** The attempt is over, whatever became of it. */
+  void Ended(upstream_id upstream, attempt_id attempt);
+
+  /** Prefill tokens sent after `since` whose answer has not begun. */
+  std::uint64_t WaitingTokens(upstream_id upstream, time_point since) const;
+  /** Attempts sent after `since` that are still open. */
+  std::uint32_t OpenSince(upstream_id upstream, time_point since) const;
+  /** How late first tokens came there lately, faded with time. */
+  duration Lateness(upstream_id upstream, time_point now) const;
+
+ private:
+  struct entry {
+    attempt_id attempt;
+    time_point sent;
+    std::uint64_t prefill_tokens = 0;
+    bool started = false;
+  };
+  struct upstream_work {
+    std::vector<entry> open;
+    double lateness_seconds = 0;
+    time_point lateness_time;
+  };
+
+  void UpdateRow(upstream_id upstream, const upstream_work& work);
+
+  upstream_table& upstreams_;
+  std::unordered_map<upstream_id, upstream_work> work_;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/prefix_index.h
@@ -0,0 +1,64 @@
+/// Which upstreams hold which prefix pieces in their caches, as well as this daemon can tell.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/units.h"
+
+namespace hawthorndrum {
+
+/**
+ * A bounded index fed by the engines' late and gappy cache events and by this daemon's own
+ * dispatches. It may be wrong both ways; a wrong entry costs time, never an answer.
+ *
+ * Invariant: at most kMostPieces pieces, at most kMostHolders holders each; the piece that was
+ * used longest ago goes first.
+ */
+class prefix_index {
+ public:
+  static constexpr std::size_t kMostPieces = 65536;
+  static constexpr std::size_t kMostHolders = 8;
+  static constexpr duration kLongestTrust = seconds(300);
+
+  void Stored(upstream_id upstream, std::uint64_t piece, time_point now);
+  void Evicted(upstream_id upstream, std::uint64_t piece);
+  /** Events were lost, or the engine restarted: what it holds is not known any more. */
+  void Forget(upstream_id upstream);
+
+  /** How many of the chain's leading pieces the upstream holds. */
+  std::size_t HeldPieces(upstream_id upstream, const std::vector<std::uint64_t>& chain,
+                         time_point now) const;
+
+  /** The upstreams that hold the longest known part of the chain. */
+  std::vector<upstream_id> BestHolders(const std::vector<std::uint64_t>& chain,
+                                       time_point now) const;
+
+  std::size_t size() const { return pieces_.size(); }
+
+ private:
+  struct holder {
+    upstream_id upstream;
+    std::uint32_t epoch = 0;
+    time_point seen;
+  };
+  struct piece_entry {
+    std::vector<holder> holders;
+    std::list<std::uint64_t>::iterator place;
+  };
+
+  bool IsValid(const holder& one, time_point now) const;
+  std::uint32_t EpochOf(upstream_id upstream) const;
+
+  std::unordered_map<std::uint64_t, piece_entry> pieces_;
+  /** Most recently used first. */
+  std::list<std::uint64_t> used_;
+  /** Holders of an older epoch count no more. */
+  std::unordered_map<upstream_id, std::uint32_t> epochs_;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/request_attempts.cpp
@@ -0,0 +1,271 @@
+/// The request path: what becomes of attempts.
+#include <algorithm>
+#include <charconv>
+#include <utility>
+#include <vector>
+
+#include "base/metrics_registry.h"
+#include "ports/clock.h"
+#include "ports/random_source.h"
+#include "ports/upstream_port.h"
+#include "systems/request_reader.h"
+#include "systems/request_system.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+constexpr std::uint32_t kMostAttempts = 4;
+constexpr std::size_t kLongestCollected = kLongestBody;
+/** A plain answer longer than this is passed on while it comes. */
+constexpr std::size_t kLongestBuffered = 1 << 20;
+constexpr duration kFirstBackoff = milliseconds(10);
+constexpr duration kLongestBackoff = seconds(1);
+constexpr duration kFirstAvoidance = milliseconds(250);
+constexpr int kMostAvoidanceDoublings = 5;
+constexpr duration kBusyAvoidance = milliseconds(100);
+constexpr std::string_view kStreamEnd = "data: [DONE]";
+
+std::string FailureText(attempt_failure failure) {
+  switch (failure) {
+    case attempt_failure::kNotConnected:
+      return "the upstream could not be reached";
+    case attempt_failure::kConnectionLost:
+      return "the connection to the upstream was lost";
+    case attempt_failure::kMalformed:
+      return "the upstream's answer was malformed";
+    case attempt_failure::kTimeout:
+      return "the upstream did not answer";
+  }
+  return "the upstream failed";
+}
+
+bool IsNotStarted(const attempt_head& head) {
+  return head.status == 503 && FindHeader(head.headers, "X-Not-Started") == "1";
+}
+
+/** Whether a stream that was collected, because it may not be repeated, came to its end. */
+bool EndsWithDone(std::string_view body) {
+  const std::size_t last = body.find_last_not_of("\r\n");
+  if (last == std::string_view::npos) return false;
+  const std::string_view text = body.substr(0, last + 1);
+  return text.size() >= kStreamEnd.size() &&
+         text.substr(text.size() - kStreamEnd.size()) == kStreamEnd;
+}
+
+refusal UpstreamFailed(outcome what, std::string detail) {
+  return {502, what, "upstream_failed", std::move(detail), seconds(1)};
+}
+
+}  // namespace
+
+void request_system::OnAttemptHead(const attempt_head& head) {
+  attempt_row* attempt = attempts_.Find(head.attempt);
+  if (!attempt || attempt->has_head) return dropped_events_.Add();
+  request_row* request = requests_.Find(attempt->request);
+  attempt->has_head = true;
+  if (IsNotStarted(head)) {
+    attempt_problem problem;
+    problem.why = {503, outcome::kNotRun, "upstream_busy", "the upstream did not start it",
+                   seconds(1)};
+    problem.may_have_run = false;
+    if (upstream* row = ports_.upstreams->Find(attempt->upstream)) {
+      row->avoid_until = std::max(row->avoid_until, ports_.time->Now() + kBusyAvoidance);
+    }
+    return Recover(*attempt, problem, true);
+  }
+  attempt->answer.status = head.status;
+  attempt->answer.headers = head.headers;
+  const bool is_model = request->service->kind == service_kind::kModel;
+  attempt->relays = is_model && request->stream && request->repeatable && head.status == 200;
+}
+
+void request_system::OnAttemptBytes(const attempt_bytes& bytes) {
+  attempt_row* attempt = attempts_.Find(bytes.attempt);
+  if (!attempt || !attempt->has_head) return dropped_events_.Add();
+  request_row* request = requests_.Find(attempt->request);
+  if (!attempt->has_bytes) {
+    const time_point now = ports_.time->Now();
+    attempt->has_bytes = true;
+    routing_.work().Started(attempt->upstream, attempt->id,
+                            now - attempt->sent - attempt->estimated_first_token, now);
+    routing_.FirstToken(*request, attempt->upstream, now);
+    if (!request->began) answers_.RecordFirstToken(*request, now);
+  }
+  if (attempt->relays) return Relay(*attempt, *request, bytes.bytes);
+  Collect(*attempt, *request, bytes.bytes);
+}
+
+void request_system::Relay(attempt_row& attempt, request_row& request, std::string_view bytes) {
+  std::vector<sse_event> events;
+  const bool fits = attempt.parser.Feed(bytes, events);
+  for (sse_event& event : events) {
+    if (event.data == "[DONE]") return FinishStream(attempt, request);
+    if (!RelayEvent(attempt, request, std::move(event))) {
+      return Recover(attempt,
+                     {UpstreamFailed(outcome::kFailed, "the stream had a gap"), true, false}, true);
+    }
+  }
+  if (fits) return;
+  Recover(attempt, {UpstreamFailed(outcome::kFailed, "the stream was malformed"), true, false},
+          true);
+}
+
+bool request_system::RelayEvent(attempt_row& attempt, request_row& request, sse_event event) {
+  if (event.type == "error") return false;
+  if (!event.id.empty()) {
+    std::uint64_t number = 0;
+    const char* end = event.id.data() + event.id.size();
+    const auto parsed = std::from_chars(event.id.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end) return false;
+    if (number <= request.offset) {
+      dropped_events_.Add();
+      return true;
+    }
+    if (number != request.offset + 1) return false;
+    request.offset = number;
+  }
+  answers_.BeginStream(request);
+  answers_.Token(request, attempt.upstream, std::move(event));
+  return true;
+}
+
+void request_system::Collect(attempt_row& attempt, request_row& request, std::string_view bytes) {
+  std::string& body = attempt.answer.body;
+  const bool is_plain = request.service->kind == service_kind::kPlain;
+  if (request.began) return answers_.Raw(request, bytes);
+  if (body.size() + bytes.size() > kLongestCollected) {
+    // Whoever waits for this answer can't be given it whole, but its claim must still be settled.
+    if (request.claim_held) return;
+    return Recover(attempt,
+                   {UpstreamFailed(outcome::kFailed, "the answer is too long"), true, false}, true);
+  }
+  body += bytes;
+  if (is_plain && request.repeatable && body.size() > kLongestBuffered) {
+    answers_.BeginRaw(request, attempt.answer);
+    body.clear();
+  }
+}
+
+void request_system::OnAttemptFinished(const attempt_finished& finished) {
+  attempt_row* attempt = attempts_.Find(finished.attempt);
+  if (!attempt) return;
+  request_row* request = requests_.Find(attempt->request);
+  if (!attempt->has_head || attempt->relays) {
+    return Recover(*attempt, {UpstreamFailed(outcome::kUnknown, "the stream was cut"), true, true},
+                   false);
+  }
+  FinishWhole(*attempt, *request);
+}
+
+void request_system::FinishWhole(attempt_row& attempt, request_row& request) {
+  const bool is_model = request.service->kind == service_kind::kModel;
+  const int status = attempt.answer.status;
+  if (is_model && request.repeatable && (status >= 500 || status == 429)) {
+    return Recover(
+        attempt,
+        {UpstreamFailed(outcome::kFailed, "the engine answered " + std::to_string(status)), true,
+         status >= 500},
+        false);
+  }
+  if (is_model && request.stream && status == 200 && !EndsWithDone(attempt.answer.body)) {
+    return Recover(attempt, {UpstreamFailed(outcome::kUnknown, "the stream was cut"), true, true},
+                   false);
+  }
+  MarkUpstream(attempt.upstream, false, ports_.time->Now());
+  http_answer answer = std::move(attempt.answer);
+  if (status < 300) routing_.Answered(request, routing_.ExpectedOutput(request));
+  CloseAttempt(attempt, std::to_string(status));
+  if (request.claim_held) ports_.claims->ReportDone(request.id, answer);
+  if (request.state != request_state::kDetached) {
+    if (request.began) {
+      answers_.EndRaw(request);
+    } else {
+      answers_.Whole(request, std::move(answer));
+    }
+  }
+  Erase(request.id);
+}
+
+void request_system::FinishStream(attempt_row& attempt, request_row& request) {
+  MarkUpstream(attempt.upstream, false, ports_.time->Now());
+  routing_.Answered(request, request.offset);
+  answers_.BeginStream(request);
+  answers_.EndStream(request);
+  CloseAttempt(attempt, "done");
+  Erase(request.id);
+}
+
+void request_system::OnAttemptLost(const attempt_lost& lost) {
+  attempt_row* attempt = attempts_.Find(lost.attempt);
+  if (!attempt) return dropped_events_.Add();
+  attempt_problem problem;
+  const outcome what = lost.bytes_sent ? outcome::kUnknown : outcome::kNotRun;
+  problem.why = UpstreamFailed(what, FailureText(lost.failure));
+  problem.may_have_run = lost.bytes_sent;
+  problem.upstream_failed = lost.failure != attempt_failure::kMalformed;
+  Recover(*attempt, problem, false);
+}
+
+void request_system::Recover(attempt_row& attempt, const attempt_problem& problem, bool cancel) {
+  const time_point now = ports_.time->Now();
+  request_row& request = *requests_.Find(attempt.request);
+  if (cancel) ports_.upstream->Cancel(attempt.id);
+  if (problem.upstream_failed) MarkUpstream(attempt.upstream, true, now);
+  const bool is_raw = request.began && !attempt.relays && !request.stream;
+  CloseAttempt(attempt, problem.why.code);
+  decisions_.Note(request.id, now, problem.why.detail);
+  if (problem.may_have_run) request.may_have_run = true;
+  if (request.state == request_state::kDetached) {
+    request.caller_gone = true;
+    return Fail(request, problem.why);
+  }
+  if (is_raw || !MayRetry(request, now)) return Fail(request, problem.why);
+  retries_total_.Add();
+  if (request.began) resumes_total_.Add();
+  request.state = request_state::kBackoff;
+  request.attempt = attempt_id();
+  request.wake_at = now + Backoff(request.attempts);
+  timers_.Add(request.wake_at, request.id);
+}
+
+bool request_system::MayRetry(const request_row& request, time_point now) {
+  if (!request.repeatable && request.may_have_run) return false;
+  if (request.attempts >= kMostAttempts || now >= request.deadline) return false;
+  if (!routing_.HasUntried(request)) return false;
+  return retries_.Spend(request.service->name, now);
+}
+
+void request_system::CloseAttempt(const attempt_row& attempt, std::string result) {
+  if (const request_row* request = requests_.Find(attempt.request)) {
+    answers_.RecordAttempt(*request, attempt, std::move(result));
+    admission_.Closed(*request);
+  }
+  routing_.work().Ended(attempt.upstream, attempt.id);
+  attempts_.Erase(attempt_id(attempt.id));
+}
+
+void request_system::MarkUpstream(upstream_id id, bool failed, time_point now) {
+  upstream* row = ports_.upstreams->Find(id);
+  if (!row) return;
+  if (!failed) {
+    row->failures_in_a_row = 0;
+    return;
+  }
+  const int doublings = std::min(static_cast<int>(row->failures_in_a_row), kMostAvoidanceDoublings);
+  row->failures_in_a_row += 1;
+  const double jitter = 0.5 + ports_.random->Fraction();
+  const double wait = ToSeconds(kFirstAvoidance * (1 << doublings)) * jitter;
+  row->avoid_until =
+      now + std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
+}
+
+duration request_system::Backoff(std::uint32_t attempts) {
+  const std::uint32_t doublings = std::min(attempts - 1, kMostAttempts);
+  const duration longest = std::min(kFirstBackoff * (1 << doublings), kLongestBackoff);
+  const double jitter = 0.5 + ports_.random->Fraction();
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(ToSeconds(longest) * jitter));
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/request_ports.h
@@ -0,0 +1,40 @@
+/// What the request path needs from outside itself.
+#pragma once
+
+#include <string>
+
+#include "base/ids.h"
+#include "tables/upstream_table.h"
+
+namespace hawthorndrum {
+
+class caller_port;
+class claim_gate;
+class clock;
+class config_view;
+class metrics_registry;
+class peer_port;
+class random_source;
+class trace_sink;
+class upstream_port;
+
+/**
+ * The ports and tables, and this daemon's own place. All but `peers` are set; without peers no
+ * suspects are shared.
+ */
+struct request_ports {
+  upstream_table* upstreams = nullptr;
+  const config_view* config = nullptr;
+  claim_gate* claims = nullptr;
+  upstream_port* upstream = nullptr;
+  caller_port* callers = nullptr;
+  const clock* time = nullptr;
+  random_source* random = nullptr;
+  trace_sink* traces = nullptr;
+  metrics_registry* metrics = nullptr;
+  peer_port* peers = nullptr;
+  std::string data_centre;
+  incarnation_id incarnation;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/request_system.h
@@ -0,0 +1,115 @@
+/// The request path: takes callers' requests, runs them at upstreams and answers.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "base/http_message.h"
+#include "ports/attempt_event.h"
+#include "systems/admission_system.h"
+#include "systems/answer_writer.h"
+#include "systems/claim_gate.h"
+#include "systems/decision_log.h"
+#include "systems/request_ports.h"
+#include "systems/retry_budget.h"
+#include "systems/routing_system.h"
+#include "systems/system.h"
+#include "systems/timer_queue.h"
+#include "tables/attempt_row.h"
+#include "tables/request_row.h"
+
+namespace hawthorndrum {
+
+class counter;
+
+/**
+ * Leads each request through reading, admission, its claim, the queue, its attempts and the
+ * answer. Events come in by the On... methods; what follows from them is decided there or in Run.
+ *
+ * Invariants: each request gets exactly one answer; an event whose attempt is not in attempts_
+ * changes nothing; a granted claim gets exactly one report.
+ */
+class request_system : public system, public claim_listener {
+ public:
+  explicit request_system(const request_ports& ports);
+  ~request_system() override;
+
+  void OnRequest(request_id id, http_request request);
+  void OnCallerGone(request_id id);
+
+  void OnAttemptHead(const attempt_head& head);
+  void OnAttemptBytes(const attempt_bytes& bytes);
+  void OnAttemptFinished(const attempt_finished& finished);
+  void OnAttemptLost(const attempt_lost& lost);
+
+  void OnClaimDecision(const claim_decision& decision) override;
+
+  void Run(time_point now) override;
+
+  /** The daemon is going to stop: new requests are refused, those in flight finish. */
+  void BeginStop() { stopping_ = true; }
+  bool stopping() const { return stopping_; }
+  /** Requests that are not over, those without a caller included. */
+  std::size_t in_flight() const { return requests_.size(); }
+
+  /** The admin section `why`. */
+  admin_section& why() { return decisions_; }
+  /** Where the engines' cache events belong. */
+  prefix_index& prefixes() { return routing_.prefixes(); }
+
+ private:
+  /** How an attempt ended without an answer. */
+  struct attempt_problem {
+    refusal why;
+    bool may_have_run = true;
+    /** Whether the upstream as such is in trouble. */
+    bool upstream_failed = false;
+  };
+
+  void Refuse(const request_row& request, const refusal& why);
+  void Queue(request_row& request, time_point now);
+  void FireTimers(time_point now);
+  void FireTimer(request_row& request, time_point now);
+  void Expire(request_row& request);
+  void GiveUpOrWait(request_row& request, time_point now);
+  void DispatchQueue(time_point now);
+  void Dispatch(request_row& request, const routing_choice& choice, time_point now);
+
+  void TakeGrant(request_row& request, time_point now);
+  void Relay(attempt_row& attempt, request_row& request, std::string_view bytes);
+  bool RelayEvent(attempt_row& attempt, request_row& request, sse_event event);
+  void Collect(attempt_row& attempt, request_row& request, std::string_view bytes);
+  void FinishWhole(attempt_row& attempt, request_row& request);
+  void FinishStream(attempt_row& attempt, request_row& request);
+
+  /** The attempt ended badly: another one follows, or the request fails. */
+  void Recover(attempt_row& attempt, const attempt_problem& problem, bool cancel);
+  bool MayRetry(const request_row& request, time_point now);
+  void CloseAttempt(const attempt_row& attempt, std::string result);
+  void MarkUpstream(upstream_id id, bool failed, time_point now);
+  duration Backoff(std::uint32_t attempts);
+
+  /** Ends the request without a whole answer; reports its claim. */
+  void Fail(request_row& request, refusal why);
+  /** The caller is told; the attempt goes on so that its claim is settled. */
+  void Detach(request_row& request, time_point now);
+  void Erase(request_id id);
+
+  request_ports ports_;
+  request_table requests_;
+  attempt_table attempts_;
+  routing_system routing_;
+  admission_system admission_;
+  retry_budget retries_;
+  decision_log decisions_;
+  answer_writer answers_;
+  timer_queue timers_;
+  bool stopping_ = false;
+  counter& dropped_events_;
+  counter& attempts_total_;
+  counter& retries_total_;
+  counter& resumes_total_;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/routing_system.cpp
@@ -0,0 +1,159 @@
+/// Chooses the upstream for a request.
+#include "systems/routing_system.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "ports/random_source.h"
+#include "systems/prefix_chain.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+constexpr std::size_t kProvenPlaces = 65536;
+constexpr double kOutputWeight = 0.1;
+constexpr double kFirstOutputGuess = 64;
+constexpr std::uint64_t kSecondPlace = 0x9E3779B97F4A7C15;
+
+}  // namespace
+
+routing_system::routing_system(upstream_table& upstreams, random_source& random,
+                               std::string own_data_centre)
+    : upstreams_(upstreams),
+      random_(random),
+      index_(upstreams, std::move(own_data_centre)),
+      work_(upstreams),
+      proven_(kProvenPlaces) {}
+
+void routing_system::Run(time_point now) { index_.Refresh(now); }
+
+std::optional<routing_choice> routing_system::Choose(const request_row& request,
+                                                     time_point now) const {
+  const std::uint64_t key = upstream_index::KeyOf(*request.service);
+  if (const upstream_group* own = index_.Find(key, true)) {
+    if (auto choice = ChooseIn(*own, request, now)) return choice;
+  }
+  if (!request.service->spill) return std::nullopt;
+  const upstream_group* others = index_.Find(key, false);
+  return others ? ChooseIn(*others, request, now) : std::nullopt;
+}
+
+bool routing_system::IsServed(const service_config& service) const {
+  const std::uint64_t key = upstream_index::KeyOf(service);
+  return index_.Find(key, true) || (service.spill && index_.Find(key, false));
+}
+
+bool routing_system::HasUntried(const request_row& request) const {
+  const std::uint64_t key = upstream_index::KeyOf(*request.service);
+  for (const bool own : {true, false}) {
+    const upstream_group* group = own || request.service->spill ? index_.Find(key, own) : nullptr;
+    if (!group) continue;
+    for (const upstream_id id : group->members) {
+      const upstream* row = upstreams_.Find(id);
+      if (!row || row->leaving.any()) continue;
+      if (std::find(request.tried.begin(), request.tried.end(), id) == request.tried.end()) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+std::optional<routing_choice> routing_system::ChooseIn(const upstream_group& group,
+                                                       const request_row& request,
+                                                       time_point now) const {
+  routing_choice choice;
+  if (request.preferred) {
+    const upstream* row = upstreams_.Find(request.preferred);
+    if (row && IsUsable(*row, request, now)) {
+      Weigh(row, request, now, choice);
+      return choice;
+    }
+  }
+  const bool proven = IsProven(request.fingerprint);
+  const std::uint64_t place = proven ? random_.Draw() : request.fingerprint;
+  const upstream* first = AtRing(group, place, request, upstream_id(), now);
+  if (!first) return std::nullopt;
+  Weigh(first, request, now, choice);
+  std::uint64_t second_place = proven ? random_.Draw() : request.fingerprint * kSecondPlace;
+  if (!proven && !request.prefix.empty()) second_place = request.prefix.front();
+  Weigh(AtRing(group, second_place, request, first->id, now), request, now, choice);
+  if (proven) {
+    for (const upstream_id holder : prefixes_.BestHolders(request.prefix, now)) {
+      const upstream* row = upstreams_.Find(holder);
+      if (row && IsUsable(*row, request, now)) Weigh(row, request, now, choice);
+    }
+  }
+  const auto best = std::min_element(choice.weighed.begin(), choice.weighed.end(),
+                                     [](const routing_candidate& a, const routing_candidate& b) {
+                                       return a.estimate.first_token < b.estimate.first_token;
+                                     });
+  choice.chosen = static_cast<std::size_t>(best - choice.weighed.begin());
+  return choice;
+}
+
+bool routing_system::IsUsable(const upstream& row, const request_row& request,
+                              time_point now) const {
+  if (!row.TakesWork() || row.reserved_for_suspect || now < row.avoid_until) return false;
+  if (!upstream_index::Serves(row, *request.service)) return false;
+  const auto& tried = request.tried;
+  return std::find(tried.begin(), tried.end(), row.id) == tried.end();
+}
+
+const upstream* routing_system::AtRing(const upstream_group& group, std::uint64_t place,
+                                       const request_row& request, upstream_id other,
+                                       time_point now) const {
+  const auto& ring = group.ring;
+  const auto start = std::lower_bound(
+      ring.begin(), ring.end(), place,
+      [](const ring_point& point, std::uint64_t wanted) { return point.place < wanted; });
+  std::size_t at = static_cast<std::size_t>(start - ring.begin());
+  for (std::size_t step = 0; step < ring.size(); ++step, ++at) {
+    const upstream_id id = ring[at % ring.size()].id;
+    if (id == other) continue;
+    const upstream* row = upstreams_.Find(id);
+    if (row && IsUsable(*row, request, now)) return row;
+  }
+  return nullptr;
+}
+
+void routing_system::Weigh(const upstream* row, const request_row& request, time_point now,
+                           routing_choice& choice) const {
+  if (!row) return;
+  for (const routing_candidate& weighed : choice.weighed) {
+    if (weighed.upstream == row->id) return;
+  }
+  routing_candidate candidate;
+  candidate.upstream = row->id;
+  const std::uint64_t held = prefixes_.HeldPieces(row->id, request.prefix, now) * kPieceTokens;
+  candidate.cached_tokens = std::min(held, request.prompt_tokens);
+  candidate.prefill_tokens = request.prompt_tokens - candidate.cached_tokens;
+  const work_shape shape{candidate.prefill_tokens, ExpectedOutput(request)};
+  candidate.estimate = EstimateLoad(*row, work_, shape, now);
+  choice.weighed.push_back(candidate);
+}
+
+std::uint64_t routing_system::ExpectedOutput(const request_row& request) const {
+  const auto found = output_tokens_.find(request.service->name);
+  const double mean = found == output_tokens_.end() ? kFirstOutputGuess : found->second;
+  return std::min(static_cast<std::uint64_t>(mean), request.max_tokens);
+}
+
+void routing_system::Answered(const request_row& request, std::uint64_t output_tokens) {
+  proven_[request.fingerprint % kProvenPlaces] = request.fingerprint;
+  if (request.service->kind != service_kind::kModel) return;
+  const auto tokens = static_cast<double>(output_tokens);
+  auto [found, added] = output_tokens_.try_emplace(request.service->name, tokens);
+  if (!added) found->second += kOutputWeight * (tokens - found->second);
+}
+
+void routing_system::FirstToken(const request_row& request, upstream_id upstream, time_point now) {
+  for (const std::uint64_t piece : request.prefix) prefixes_.Stored(upstream, piece, now);
+}
+
+bool routing_system::IsProven(std::uint64_t fingerprint) const {
+  return proven_[fingerprint % kProvenPlaces] == fingerprint;
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/tests/fakes/fake_caller_port.h
@@ -0,0 +1,51 @@
+/// A caller port that remembers what each caller got.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "ports/caller_port.h"
+
+namespace hawthorndrum {
+
+/** What one caller got. */
+struct caller_record {
+  int answers = 0;
+  int begins = 0;
+  int ends = 0;
+  int aborts = 0;
+  int status = 0;
+  std::vector<http_header> headers;
+  std::string body;
+
+  /** Whether exactly one answer came to its end, by whatever way. */
+  bool IsOver() const { return answers + ends + aborts == 1 && begins == ends + aborts; }
+  /** Whether the caller takes the answer for a whole and good one. */
+  bool LooksWhole() const { return status < 300 && (answers == 1 || ends == 1); }
+};
+
+class fake_caller_port : public caller_port {
+ public:
+  void Answer(request_id request, http_answer answer) override {
+    caller_record& record = records[request];
+    record.answers += 1;
+    record.status = answer.status;
+    record.headers = std::move(answer.headers);
+    record.body = std::move(answer.body);
+  }
+  void Begin(request_id request, int status, std::vector<http_header> headers) override {
+    caller_record& record = records[request];
+    record.begins += 1;
+    record.status = status;
+    record.headers = std::move(headers);
+  }
+  void Write(request_id request, std::string_view bytes) override {
+    records[request].body += bytes;
+  }
+  void End(request_id request) override { records[request].ends += 1; }
+  void Abort(request_id request) override { records[request].aborts += 1; }
+
+  std::map<request_id, caller_record> records;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/tests/fakes/fake_upstream_port.h
@@ -0,0 +1,35 @@
+/// An upstream port that remembers what was sent.
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "ports/upstream_port.h"
+
+namespace hawthorndrum {
+
+struct sent_attempt {
+  attempt_id attempt;
+  std::string address;
+  http_request request;
+  bool cancelled = false;
+  /** Set by the test once it has given the attempt its end. */
+  bool over = false;
+};
+
+class fake_upstream_port : public upstream_port {
+ public:
+  void Send(attempt_id attempt, std::string_view address, http_request request) override {
+    sent.push_back({attempt, std::string(address), std::move(request), false, false});
+  }
+  void Cancel(attempt_id attempt) override {
+    for (sent_attempt& one : sent) {
+      if (one.attempt == attempt) one.cancelled = true;
+    }
+  }
+
+  std::vector<sent_attempt> sent;
+};
+
+}  // namespace hawthorndrum
