Add claims committed together in bucket objects

Cause: a request that may not be repeated must run at most once in the fleet. Change: claim_system grants a request only when its attempt's record is known to be stored, through claim_committer and one conditional writer a bucket. An attempt that was given up loses its row, so no late write or answer can grant it.

--- /dev/null
+++ b/src/libhawthorndrum/systems/claim_bucket_writer.cpp
@@ -0,0 +1,296 @@
+/// The writer's steps: gather, read, apply, write, settle what is not known.
+#include "systems/claim_bucket_writer.h"
+
+#include <algorithm>
+
+#include "base/metrics_registry.h"
+#include "ports/clock.h"
+#include "systems/backoff.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+bool IsClaim(const claim_change& change) { return change.kind == claim_change_kind::kClaim; }
+
+}  // namespace
+
+claim_bucket_writer::claim_bucket_writer(claim_commit_context& context, std::string key,
+                                         epoch_sighting& sighting)
+    : context_(context), key_(std::move(key)), sighting_(sighting) {}
+
+void claim_bucket_writer::Submit(claim_change change, time_point give_up_at, time_point now) {
+  last_used_ = now;
+  waiting_.push_back({std::move(change), now, give_up_at, false, false});
+}
+
+bool claim_bucket_writer::Withdraw(attempt_id attempt) {
+  bool may_land = false;
+  for (auto place = waiting_.begin(); place != waiting_.end();) {
+    if (!IsClaim(place->change) || place->change.record.attempt != attempt) {
+      ++place;
+      continue;
+    }
+    may_land = may_land || place->may_be_written;
+    place = waiting_.erase(place);
+  }
+  for (waiting_change& written : writing_) {
+    if (!IsClaim(written.change) || written.change.record.attempt != attempt) continue;
+    written.withdrawn = true;
+    may_land = true;
+  }
+  return may_land;
+}
+
+void claim_bucket_writer::Run(time_point now) {
+  now_ = now;
+  if (calling_) return;
+  RefuseOverdue(now);
+  if (!IsDue(now)) return;
+  last_used_ = now;
+  if (loaded_) {
+    Commit();
+  } else {
+    Read();
+  }
+}
+
+void claim_bucket_writer::RefuseOverdue(time_point now) {
+  std::vector<claim_result> refused;
+  for (auto place = waiting_.begin(); place != waiting_.end();) {
+    if (!IsClaim(place->change) || now < place->give_up_at) {
+      ++place;
+      continue;
+    }
+    claim_result result{place->change.kind,
+                        claim_result_kind::kRefused,
+                        place->change.record.attempt,
+                        place->change.origin,
+                        {},
+                        place->may_be_written};
+    refused.push_back(std::move(result));
+    place = waiting_.erase(place);
+  }
+  Give(refused);
+}
+
+bool claim_bucket_writer::IsDue(time_point now) const {
+  if (waiting_.empty() || now < not_before_) return false;
+  return std::any_of(waiting_.begin(), waiting_.end(), [&](const waiting_change& waiting) {
+    return IsClaim(waiting.change) || now >= waiting.submitted + context_.limits.settle_delay;
+  });
+}
+
+void claim_bucket_writer::Read() {
+  store_call call;
+  call.operation = store_operation::kGet;
+  call.key = key_;
+  call.timeout = context_.limits.call_timeout;
+  calling_ = true;
+  call_is_read_ = true;
+  call_started_ = now_;
+  context_.store.Submit(std::move(call), *this);
+}
+
+void claim_bucket_writer::Commit() {
+  claim_bucket next = bucket_;
+  std::size_t size = size_;
+  std::vector<claim_result> results;
+  bool changed = KeepInOrder(next, size);
+  for (const waiting_change& waiting : waiting_) {
+    change_effect effect = ApplyChange(next, size, waiting.change, context_.limits.bucket);
+    changed = changed || effect.changed || NeedsFence(effect.result);
+    results.push_back(std::move(effect.result));
+  }
+  if (changed) {
+    writing_ = std::move(waiting_);
+    waiting_.clear();
+    results_ = std::move(results);
+    Write(std::move(next), size);
+    return;
+  }
+  if (!IsFresh(results)) {
+    Read();
+    return;
+  }
+  waiting_.clear();
+  Give(results);
+}
+
+bool claim_bucket_writer::KeepInOrder(claim_bucket& bucket, std::size_t& size) {
+  bool changed = false;
+  const bool whole_epoch_seen = sighting_.seen && sighting_.epoch == bucket.epoch &&
+                                now_ - sighting_.since >= context_.limits.epoch_length;
+  if (whole_epoch_seen && !bucket.records.empty()) {
+    bucket.epoch += 1;
+    changed = true;
+  }
+  const std::size_t removed = RemoveExpired(bucket, context_.limits.bucket);
+  if (removed > 0) {
+    context_.metrics.Counter("claims_expired").Add(removed);
+    size = StoredSize(bucket);
+    changed = true;
+  }
+  return changed;
+}
+
+bool claim_bucket_writer::NeedsFence(const claim_result& result) const {
+  // A settle that finds no record says "it will never be there" only once the unknown write that
+  // may hold the record can't land any more: any write in its place sees to that.
+  const bool settles = result.change == claim_change_kind::kSettle;
+  return fenced_ && settles && result.kind == claim_result_kind::kLost;
+}
+
+bool claim_bucket_writer::IsFresh(const std::vector<claim_result>& results) const {
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    if (results[i].kind == claim_result_kind::kDone) continue;
+    if (loaded_at_ < waiting_[i].submitted) return false;
+  }
+  return true;
+}
+
+void claim_bucket_writer::Write(claim_bucket next, std::size_t size) {
+  store_call call;
+  call.operation = version_ ? store_operation::kUpdate : store_operation::kCreate;
+  call.key = key_;
+  call.expected = version_;
+  call.value = EncodeBucket(next);
+  call.timeout = context_.limits.call_timeout;
+  context_.metrics.Counter("claim_commits").Add();
+  context_.metrics.Counter("claim_commit_bytes").Add(call.value.size());
+  next_ = std::move(next);
+  next_size_ = size;
+  calling_ = true;
+  call_is_read_ = false;
+  call_started_ = now_;
+  context_.store.Submit(std::move(call), *this);
+}
+
+void claim_bucket_writer::OnStoreAnswer(store_call_id, const store_answer& answer) {
+  calling_ = false;
+  now_ = context_.time.Now();
+  if (call_is_read_) {
+    OnRead(answer);
+  } else {
+    OnWritten(answer);
+  }
+}
+
+void claim_bucket_writer::OnRead(const store_answer& answer) {
+  if (answer.outcome == store_outcome::kMissing && !sighting_.exists) {
+    TakeBucket(claim_bucket(), object_version());
+    return;
+  }
+  if (answer.outcome == store_outcome::kMissing) {
+    // An empty bucket in its place would free keys that ran.
+    context_.metrics.Counter("claim_buckets_vanished").Add();
+  }
+  if (answer.outcome != store_outcome::kDone) {
+    RefuseClaims();
+    BackOff();
+    return;
+  }
+  expected<claim_bucket> bucket = DecodeBucket(answer.value);
+  if (!bucket) {
+    // Never written over: what it holds is not known.
+    context_.metrics.Counter("claim_buckets_malformed").Add();
+    RefuseClaims();
+    BackOff();
+    return;
+  }
+  TakeBucket(std::move(*bucket), answer.version);
+}
+
+void claim_bucket_writer::TakeBucket(claim_bucket bucket, object_version version) {
+  loaded_ = true;
+  loaded_at_ = call_started_;
+  bucket_ = std::move(bucket);
+  size_ = StoredSize(bucket_);
+  version_ = version;
+  if (fenced_ && fence_ != version) fenced_ = false;
+  if (!sighting_.seen || sighting_.epoch != bucket_.epoch) {
+    sighting_ = {bucket_.epoch, now_, true, sighting_.exists};
+  }
+  if (version) sighting_.exists = true;
+}
+
+void claim_bucket_writer::OnWritten(const store_answer& answer) {
+  switch (answer.outcome) {
+    case store_outcome::kDone: {
+      failures_ = 0;
+      TakeBucket(std::move(next_), answer.version);
+      not_before_ = call_started_ + context_.limits.commit_interval;
+      std::vector<claim_result> results;
+      for (std::size_t i = 0; i < results_.size(); ++i) {
+        if (!writing_[i].withdrawn) results.push_back(std::move(results_[i]));
+      }
+      writing_.clear();
+      results_.clear();
+      Give(results);
+      return;
+    }
+    case store_outcome::kRefused:
+      PutBack();
+      RefuseClaims();
+      BackOff();
+      return;
+    case store_outcome::kUnknown:
+      context_.metrics.Counter("claim_commits_unknown").Add();
+      fence_ = version_;
+      fenced_ = true;
+      for (waiting_change& written : writing_) written.may_be_written = true;
+      PutBack();
+      loaded_ = false;
+      return;
+    case store_outcome::kConflict:
+    case store_outcome::kMissing:
+    case store_outcome::kStale:
+      context_.metrics.Counter("claim_conflicts").Add();
+      PutBack();
+      loaded_ = false;
+      failures_ += 1;
+      if (failures_ > 1) BackOff();
+      return;
+  }
+}
+
+void claim_bucket_writer::PutBack() {
+  std::vector<waiting_change> back;
+  for (waiting_change& written : writing_) {
+    if (!written.withdrawn) back.push_back(std::move(written));
+  }
+  std::move(waiting_.begin(), waiting_.end(), std::back_inserter(back));
+  waiting_ = std::move(back);
+  writing_.clear();
+  results_.clear();
+}
+
+void claim_bucket_writer::RefuseClaims() {
+  std::vector<claim_result> refused;
+  std::vector<waiting_change> kept;
+  for (waiting_change& waiting : waiting_) {
+    if (!IsClaim(waiting.change)) {
+      kept.push_back(std::move(waiting));
+      continue;
+    }
+    claim_result result;
+    result.attempt = waiting.change.record.attempt;
+    result.origin = waiting.change.origin;
+    result.may_be_written = waiting.may_be_written;
+    refused.push_back(std::move(result));
+  }
+  waiting_ = std::move(kept);
+  Give(refused);
+}
+
+void claim_bucket_writer::BackOff() {
+  not_before_ = now_ + JitteredDelay(failures_, context_.limits.first_backoff,
+                                     context_.limits.longest_backoff, context_.random);
+  failures_ += 1;
+}
+
+void claim_bucket_writer::Give(const std::vector<claim_result>& results) {
+  for (const claim_result& result : results) context_.listener.OnClaimResult(result);
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/claim_system_results.cpp
@@ -0,0 +1,199 @@
+/// What comes back to an attempt: results of its changes, and the plain service's lookup.
+#include <algorithm>
+
+#include "base/metrics_registry.h"
+#include "ports/clock.h"
+#include "systems/claim_system.h"
+
+namespace hawthorndrum {
+
+namespace {
+constexpr std::size_t kMostEndedAttempts = 4096;
+}  // namespace
+
+void claim_system::OnClaimResult(const claim_result& result) {
+  if (result.origin) {
+    if (forwarded_in_ > 0) forwarded_in_ -= 1;
+    ports_.peers.Send(result.origin, Encode(claim_forward_result{result}));
+    return;
+  }
+  TakeResult(result);
+}
+
+void claim_system::TakeResult(const claim_result& result) {
+  claim_attempt* attempt = attempts_.Find(result.attempt);
+  if (attempt == nullptr) return;
+  const time_point now = ports_.time.Now();
+  if (result.change == claim_change_kind::kClaim) {
+    TakeClaimResult(*attempt, result, now);
+  } else if (result.change == claim_change_kind::kSettle) {
+    TakeSettleResult(*attempt, result);
+  }
+}
+
+void claim_system::TakeClaimResult(claim_attempt& attempt, const claim_result& result,
+                                   time_point now) {
+  const bool open =
+      attempt.phase == claim_phase::kClaiming || attempt.phase == claim_phase::kWaiting;
+  if (!open) return;
+  if (result.kind == claim_result_kind::kRefused) {
+    TakeRefusal(attempt, result, now);
+    return;
+  }
+  // The one place where the change went has said what is there; no other may still write it.
+  if (attempt.forwarded_to) attempt.may_be_written = false;
+  attempt.forwarded_to = peer_id();
+  switch (result.kind) {
+    case claim_result_kind::kMine:
+      Decide(attempt, claim_verdict::kGranted, "");
+      return;
+    case claim_result_kind::kDone:
+      Decide(attempt, claim_verdict::kAnswered, "", result.present.answer);
+      return;
+    case claim_result_kind::kMismatch:
+      Decide(attempt, claim_verdict::kMismatch, "the key was used with another request");
+      return;
+    case claim_result_kind::kOpen:
+      WaitFor(attempt, result.present, now);
+      return;
+    case claim_result_kind::kUnknown:
+      attempt.other = result.present;
+      LookUp(attempt, true, now);
+      return;
+    case claim_result_kind::kFull:
+      ports_.metrics.Counter("claims_refused_bucket_full").Add();
+      Decide(attempt, claim_verdict::kNotRun, "the store of claims is full");
+      return;
+    default:
+      Decide(attempt, claim_verdict::kNotRun, "the claim was set to not run");
+      return;
+  }
+}
+
+void claim_system::TakeRefusal(claim_attempt& attempt, const claim_result& result, time_point now) {
+  if (attempt.forwarded_to) {
+    // The owner has dropped it, so its word on what it wrote is the last.
+    attempt.may_be_written = result.may_be_written;
+    SendDirectly(attempt, now);
+    return;
+  }
+  attempt.may_be_written = attempt.may_be_written || result.may_be_written;
+  // While another's claim is waited for, its maker may still answer.
+  if (attempt.phase == claim_phase::kWaiting) return;
+  Decide(attempt, claim_verdict::kNotRun, "the store of claims can't be reached");
+}
+
+void claim_system::TakeSettleResult(const claim_attempt& attempt, const claim_result& result) {
+  if (attempt.phase != claim_phase::kSettling) return;
+  const bool stored = result.kind == claim_result_kind::kSettled;
+  if (!stored && result.kind != claim_result_kind::kLost) return;
+  const bool had_run = attempt.last_word != claim_state::kNotRun;
+  if (!stored && had_run) ports_.metrics.Counter("claims_settle_lost").Add();
+  attempts_.Erase(attempt.id);
+}
+
+void claim_system::WaitFor(claim_attempt& attempt, const claim_record& other, time_point now) {
+  const bool same =
+      attempt.phase == claim_phase::kWaiting && attempt.other.attempt == other.attempt;
+  attempt.phase = claim_phase::kWaiting;
+  attempt.other = other;
+  if (same) return;
+  ports_.metrics.Counter("claims_waiting_for_another").Add();
+  attempt.questions = 0;
+  attempt.other_ended = false;
+  attempt.next_poll = now + options_.poll_interval;
+  AskMaker(attempt, now);
+}
+
+void claim_system::LookUp(claim_attempt& attempt, bool ended, time_point now) {
+  attempt.other_ended = ended;
+  if (ended) QuarantineOver(attempt.other.attempt, now);
+  if (ports_.lookup == nullptr || attempt.wish.lookup_path.empty()) {
+    Decide(attempt, claim_verdict::kUnknown, "an earlier attempt may have run");
+    return;
+  }
+  attempt.phase = claim_phase::kLooking;
+  attempt.next_lookup = now + options_.lookup_interval;
+  ports_.metrics.Counter("claim_lookups").Add();
+  ports_.lookup->Ask(
+      {attempt.wish.request, attempt.wish.service, attempt.wish.lookup_path, attempt.wish.key},
+      *this);
+}
+
+void claim_system::OnLookupAnswer(const lookup_answer& answer) {
+  const auto found = by_request_.find(answer.request);
+  if (found == by_request_.end()) return;
+  claim_attempt& attempt = *attempts_.Find(found->second);
+  if (attempt.phase == claim_phase::kLooking) TakeLookup(attempt, answer, ports_.time.Now());
+}
+
+void claim_system::TakeLookup(claim_attempt& attempt, const lookup_answer& answer, time_point now) {
+  if (answer.state == lookup_state::kDone) {
+    claim_change change;
+    change.kind = claim_change_kind::kResolve;
+    change.record = attempt.other;
+    change.record.state = claim_state::kDone;
+    change.record.answer = answer.answer;
+    committer_.Submit(std::move(change), time_point::max(), now);
+    ports_.metrics.Counter("claims_settled_by_lookup").Add();
+    Decide(attempt, claim_verdict::kAnswered, "", answer.answer);
+    return;
+  }
+  if (!attempt.other_ended) {
+    attempt.phase = claim_phase::kWaiting;
+    return;
+  }
+  if (answer.state == lookup_state::kNotRun && QuarantineOver(attempt.other.attempt, now)) {
+    attempt.replaces = attempt.other.attempt;
+    attempt.replaces_unknown = true;
+    ports_.metrics.Counter("claims_freed_by_lookup").Add();
+    SendClaim(attempt, now);
+    return;
+  }
+  Decide(attempt, claim_verdict::kUnknown, "an earlier attempt may have run, or may yet");
+}
+
+bool claim_system::QuarantineOver(attempt_id ended, time_point now) {
+  const auto found = std::find_if(ended_.begin(), ended_.end(), [&](const ended_attempt& known) {
+    return known.attempt == ended;
+  });
+  if (found != ended_.end()) return now - found->since >= options_.lookup_quarantine;
+  if (ended_.size() >= kMostEndedAttempts) ended_.pop_front();
+  ended_.push_back({ended, now});
+  return false;
+}
+
+expected<void> claim_system::Resolve(const claim_name& name, attempt_id attempt,
+                                     claim_state state) {
+  const claim_record* present = committer_.LastSeen(name);
+  if (present == nullptr || present->attempt != attempt) {
+    return tl::unexpected(
+        error{error_code::kNotFound, "no such attempt was seen; load the key first"});
+  }
+  const bool open =
+      present->state == claim_state::kClaimed || present->state == claim_state::kUnknown;
+  if (!open) return tl::unexpected(error{error_code::kConflict, "the claim is settled"});
+  const bool maker_here = present->maker == ports_.peers.self();
+  const bool maker_lives = maker_here ? present->incarnation == incarnation_
+                                      : IsPeer(present->maker, present->incarnation);
+  if (present->state == claim_state::kClaimed && maker_lives) {
+    return tl::unexpected(error{error_code::kConflict, "the daemon that made the claim lives"});
+  }
+  claim_change change;
+  change.kind = claim_change_kind::kResolve;
+  change.record = *present;
+  change.record.state = state;
+  committer_.Submit(std::move(change), time_point::max(), ports_.time.Now());
+  ports_.metrics.Counter("claims_settled_by_operator").Add();
+  return {};
+}
+
+expected<void> claim_system::Load(const claim_name& name) {
+  if (!committer_.ready()) {
+    return tl::unexpected(error{error_code::kUnavailable, "the store was not read yet"});
+  }
+  committer_.Visit(BucketOf(name, committer_.buckets()), ports_.time.Now());
+  return {};
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/tables/claim_bucket.h
@@ -0,0 +1,38 @@
+/// A bucket of claims: the value of one object in the store.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "base/error.h"
+#include "tables/claim_record.h"
+
+namespace hawthorndrum {
+
+/**
+ * Claims that are committed together. `epoch` counts ages of the bucket: it is raised by a daemon
+ * that has seen it unchanged for a whole epoch on its own clock, so an epoch never lasts less.
+ */
+struct claim_bucket {
+  std::uint64_t epoch = 0;
+  std::map<claim_name, claim_record> records;
+
+  const claim_record* Find(const claim_name& name) const {
+    const auto found = records.find(name);
+    return found == records.end() ? nullptr : &found->second;
+  }
+};
+
+/** About how many bytes the record takes in the stored value; never less than it takes. */
+std::size_t StoredSize(const claim_record& record);
+std::size_t StoredSize(const claim_bucket& bucket);
+
+std::string EncodeBucket(const claim_bucket& bucket);
+expected<claim_bucket> DecodeBucket(std::string_view value);
+
+/** The bucket that holds the claim. */
+std::uint32_t BucketOf(const claim_name& name, std::uint32_t buckets);
+
+}  // namespace hawthorndrum
