Publish configurations and bring them into force

Cause: the daemon needs a configuration that never goes back, and operators a way to put one in. Change: a configuration is a tree of immutable content-addressed parts (one head, 32 pages, 1024 leaves); publisher changes the head by conditional update and settles lost answers; config_system learns heads from the store and peers, fetches what differs, checks it by digest and puts it into force at once; hawthorndrumctl check and publish. Conclusion: thin, so that the daemon can be assembled around its interfaces.

--- /dev/null
+++ b/src/hawthorndrumctl/arguments.h
@@ -0,0 +1,43 @@
+/// Options and operands of a subcommand, parsed by getopt_long.
+#pragma once
+
+#include <iosfwd>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/error.h"
+
+namespace hawthorndrum {
+
+/** One option. Without a `value` name it takes no value. */
+struct option_spec {
+  std::string_view name;
+  std::string_view value;
+  std::string_view help;
+  /** The environment variable that is read when the option is not given; may be empty. */
+  std::string_view variable = {};
+};
+
+/**
+ * What was given on the command line and in the environment.
+ */
+class arguments {
+ public:
+  /** Parses the words after the subcommand's name. */
+  static expected<arguments> Parse(const std::vector<std::string>& words,
+                                   const std::vector<option_spec>& options);
+
+  bool Has(std::string_view option) const;
+  /** The last value given for the option, or an empty text. */
+  std::string Value(std::string_view option) const;
+  std::vector<std::string> Values(std::string_view option) const;
+  const std::vector<std::string>& operands() const { return operands_; }
+
+ private:
+  std::map<std::string, std::vector<std::string>, std::less<>> values_;
+  std::vector<std::string> operands_;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/hawthorndrumctl/http_client.h
@@ -0,0 +1,25 @@
+/// A small blocking HTTP client.
+#pragma once
+
+#include <string>
+
+#include "base/error.h"
+#include "base/http_message.h"
+#include "base/units.h"
+
+namespace hawthorndrum {
+
+/** Where to connect. With an `authority` file (PEM) the connection is TLS and must match it. */
+struct http_endpoint {
+  std::string address;
+  std::string authority;
+};
+
+/**
+ * Makes one call over one connection. The error's code is kUnavailable when no byte can have been
+ * sent, and kUnknownOutcome when the call may have been carried out.
+ */
+expected<http_answer> CallHttp(const http_endpoint& endpoint, const http_request& request,
+                               duration timeout);
+
+}  // namespace hawthorndrum
--- a/src/hawthorndrumctl/part.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-/// Links the part together.
-#include "base/findings.h"
--- /dev/null
+++ b/src/hawthorndrumctl/publish_command.cpp
@@ -0,0 +1,75 @@
+/// Publishing service files.
+#include "publish_command.h"
+
+#include <ostream>
+
+#include "http_object_store.h"
+#include "publish_run.h"
+#include "service_folders.h"
+
+namespace hawthorndrum {
+namespace {
+
+std::vector<service_change> ToChanges(std::vector<stated_service> services,
+                                      const std::vector<std::string>& removed) {
+  std::vector<service_change> changes;
+  for (stated_service& service : services) {
+    std::string name = service.config.name;
+    changes.push_back({std::move(name), std::move(service.config)});
+  }
+  for (const std::string& name : removed) changes.push_back({name, std::nullopt});
+  return changes;
+}
+
+}  // namespace
+
+std::string_view publish_command::details() const {
+  return "Checks the service files below the folders and puts them into force in one generation.\n"
+         "Services that are not named stay as they are; --remove takes one out of force. When\n"
+         "another operator has changed one of the services meanwhile, nothing is published, and\n"
+         "what changed, by whom and when is printed (exit code 3). Exit code 5: the last answer "
+         "of\n"
+         "the store was lost; repeat the command with the --publish-id that is printed.\n";
+}
+
+std::vector<option_spec> publish_command::options() const {
+  std::vector<option_spec> specs = PublishOptions();
+  specs.push_back({"remove", "SERVICE", "take a service out of force; may be repeated"});
+  for (const option_spec& spec : AdminOptions()) specs.push_back(spec);
+  return specs;
+}
+
+exit_code publish_command::Run(const arguments& given, command_streams streams) const {
+  const expected<bool> as_json = WantsJson(given);
+  if (!as_json) return Fail(streams, as_json.error());
+  const std::vector<std::string> removed = given.Values("remove");
+  if (given.operands().empty() && removed.empty()) {
+    return Fail(streams, {error_code::kInvalid, "name a folder, or a service with --remove"});
+  }
+  if (given.Value("store").empty()) {
+    return Fail(streams, {error_code::kInvalid, "name the object API with --store"});
+  }
+  if (given.Has("wait") && given.Value("admin").empty()) {
+    return Fail(streams, {error_code::kInvalid, "--wait needs a daemon's --admin"});
+  }
+  findings found;
+  std::vector<stated_service> services = CollectServices(given.operands(), found);
+  if (!found.empty()) {
+    streams.err << found.ToText() << "hawthorndrumctl: nothing was published\n";
+    return exit_code::kRefused;
+  }
+  expected<publish_request> request = RequestFromOptions(given);
+  if (!request) return Fail(streams, request.error());
+  request->changes = ToChanges(std::move(services), removed);
+
+  const std::uint64_t id = request->publish_id;
+  http_object_store store(http_endpoint{given.Value("store"), {}});
+  const publish_result result = RunPublisher(store, std::move(*request), streams.err);
+  const exit_code code = PrintResult(result, id, *as_json, streams);
+  const bool in_force =
+      result.status == publish_status::kPublished || result.status == publish_status::kUnchanged;
+  if (!in_force || !given.Has("wait")) return code;
+  return WaitUntilInForce(result.number, given, streams);
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/hawthorndrumctl/publish_run.cpp
@@ -0,0 +1,163 @@
+/// A publishing run from the command line.
+#include "publish_run.h"
+
+#include <sys/random.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdlib>
+#include <ctime>
+#include <ostream>
+#include <thread>
+
+#include "admin_client.h"
+#include "base/quantity.h"
+#include "http_object_store.h"
+#include "publish_text.h"
+#include "system_random.h"
+#include "systems/publisher.h"
+
+namespace hawthorndrum {
+namespace {
+
+constexpr duration kTick = milliseconds(20);
+constexpr duration kDefaultPatience = seconds(30);
+constexpr duration kDefaultWait = seconds(60);
+constexpr duration kWaitPoll = milliseconds(250);
+
+time_point Now() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return time_point(seconds(now.tv_sec) +
+                    std::chrono::duration_cast<duration>(std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+std::string DefaultAuthor() {
+  const char* user = std::getenv("USER");
+  std::array<char, 256> host{};
+  gethostname(host.data(), host.size() - 1);
+  return std::string(user == nullptr ? "unknown" : user) + "@" + host.data();
+}
+
+/** A line that is overwritten, on terminals only. */
+class progress_line {
+ public:
+  explicit progress_line(std::ostream& stream) : stream_(stream), shown_(isatty(STDERR_FILENO)) {}
+  ~progress_line() { Show({}); }
+  progress_line(const progress_line&) = delete;
+  progress_line& operator=(const progress_line&) = delete;
+
+  void Show(const std::string& text) {
+    if (!shown_ || text == last_) return;
+    last_ = text;
+    stream_ << "\r\033[K" << text << std::flush;
+  }
+
+ private:
+  std::ostream& stream_;
+  bool shown_;
+  std::string last_;
+};
+
+}  // namespace
+
+std::vector<option_spec> PublishOptions() {
+  return {kStoreOption,
+          {"author", "NAME", "who publishes (default: user@host)"},
+          {"note", "TEXT", "kept in the history"},
+          {"base", "GENERATION", "a service changed after it by others is a conflict"},
+          {"publish-id", "ID", "settle an earlier run with this id, or run it again"},
+          {"floor", "GENERATION", "number the new generation at least this"},
+          {"patience", "TIME", "how long to go on when the store does not answer (default: 30s)"},
+          {"dry-run", "", "show the difference to what is in force and stop"},
+          {"wait", "", "wait until every daemon has it; needs --admin"},
+          {"wait-time", "TIME", "how long to wait (default: 60s)"}};
+}
+
+expected<publish_request> RequestFromOptions(const arguments& given) {
+  publish_request request;
+  const expected<std::uint64_t> id = NumberOption(given, "publish-id", 0);
+  const expected<std::uint64_t> base = NumberOption(given, "base", 0);
+  const expected<std::uint64_t> floor = NumberOption(given, "floor", 0);
+  const expected<duration> patience = TimeOption(given, "patience", kDefaultPatience);
+  if (!id) return tl::make_unexpected(id.error());
+  if (!base) return tl::make_unexpected(base.error());
+  if (!floor) return tl::make_unexpected(floor.error());
+  if (!patience) return tl::make_unexpected(patience.error());
+  request.settle = *id != 0;
+  request.publish_id = *id != 0 ? *id : system_random().Draw();
+  request.base = generation(*base);
+  request.floor = generation(*floor);
+  request.patience = *patience;
+  request.author = given.Has("author") ? given.Value("author") : DefaultAuthor();
+  request.note = given.Value("note");
+  request.time = std::time(nullptr);
+  request.dry_run = given.Has("dry-run");
+  return request;
+}
+
+publish_result RunPublisher(http_object_store& store, publish_request request, std::ostream& err) {
+  system_random random;
+  publisher run(store, random, std::move(request));
+  progress_line line(err);
+  run.Run(Now());
+  while (!run.ended()) {
+    line.Show(run.progress());
+    if (!store.Pump()) std::this_thread::sleep_for(kTick);
+    run.Run(Now());
+  }
+  publish_result result = run.result();
+  if (!store.last_problem().empty() && !result.message.empty()) {
+    result.message += " (" + store.last_problem() + ")";
+  }
+  return result;
+}
+
+exit_code PrintResult(const publish_result& result, std::uint64_t publish_id, bool as_json,
+                      command_streams streams) {
+  streams.out << (as_json ? ResultAsJson(result, publish_id) : ResultAsText(result, publish_id));
+  switch (result.status) {
+    case publish_status::kPublished:
+    case publish_status::kUnchanged:
+    case publish_status::kPlanned:
+      return exit_code::kDone;
+    case publish_status::kConflict:
+      return exit_code::kConflict;
+    case publish_status::kRejected:
+      return exit_code::kRefused;
+    case publish_status::kGivenUp:
+      return exit_code::kUnavailable;
+    case publish_status::kRunning:
+    case publish_status::kUnknown:
+      return exit_code::kUnknown;
+  }
+  return exit_code::kUnknown;
+}
+
+exit_code WaitUntilInForce(generation number, const arguments& given, command_streams streams) {
+  const expected<admin_client> client = admin_client::FromOptions(given);
+  if (!client) return Fail(streams, client.error());
+  const expected<duration> wait = TimeOption(given, "wait-time", kDefaultWait);
+  if (!wait) return Fail(streams, wait.error());
+  const time_point give_up = Now() + *wait;
+  progress_line line(streams.err);
+  std::string last;
+  while (Now() < give_up) {
+    const expected<spread_report> report = ReadSpread(*client);
+    if (!report && report.error().code == error_code::kUnauthorised) {
+      return Fail(streams, report.error());
+    }
+    last = report ? SpreadAsText(*report, number) : report.error().message;
+    if (report && !(report->lowest < number)) {
+      streams.err << "generation " << number.value() << " is in force on " << report->daemons
+                  << " daemons\n";
+      return exit_code::kDone;
+    }
+    line.Show(last);
+    std::this_thread::sleep_for(kWaitPoll);
+  }
+  streams.err << "hawthorndrumctl: published, but not in force everywhere yet: " << last << '\n';
+  return exit_code::kNotYet;
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/hawthorndrumctl/service_folders.cpp
@@ -0,0 +1,77 @@
+/// Walks folders for service files.
+#include "service_folders.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "base/yaml_parser.h"
+
+namespace hawthorndrum {
+namespace {
+
+namespace fs = std::filesystem;
+
+/** The service files below the folder, sorted; a folder that can't be read is a finding. */
+std::vector<std::string> FilesBelow(const std::string& folder, findings& found) {
+  std::vector<std::string> files;
+  std::error_code problem;
+  fs::recursive_directory_iterator walk(folder, problem);
+  for (; !problem && walk != fs::recursive_directory_iterator(); walk.increment(problem)) {
+    if (walk->path().filename() == kServiceFileName) files.push_back(walk->path().string());
+  }
+  if (problem) found.Add(place{folder, 1, 1}, problem.message());
+  std::sort(files.begin(), files.end());
+  return files;
+}
+
+std::vector<std::string> FilesOf(const std::vector<std::string>& paths, findings& found) {
+  std::vector<std::string> files;
+  for (const std::string& path : paths) {
+    std::error_code problem;
+    if (!fs::exists(path, problem)) {
+      found.Add(place{path, 1, 1}, "no such file or folder");
+      continue;
+    }
+    if (!fs::is_directory(path, problem)) {
+      files.push_back(path);
+      continue;
+    }
+    const std::vector<std::string> below = FilesBelow(path, found);
+    if (below.empty()) found.Add(place{path, 1, 1}, std::string("holds no ") + kServiceFileName);
+    files.insert(files.end(), below.begin(), below.end());
+  }
+  return files;
+}
+
+/** Reads at most one byte more than a service file may have. */
+bool ReadBounded(const std::string& path, std::string& text) {
+  std::ifstream stream(path, std::ios::binary);
+  if (!stream) return false;
+  text.resize(kMaxYamlBytes + 1);
+  stream.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<std::size_t>(stream.gcount()));
+  return !stream.bad();
+}
+
+}  // namespace
+
+std::vector<stated_service> CollectServices(const std::vector<std::string>& paths,
+                                            findings& found) {
+  std::vector<stated_service> services;
+  for (const std::string& file : FilesOf(paths, found)) {
+    std::string text;
+    if (!ReadBounded(file, text)) {
+      found.Add(place{file, 1, 1}, "can't be read");
+      continue;
+    }
+    std::vector<stated_service> read = ReadServiceFile(file, text, found);
+    services.insert(services.end(), std::make_move_iterator(read.begin()),
+                    std::make_move_iterator(read.end()));
+  }
+  CheckServicesTogether(services, found);
+  return services;
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/hawthorndrumctl/service_folders.h
@@ -0,0 +1,20 @@
+/// Collects service files from folders.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/findings.h"
+#include "systems/service_file_reader.h"
+
+namespace hawthorndrum {
+
+inline constexpr const char* kServiceFileName = "hawthorndrum.yaml";
+
+/**
+ * Reads every file named hawthorndrum.yaml below the folders, and every path that is itself a file.
+ * All findings of all files, and of the services together, are added to `found`.
+ */
+std::vector<stated_service> CollectServices(const std::vector<std::string>& paths, findings& found);
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/config_message_codec.h
@@ -0,0 +1,24 @@
+/// CBOR forms of the messages about the configuration.
+#pragma once
+
+#include "base/error.h"
+#include "ports/peer_message.h"
+#include "tables/config_message.h"
+
+namespace hawthorndrum {
+
+inline constexpr std::size_t kMostPartsARequest = 32;
+inline constexpr std::size_t kMostLaggingNamed = 8;
+
+peer_message EncodeMessage(const config_announcement& message);
+peer_message EncodeMessage(const config_request& message);
+peer_message EncodeMessage(const config_part_message& message);
+peer_message EncodeMessage(const config_status& message);
+
+/** Each checks every field; anything else than a whole message of its kind is an error. */
+expected<config_announcement> DecodeAnnouncement(const peer_message& message);
+expected<config_request> DecodeRequest(const peer_message& message);
+expected<config_part_message> DecodePart(const peer_message& message);
+expected<config_status> DecodeStatus(const peer_message& message);
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/config_system.h
@@ -0,0 +1,115 @@
+/// Brings published configurations into force on this daemon, and never goes back.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "ports/admin_section.h"
+#include "ports/peer_port.h"
+#include "systems/config_assembler.h"
+#include "systems/config_fetch.h"
+#include "systems/config_gossip.h"
+#include "systems/config_store_watch.h"
+#include "tables/config_view.h"
+
+namespace hawthorndrum {
+
+class clock;
+
+/**
+ * Learns of heads from the store (two daemons of each data centre watch it) and from peers, fetches
+ * the parts that differ and puts a generation into force at once when all of them have arrived and
+ * were checked.
+ *
+ * Invariant: current() never falls. A lower generation is refused and counted, wherever it comes
+ * from, and so is another configuration under the number in force.
+ *
+ * After its start a daemon gives the store and its peers some time to be heard, so that it does not
+ * take up a generation older than the newest one known around it.
+ */
+class config_system : public config_view,
+                      public system,
+                      public peer_listener,
+                      public admin_section,
+                      private store_head_listener,
+                      private part_listener {
+ public:
+  /** config_system_builder makes one. */
+  config_system(object_store& store, peer_port& peers, const clock& time, random_source& random,
+                metrics_registry& metrics, std::string address, std::string data_centre);
+
+  std::shared_ptr<const service_config> Find(std::string_view service) const override;
+  generation current() const override { return tree_.head.number; }
+
+  void Run(time_point now) override;
+  /** Topics kConfigHead, kConfigRequest, kConfigPart and kStatus. */
+  void OnPeerMessage(peer_id from, const peer_message& message) override;
+
+  std::string_view name() const override { return "config"; }
+  expected<nlohmann::json> Report(std::string_view item) const override;
+  expected<nlohmann::json> Act(std::string_view verb, const nlohmann::json& arguments) override;
+
+  const config_tree& tree() const { return tree_; }
+  /** The lowest generation among all daemons heard of, this one included. */
+  generation LowestKnown() const;
+
+ private:
+  void OnStoreHead(const std::string& bytes) override;
+  void OnStoreHeadMissing() override;
+  bool OnPart(const content_digest& digest, const std::string& bytes) override;
+
+  void OnAnnouncement(peer_id from, const config_announcement& announcement);
+  void OnRequest(peer_id from, const config_request& request);
+  void OnPeerPart(peer_id from, const config_part_message& part);
+
+  void ChooseWatchers();
+  std::size_t WatcherRank() const;
+  bool IsNews(generation number, const content_digest& head, counter& lower);
+  void WantHead(generation number, const content_digest& head);
+  void BeginWith(const std::string& head_bytes);
+  void FetchMissing();
+  void AbandonWhenStuck();
+  void PutIntoForce();
+  void WantNewestHeard();
+  bool MayTakeUp() const;
+  void AddHolders();
+
+  peer_port& peers_;
+  const clock& clock_;
+  std::string data_centre_;
+  std::string address_;
+  counter& lower_from_store_;
+  counter& lower_from_peer_;
+  counter& conflicting_;
+  counter& malformed_;
+  counter& applied_;
+  counter& current_gauge_;
+  counter& served_parts_;
+  counter& busy_;
+
+  config_tree tree_;
+  config_assembler assembler_;
+  config_store_watch watch_;
+  config_fetch fetch_;
+  config_gossip gossip_;
+
+  /** The generation that is being fetched; its head may still be missing. */
+  generation target_;
+  content_digest target_head_;
+  time_point target_since_;
+  /** The newest generation heard of, which may be above the one that is being fetched. */
+  generation newest_heard_;
+
+  bool started_ = false;
+  time_point now_;
+  time_point start_;
+  time_point next_choice_;
+  time_point in_force_since_;
+  bool store_answered_ = false;
+  std::size_t watcher_rank_ = 0;
+  /** Bytes that may still be sent to peers now. */
+  double serve_budget_ = 0;
+  time_point serve_refilled_;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/publish_plan.h
@@ -0,0 +1,37 @@
+/// Works out what a publishing run has to write.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "tables/config_slice.h"
+#include "tables/publish_request.h"
+
+namespace hawthorndrum {
+
+/** An immutable part to be written. */
+struct config_part {
+  content_digest digest;
+  std::string bytes;
+};
+
+/**
+ * `parts` and `head` are to be written only when there are changes and no conflicts. `oversized`
+ * names a service whose leaf would exceed the bound on values; empty when there is none.
+ */
+struct publish_plan {
+  std::vector<planned_change> changes;
+  std::vector<publish_conflict> conflicts;
+  std::vector<config_part> parts;
+  config_head head;
+  std::string oversized;
+};
+
+/**
+ * Plans the request against the slice, which must hold the pages and leaves of all services named.
+ * `base` is the generation that the operator's wishes are based on.
+ */
+publish_plan PlanPublish(const config_slice& present, const publish_request& request,
+                         generation base);
+
+}  // namespace hawthorndrum
--- a/src/libhawthorndrum/systems/service_file_reader.cpp
+++ b/src/libhawthorndrum/systems/service_file_reader.cpp
@@ -11,6 +11,7 @@
 namespace hawthorndrum {
 namespace {
 
+constexpr std::string_view kAllowed = "abcdefghijklmnopqrstuvwxyz0123456789-";
 constexpr std::size_t kLongestName = 63;
 constexpr std::size_t kLongestText = 200;
 constexpr duration kShortestTime = milliseconds(1);
@@ -157,7 +158,6 @@
 }  // namespace
 
 bool IsServiceName(std::string_view name) {
-  constexpr std::string_view kAllowed = "abcdefghijklmnopqrstuvwxyz0123456789-";
   if (name.empty() || name.size() > kLongestName) return false;
   const bool starts_with_letter = name.front() >= 'a' && name.front() <= 'z';
   return starts_with_letter && name.find_first_not_of(kAllowed) == std::string_view::npos;
--- /dev/null
+++ b/src/libhawthorndrum/tables/config_slice.h
@@ -0,0 +1,23 @@
+/// The part of a stored configuration that one publishing run needs.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+#include "tables/config_entry.h"
+#include "tables/config_head.h"
+
+namespace hawthorndrum {
+
+/**
+ * A head with some of its pages and leaves, by number. A head with number 0 stands for a store in
+ * which nothing was published yet.
+ */
+struct config_slice {
+  config_head head;
+  std::map<std::size_t, config_page> pages;
+  std::map<std::size_t, std::vector<config_entry>> leaves;
+};
+
+}  // namespace hawthorndrum
