Take, renew and give back the lease of a data centre

A data centre's orders need one holder at a time, and hosts keep nothing. One lease object per data centre is renewed by conditional update; a holder trusts it until the send time of its last confirmed write plus the length less a margin, on its own clock, and a successor waits a whole length of unchanged version on its own. Lost answers are settled by reading back. Daemons of later rank ask the store only after a silence that grows with their rank.

--- a/src/libhawthorndrum/ports/engine_order.h
+++ b/src/libhawthorndrum/ports/engine_order.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "base/ids.h"
+#include "base/units.h"
 
 namespace hawthorndrum {
 
@@ -12,7 +13,9 @@
 enum class order_kind { kSetRole, kLoadModel, kUnloadModel, kLoadAdapter };
 
 /**
- * One order. `role` belongs to kSetRole; `model`, `version` and `adapter` to the others.
+ * One order. `role` belongs to kSetRole; `model`, `version` and `adapter` to the others. `term` is
+ * its fencing number. The port looks at the clock right before it writes the order's bytes, and
+ * answers kNotSent instead of writing at or after `send_by`.
  */
 struct engine_order {
   order_id id;
@@ -23,6 +26,7 @@
   std::string model;
   std::string version;
   std::string adapter;
+  time_point send_by;
 };
 
 /** kBusy: another order runs. kStaleTerm: the engine has seen a higher term. */
--- /dev/null
+++ b/src/libhawthorndrum/systems/lease_record.h
@@ -0,0 +1,32 @@
+/// The stored lease of one data centre.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "base/units.h"
+
+namespace hawthorndrum {
+
+/** No term is larger; leaves room for the order numbers within a term in a fencing number. */
+constexpr std::uint64_t kLargestTerm = std::uint64_t{1} << 32;
+
+/**
+ * The lease as it is stored. `holder` is 0 after the holder gave it back. `nonce` makes every
+ * written value unique.
+ */
+struct lease_record {
+  lease_term term;
+  peer_id holder;
+  incarnation_id incarnation;
+  std::uint64_t nonce = 0;
+  duration length{0};
+};
+
+std::string EncodeLease(const lease_record& record);
+expected<lease_record> DecodeLease(std::string_view text);
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/lease_system.cpp
@@ -0,0 +1,231 @@
+/// Taking, renewing and losing the lease.
+#include "systems/lease_system.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/metrics_registry.h"
+#include "ports/clock.h"
+#include "ports/random_source.h"
+#include "systems/lease_notice.h"
+
+namespace hawthorndrum {
+namespace {
+
+/** How many daemons of a data centre ask the store without waiting for a silence. */
+constexpr std::size_t kCandidates = 3;
+/** A notice whose term leaps further is taken for rubbish. */
+constexpr std::uint64_t kLargestLeap = 1'000'000;
+
+}  // namespace
+
+lease_system::lease_system(object_store& store, peer_port& peers, const clock& clock,
+                           random_source& random, metrics_registry& metrics,
+                           std::string data_centre, incarnation_id self, lease_timing timing)
+    : peers_(peers),
+      clock_(clock),
+      random_(random),
+      data_centre_(std::move(data_centre)),
+      self_(self),
+      timing_(timing),
+      record_(store, clock, random, metrics, "leases/" + data_centre_, *this),
+      gained_(metrics.Counter("hawthorndrum_lease_gained_total")),
+      lost_(metrics.Counter("hawthorndrum_lease_lost_total")),
+      held_gauge_(metrics.Counter("hawthorndrum_lease_held")),
+      bad_messages_(metrics.Counter("hawthorndrum_bad_peer_messages_total",
+                                    MetricLabel("topic", "lease_holder"))) {}
+
+bool lease_system::Holds() const { return held_ && clock_.Now() < trust_until_; }
+
+void lease_system::Run(time_point now) {
+  if (held_ && now >= trust_until_) Lose();
+  record_.Run(now);
+  if (held_) Announce(now);
+  if (!record_.idle()) return;
+  if (held_) {
+    if (stopped_ || give_back_asked_) return GiveBack();
+    if (now >= renew_at_) Renew();
+    return;
+  }
+  if (!stopped_) KeepAsking(now);
+}
+
+void lease_system::KeepAsking(time_point now) {
+  if (!has_heard_) {
+    // The wait before the first question counts from the first tick.
+    has_heard_ = true;
+    heard_at_ = now;
+  }
+  if (now < next_ask_ || now - heard_at_ < Patience()) return;
+  const duration pause = timing_.ask_every() * (1 + RankGroup());
+  next_ask_ = now + pause +
+              duration(static_cast<duration::rep>(
+                  random_.Below(static_cast<std::uint64_t>(pause.count()) / 2)));
+  record_.Read();
+}
+
+void lease_system::OnRecordRead(const record_state& state) {
+  const time_point now = clock_.Now();
+  writing_ = writing::kNothing;
+  SetSeen(state, now);
+  // A holder reads only to settle a write: what it found there was written by another daemon.
+  if (held_ && seen_.incarnation != self_) return Lose();
+  if (held_ || stopped_) return;
+  ConsiderTaking(now);
+}
+
+void lease_system::SetSeen(const record_state& state, time_point now) {
+  if (!has_seen_ || state.version != seen_version_) {
+    has_seen_ = true;
+    seen_version_ = state.version;
+    seen_since_ = now;
+    // Somebody renewed it since, or this daemon asks for the first time: lower ranks go first.
+    heard_at_ = now;
+  }
+  seen_ = DecodeLease(state.value).value_or(lease_record{});
+  highest_ = std::max(highest_, seen_.term);
+}
+
+void lease_system::ConsiderTaking(time_point now) {
+  const bool given_back = seen_version_ && seen_.term && !seen_.holder;
+  const bool own = seen_version_ && seen_.incarnation == self_;
+  const duration wait = std::max(timing_.length, seen_.length);
+  if (given_back || own || now - seen_since_ >= wait) Take();
+}
+
+void lease_system::Take() {
+  if (highest_.value() >= kLargestTerm) return;
+  WriteRecord(lease_term(highest_.value() + 1), peers_.self(), writing::kTake);
+}
+
+void lease_system::Renew() { WriteRecord(term_, peers_.self(), writing::kRenew); }
+
+void lease_system::GiveBack() {
+  const lease_term term = term_;
+  Lose();
+  give_back_asked_ = false;
+  // Others go first.
+  next_ask_ = clock_.Now() + timing_.length * 2;
+  WriteRecord(term, peer_id(), writing::kGiveBack);
+}
+
+void lease_system::WriteRecord(lease_term term, peer_id holder, writing what) {
+  lease_record next;
+  next.term = term;
+  next.holder = holder;
+  next.incarnation = self_;
+  next.nonce = random_.Draw();
+  next.length = timing_.length;
+  writing_ = what;
+  writing_term_ = term;
+  record_.Write(EncodeLease(next));
+}
+
+void lease_system::OnRecordWritten(const record_state& state, time_point sent) {
+  const writing what = std::exchange(writing_, writing::kNothing);
+  const time_point now = clock_.Now();
+  SetSeen(state, now);
+  if (what == writing::kGiveBack) return;
+  // A renewal that is confirmed after the loss gives nothing back: the lease is taken anew.
+  if (what == writing::kRenew && !held_) return;
+  if (writing_term_ < highest_) return Lose();
+  trust_until_ = sent + timing_.length - timing_.margin;
+  renew_at_ = sent + timing_.renew_after();
+  if (what != writing::kTake || now >= trust_until_) return;
+  held_ = true;
+  term_ = writing_term_;
+  known_holder_ = peers_.self();
+  next_announcement_ = now;
+  gained_.Add();
+  held_gauge_.Set(1);
+  for (lease_listener* listener : listeners_) listener->OnLeaseGained(term_);
+}
+
+void lease_system::Lose() {
+  if (!held_) return;
+  held_ = false;
+  known_holder_ = peer_id();
+  heard_at_ = clock_.Now();
+  lost_.Add();
+  held_gauge_.Set(0);
+  record_.Abandon();
+  for (lease_listener* listener : listeners_) listener->OnLeaseLost(term_);
+}
+
+void lease_system::NoteTerm(lease_term seen) {
+  if (seen.value() > kLargestTerm) return;
+  highest_ = std::max(highest_, seen);
+  if (held_ && term_ < seen) Lose();
+}
+
+void lease_system::Stop() { stopped_ = true; }
+
+void lease_system::Announce(time_point now) {
+  if (now < next_announcement_) return;
+  next_announcement_ = now + timing_.announce_every;
+  const peer_message message = EncodeLeaseNotice({data_centre_, term_, self_});
+  for (const live_peer& peer : peers_.Peers()) {
+    if (peer.same_data_centre) peers_.Send(peer.id, message);
+  }
+}
+
+void lease_system::OnPeerMessage(peer_id from, const peer_message& message) {
+  if (message.topic != peer_topic::kLeaseHolder) return;
+  const expected<lease_notice> notice = DecodeLeaseNotice(message);
+  if (!notice) return bad_messages_.Add();
+  if (notice->data_centre != data_centre_ || notice->incarnation == self_) return;
+  if (notice->term < highest_) return;
+  if (notice->term.value() > highest_.value() + kLargestLeap) return bad_messages_.Add();
+  NoteTerm(notice->term);
+  if (held_) return;
+  known_holder_ = from;
+  has_heard_ = true;
+  heard_at_ = clock_.Now();
+  // Nothing to ask while the holder speaks.
+  if (writing_ == writing::kNothing) record_.Abandon();
+}
+
+std::size_t lease_system::Rank() const {
+  const std::uint64_t key = Hash64(data_centre_);
+  const std::uint64_t own = RendezvousScore(key, peers_.self().value());
+  std::size_t rank = 0;
+  for (const live_peer& peer : peers_.Peers()) {
+    if (peer.same_data_centre && RendezvousScore(key, peer.id.value()) > own) ++rank;
+  }
+  return rank;
+}
+
+duration::rep lease_system::RankGroup() const {
+  return static_cast<duration::rep>(Rank() / kCandidates);
+}
+
+duration lease_system::Patience() const {
+  // Every group waits two lengths longer than the group before it.
+  const duration base = known_holder_ ? timing_.announce_every * 2 : duration(0);
+  return base + timing_.length * 2 * RankGroup();
+}
+
+expected<nlohmann::json> lease_system::Report(std::string_view item) const {
+  if (!item.empty() && item != data_centre_) {
+    return tl::unexpected(error{error_code::kNotFound, "no such lease here"});
+  }
+  const bool holds = Holds();
+  nlohmann::json report = {{"data_centre", data_centre_},
+                           {"held_here", holds},
+                           {"term", holds ? term_.value() : highest_.value()},
+                           {"holder", known_holder_.value()},
+                           {"rank", Rank()}};
+  if (holds) report["trusted_for_ms"] = ToMilliseconds(trust_until_ - clock_.Now());
+  return report;
+}
+
+expected<nlohmann::json> lease_system::Act(std::string_view verb, const nlohmann::json&) {
+  if (verb != "give_back") return tl::unexpected(error{error_code::kNotFound, "no such verb"});
+  if (!Holds()) return tl::unexpected(error{error_code::kConflict, "the lease is not held here"});
+  give_back_asked_ = true;
+  return nlohmann::json{{"gives_back", term_.value()}};
+}
+
+}  // namespace hawthorndrum
