--- /dev/null
+++ b/src/libhawthorndrum/systems/engine_change.h
@@ -0,0 +1,51 @@
+/// A change of one engine under way at the lease's holder.
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "base/ids.h"
+#include "base/units.h"
+#include "ports/engine_order.h"
+
+namespace hawthorndrum {
+
+/**
+ * kDraining: daemons send the engine nothing new. kFirm: the marks no longer run out.
+ * kCommitting: the journal is being written. kReady: journalled, may be sent. kSent: a copy went
+ * out. kEnded: the engine reported the end, which is being journalled.
+ */
+enum class change_stage { kDraining, kFirm, kCommitting, kReady, kSent, kEnded };
+
+/** A daemon's newest answer about one engine. */
+struct change_sight {
+  std::uint64_t number = 0;
+  std::uint32_t in_flight = 0;
+};
+
+/**
+ * Invariant: `order` is in the journal, open and with this holder's fencing number, from kReady on.
+ */
+struct engine_change {
+  engine_order order;
+  change_stage stage = change_stage::kDraining;
+  /** Whether an older holder journalled the order: then it is not given up. */
+  bool adopted = false;
+  time_point began;
+  /** When the stage began, and the first announcement that showed it. */
+  time_point stage_began;
+  std::uint64_t stage_number = 0;
+  std::map<peer_id, change_sight> sights;
+  time_point sent_at;
+  time_point next_send;
+  /** The engine's run that the last copy went to. */
+  std::uint64_t sent_to_run = 0;
+  /** Since when the engine is not in the upstream table. */
+  time_point missing_since;
+  bool missing = false;
+  bool failed = false;
+  /** Whether the journal write under way holds this stage. */
+  bool in_write = false;
+};
+
+}  // namespace hawthorndrum
