--- /dev/null
+++ b/src/libhawthorndrum/systems/role_planner.h
@@ -0,0 +1,79 @@
+/// Decides how many engines of one model do prefill and how many do decode.
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "base/units.h"
+
+namespace hawthorndrum {
+
+/**
+ * The engines of one model: how many have each role (a change under way counts as done), and what
+ * one engine does, in tokens a second.
+ */
+struct role_fleet {
+  std::size_t prefill = 0;
+  std::size_t decode = 0;
+  std::size_t mixed = 0;
+  double prefill_rate = 0;
+  double decode_rate = 0;
+};
+
+/** Demand in tokens a second. */
+struct role_demand {
+  double prefill = 0;
+  double decode = 0;
+};
+
+/**
+ * What a change costs, in engine-seconds of lost work: the time that the engine is away (drain and
+ * change), and what operators add on top (`role_change_price`). `headroom` is the share of an
+ * engine's rate that is planned with. `floor` is the least number of engines that can do each role.
+ */
+struct role_prices {
+  double away_seconds = 8;
+  double role_change_price = 20;
+  double headroom = 0.95;
+  std::size_t floor = 1;
+
+  double per_change() const { return away_seconds + role_change_price; }
+};
+
+/**
+ * The work function of the split: for every number of prefill engines, the least cost with which
+ * any sequence of changes could have served the demand so far and ended there. A change is wanted
+ * once staying has cost more than moving would have, so each change has been earned by its price.
+ *
+ * Invariants: cost_ has one entry for each split of the movable engines; neighbours differ by at
+ * most one change's price; the least entry is 0.
+ */
+class role_planner {
+ public:
+  explicit role_planner(role_prices prices) : prices_(prices) {}
+
+  /** Adds the cost of `elapsed` under that demand to every split. */
+  void Observe(const role_fleet& fleet, const role_demand& demand, duration elapsed);
+  /** How many engines should do prefill; the present number while no change is earned. */
+  std::size_t WantedPrefill(const role_fleet& fleet) const;
+
+ private:
+  void Resize(std::size_t splits);
+  void Relax();
+
+  role_prices prices_;
+  std::vector<double> cost_;
+};
+
+/**
+ * The share of the demand that can be served, 0 to 1, when `prefill` engines do prefill, `decode`
+ * decode, and `mixed` both.
+ */
+double ServedShare(const role_fleet& fleet, std::size_t prefill, std::size_t decode,
+                   const role_demand& demand, double headroom);
+
+/** The demand that is not served, in engines' worth of work. */
+double LostWork(const role_fleet& fleet, std::size_t prefill, std::size_t decode,
+                const role_demand& demand, double headroom);
+
+}  // namespace hawthorndrum
