--- /dev/null
+++ b/tests/fakes/authority_bench.h
@@ -0,0 +1,197 @@
+/// Several daemons' authority on one store, with engines and faults, moved on step by step.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/hash.h"
+#include "base/metrics_registry.h"
+#include "fake_clock.h"
+#include "fake_object_store.h"
+#include "fake_order_engine.h"
+#include "fake_random_source.h"
+#include "ports/engine_port.h"
+#include "ports/peer_port.h"
+#include "systems/authority.h"
+
+namespace hawthorndrum {
+
+class authority_bench;
+
+/** A demand that a test sets. */
+class fake_demand : public demand_source {
+ public:
+  std::vector<model_demand> Demand() const override { return demand; }
+  std::vector<model_demand> demand;
+};
+
+/**
+ * One daemon: its core, and the shell's side of its ports.
+ */
+class bench_daemon : public object_store, public engine_port, public peer_port {
+ public:
+  bench_daemon(authority_bench& bench, int number, std::uint64_t incarnation);
+
+  store_call_id Submit(store_call call, store_listener& listener) override;
+  void Order(std::string_view address, const engine_order& order,
+             order_listener& listener) override;
+  void PollLoad(upstream_id, std::string_view) override {}
+  void Send(peer_id to, peer_message message) override;
+  const std::vector<live_peer>& Peers() const override { return peers; }
+  peer_id self() const override { return PeerIdOf(Address(number)); }
+
+  static std::string Address(int number) { return "10.0.0." + std::to_string(number) + ":9"; }
+
+  authority_bench& bench;
+  int number;
+  incarnation_id incarnation;
+  fake_clock time;
+  fake_random_source random;
+  metrics_registry metrics;
+  upstream_table upstreams;
+  fake_demand demand;
+  std::vector<live_peer> peers;
+  bool paused = false;
+  /** How fast its clock runs. */
+  double rate = 1;
+  /** Its requests at each engine. */
+  std::map<int, std::uint32_t> requests;
+  authority core;
+};
+
+/**
+ * Moves everything on in steps of kStep. Calls to the store take two steps (there and back), an
+ * order three (in the shell before and after its look at the clock, then back). A paused daemon's
+ * calls that left it go on; the answers wait.
+ */
+class authority_bench {
+ public:
+  static constexpr duration kStep = milliseconds(250);
+
+  authority_bench(int daemons, const std::vector<bool>& engines_check);
+
+  void Step();
+  void Run(duration time) {
+    for (duration done{0}; done < time; done += kStep) Step();
+  }
+
+  bench_daemon& daemon(int i) { return *daemons_.at(static_cast<std::size_t>(i)); }
+  int daemon_count() const { return static_cast<int>(daemons_.size()); }
+  fake_order_engine& engine(int i) { return engines_.at(static_cast<std::size_t>(i)); }
+  int engine_count() const { return static_cast<int>(engines_.size()); }
+
+  /** The daemon that holds the lease by its own clock, or -1; counts all in `holders`. */
+  int Holder(int* holders = nullptr);
+  expected<order_id> Propose(int engine, engine_role role);
+
+  void Kill(int daemon);
+  void Pause(int daemon, bool paused) { this->daemon(daemon).paused = paused; }
+  void CutStore(int daemon, bool cut) { Set(no_store_, daemon, cut); }
+  void CutEngines(int daemon, bool cut) { Set(no_engines_, daemon, cut); }
+  void CutPeers(int daemon, bool cut) { Set(no_peers_, daemon, cut); }
+  void Heal();
+  void BeginRequest(int daemon, int engine);
+  void EndRequests();
+
+  // Faults of the next call of a kind.
+  int lose_store_answers = 0;
+  int delay_store_writes = 0;
+  int lose_order_answers = 0;
+  int delay_orders = 0;
+  int repeat_messages = 0;
+  int lose_messages = 0;
+  bool store_down = false;
+  /** Reports show the engines this many steps ago. */
+  std::size_t report_lag = 0;
+
+  /** What is broken now; empty when every promise is kept. */
+  std::string Broken();
+
+  fake_object_store store;
+
+ private:
+  friend class bench_daemon;
+
+  struct store_flight {
+    int daemon = 0;
+    std::uint64_t life = 0;
+    store_call_id id;
+    store_call call;
+    store_listener* listener = nullptr;
+    bool applied = false;
+    store_answer answer;
+  };
+  enum class order_place { kInShell, kLooked, kAnswered };
+  struct order_flight {
+    int daemon = 0;
+    std::uint64_t life = 0;
+    std::string address;
+    engine_order order;
+    order_listener* listener = nullptr;
+    order_place place = order_place::kInShell;
+    order_answer answer;
+  };
+  struct message_flight {
+    peer_id from;
+    peer_id to;
+    peer_message message;
+    int steps = 1;
+  };
+  struct late_order {
+    engine_order order;
+    std::string address;
+    int sender = 0;
+    int steps = 0;
+    /** The engine's run that its connection led to. */
+    std::uint64_t run = 0;
+  };
+  struct late_write {
+    store_call call;
+    int steps = 0;
+  };
+
+  static void Set(std::set<int>& set, int daemon, bool cut) {
+    if (cut) {
+      set.insert(daemon);
+    } else {
+      set.erase(daemon);
+    }
+  }
+  bool Lives(int daemon, std::uint64_t life) {
+    return this->daemon(daemon).incarnation.value() == life;
+  }
+  fake_order_engine* EngineAt(const std::string& address);
+  bool IsOpenInJournal(const fake_order_engine& engine, const engine_order& order);
+  order_answer Deliver(const engine_order& order, const std::string& address, int sender);
+  void MoveStore();
+  void MoveOrders();
+  void MoveMessages();
+  void MoveLate();
+  void GiveReports();
+  void UpdatePeers();
+  void GiveHostLists();
+
+  std::vector<std::unique_ptr<bench_daemon>> daemons_;
+  /** Killed daemons' cores; nothing reaches them. */
+  std::vector<std::unique_ptr<bench_daemon>> dead_;
+  std::vector<fake_order_engine> engines_;
+  std::deque<std::vector<load_report>> past_reports_;
+  std::deque<store_flight> store_flights_;
+  std::deque<order_flight> order_flights_;
+  std::deque<message_flight> message_flights_;
+  std::vector<late_order> late_orders_;
+  std::vector<late_write> late_writes_;
+  std::set<int> no_store_;
+  std::set<int> no_engines_;
+  std::set<int> no_peers_;
+  std::uint64_t last_call_ = 0;
+  std::uint64_t last_life_ = 0;
+  int steps_ = 0;
+  std::string broken_;
+};
+
+}  // namespace hawthorndrum
--- a/tests/fakes/request_path.h
+++ b/tests/fakes/request_path.h
@@ -24,8 +24,7 @@
  */
 class request_path {
  public:
-  explicit request_path(std::uint64_t seed = 1, peer_port* peers = nullptr)
-      : random(seed), last_request(seed << 32) {
+  explicit request_path(std::uint64_t seed = 1, peer_port* peers = nullptr) : random(seed) {
     service_config chat;
     chat.name = "chat";
     chat.model = {"m", "1", ""};
@@ -149,7 +148,7 @@
   fake_trace_sink traces;
   metrics_registry metrics;
   std::unique_ptr<request_system> system;
-  std::uint64_t last_request;
+  std::uint64_t last_request = 0;
 };
 
 }  // namespace hawthorndrum
--- /dev/null
+++ b/tests/orders/test_orders.cpp
@@ -0,0 +1,134 @@
+/// Tests of orders: journalled, drained, fenced, adopted.
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "authority_bench_moves.h"
+
+namespace hawthorndrum {
+namespace {
+
+constexpr duration kTakeover = seconds(40);
+
+TEST(Orders, RoleChangeRunsToItsEnd) {
+  authority_bench bench(3, {true, true});
+  bench.Run(kTakeover);
+  ASSERT_TRUE(bench.Propose(0, engine_role::kDecode));
+  bench.Run(seconds(15));
+  EXPECT_EQ(bench.engine(0).role, engine_role::kDecode);
+  EXPECT_EQ(bench.engine(0).effects.size(), 1u);
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_TRUE(bench.daemon(i).upstreams.Find(bench.engine(0).id())->TakesWork());
+  }
+  EXPECT_EQ(bench.Broken(), "");
+}
+
+TEST(Orders, WaitForRequestsOfEveryDaemon) {
+  authority_bench bench(3, {true, true});
+  bench.Run(kTakeover);
+  for (int i = 0; i < 3; ++i) bench.BeginRequest(i, 0);
+  ASSERT_TRUE(bench.Propose(0, engine_role::kDecode));
+  bench.Run(seconds(20));
+  EXPECT_TRUE(bench.engine(0).effects.empty());
+  bench.EndRequests();
+  bench.Run(seconds(15));
+  EXPECT_EQ(bench.engine(0).effects.size(), 1u);
+  EXPECT_EQ(bench.engine(0).cut_requests, 0u);
+}
+
+TEST(Orders, ADaemonThatDoesNotAnswerHoldsTheChangeUp) {
+  authority_bench bench(3, {true, true});
+  bench.Run(kTakeover);
+  const int other = (bench.Holder() + 1) % 3;
+  bench.CutPeers(other, true);
+  ASSERT_TRUE(bench.Propose(0, engine_role::kDecode));
+  bench.Run(seconds(30));
+  EXPECT_TRUE(bench.engine(0).effects.empty());
+  bench.Heal();
+  bench.Run(seconds(30));
+  EXPECT_EQ(bench.engine(0).effects.size(), 1u);
+}
+
+TEST(Orders, NextHolderFinishesAChangeOfAKilledOne) {
+  authority_bench bench(3, {true, false});
+  bench.Run(kTakeover);
+  const int first = bench.Holder();
+  ASSERT_TRUE(bench.Propose(0, engine_role::kDecode));
+  ASSERT_TRUE(bench.Propose(1, engine_role::kPrefill));
+  for (int i = 0; i < 400 && bench.engine(1).effects.empty(); ++i) bench.Step();
+  bench.Kill(first);
+  bench.Run(seconds(60));
+  EXPECT_EQ(bench.engine(0).role, engine_role::kDecode);
+  EXPECT_EQ(bench.engine(1).role, engine_role::kPrefill);
+  EXPECT_EQ(bench.Broken(), "");
+}
+
+TEST(Orders, CrashOfTheEngineMidChangeIsRepeated) {
+  authority_bench bench(2, {true, false});
+  bench.Run(kTakeover);
+  for (int i = 0; i < 2; ++i) {
+    const engine_role wanted = i == 0 ? engine_role::kDecode : engine_role::kPrefill;
+    ASSERT_TRUE(bench.Propose(i, wanted));
+    for (int n = 0; n < 400 && bench.engine(i).effects.empty(); ++n) bench.Step();
+    bench.engine(i).Crash();
+    bench.Run(seconds(30));
+    EXPECT_EQ(bench.engine(i).role, wanted);
+  }
+}
+
+TEST(Orders, EngineWithoutFencingGetsNoOtherOrderWhileAnOldIssuerMayAct) {
+  authority_bench bench(3, {false, true});
+  bench.Run(kTakeover);
+  const int first = bench.Holder();
+  ASSERT_TRUE(bench.Propose(0, engine_role::kDecode));
+  for (int n = 0; n < 400 && bench.engine(0).effects.empty(); ++n) bench.Step();
+  bench.Pause(first, true);
+  bench.Run(seconds(60));
+  const int second = bench.Holder();
+  ASSERT_GE(second, 0);
+  ASSERT_NE(second, first);
+  EXPECT_EQ(bench.engine(0).role, engine_role::kDecode);
+  const expected<order_id> refused = bench.Propose(0, engine_role::kPrefill);
+  ASSERT_FALSE(refused);
+  EXPECT_EQ(refused.error().message, "an older order may still arrive at the engine");
+  // It serves meanwhile.
+  EXPECT_TRUE(bench.daemon(second).upstreams.Find(bench.engine(0).id())->TakesWork());
+  bench.Pause(first, false);
+  bench.Run(seconds(10));
+  EXPECT_TRUE(bench.Propose(0, engine_role::kPrefill));
+  bench.Run(seconds(20));
+  EXPECT_EQ(bench.engine(0).role, engine_role::kPrefill);
+  EXPECT_EQ(bench.Broken(), "");
+}
+
+TEST(Orders, OperatorReleasesAnEngine) {
+  authority_bench bench(2, {false});
+  bench.Run(kTakeover);
+  const int first = bench.Holder();
+  ASSERT_TRUE(bench.Propose(0, engine_role::kDecode));
+  for (int n = 0; n < 400 && bench.engine(0).effects.empty(); ++n) bench.Step();
+  bench.Pause(first, true);
+  bench.Run(seconds(60));
+  ASSERT_FALSE(bench.Propose(0, engine_role::kPrefill));
+  order_system& orders = *bench.daemon(bench.Holder()).core.orders;
+  const nlohmann::json arguments = {{"engine", bench.engine(0).address}};
+  EXPECT_TRUE(orders.Act("release", arguments));
+  EXPECT_TRUE(bench.Propose(0, engine_role::kPrefill));
+}
+
+TEST(Orders, LateCopyAtAnEngineWithoutFencingBlocksUntilItRestarts) {
+  authority_bench bench(2, {false});
+  bench.Run(kTakeover);
+  bench.delay_orders = 1;
+  ASSERT_TRUE(bench.Propose(0, engine_role::kDecode));
+  // The first copy is 10 s late; the second one goes out after the first counts as lost.
+  bench.Run(seconds(8));
+  bench.delay_orders = 0;
+  bench.Run(seconds(40));
+  EXPECT_EQ(bench.engine(0).role, engine_role::kDecode);
+  EXPECT_EQ(bench.engine(0).effects.size(), 1u);
+  EXPECT_EQ(bench.Broken(), "");
+}
+
+}  // namespace
+}  // namespace hawthorndrum
