--- a/src/libhawthorndrum/systems/request_attempts.cpp
+++ b/src/libhawthorndrum/systems/request_attempts.cpp
@@ -92,6 +92,7 @@
     routing_.FirstToken(*request, attempt->upstream, now);
     if (!request->began) answers_.RecordFirstToken(*request, now);
   }
+  poison_.Alive({attempt->upstream, attempt->upstream_incarnation}, attempt->sent);
   if (attempt->relays) return Relay(*attempt, *request, bytes.bytes);
   Collect(*attempt, *request, bytes.bytes);
 }
@@ -175,6 +176,7 @@
   MarkUpstream(attempt.upstream, false, ports_.time->Now());
   http_answer answer = std::move(attempt.answer);
   if (status < 300) routing_.Answered(request, routing_.ExpectedOutput(request));
+  poison_.Answered(request.fingerprint, ports_.time->Now());
   CloseAttempt(attempt, std::to_string(status));
   if (request.claim_held) ports_.claims->ReportDone(request.id, answer);
   if (request.state != request_state::kDetached) {
@@ -190,6 +192,7 @@
 void request_system::FinishStream(attempt_row& attempt, request_row& request) {
   MarkUpstream(attempt.upstream, false, ports_.time->Now());
   routing_.Answered(request, request.offset);
+  poison_.Answered(request.fingerprint, ports_.time->Now());
   answers_.BeginStream(request);
   answers_.EndStream(request);
   CloseAttempt(attempt, "done");
@@ -204,6 +207,7 @@
   problem.why = UpstreamFailed(what, FailureText(lost.failure));
   problem.may_have_run = lost.bytes_sent;
   problem.upstream_failed = lost.failure != attempt_failure::kMalformed;
+  problem.crashed = lost.bytes_sent && lost.failure == attempt_failure::kConnectionLost;
   Recover(*attempt, problem, false);
 }
 
@@ -212,6 +216,11 @@
   request_row& request = *requests_.Find(attempt.request);
   if (cancel) ports_.upstream->Cancel(attempt.id);
   if (problem.upstream_failed) MarkUpstream(attempt.upstream, true, now);
+  if (problem.crashed && !routing_.IsProven(request.fingerprint)) {
+    poison_.Lost(request.fingerprint, {attempt.upstream, attempt.upstream_incarnation},
+                 request.alone, now);
+  }
+  const fingerprint_standing standing = poison_.StandingOf(request.fingerprint, now);
   const bool is_raw = request.began && !attempt.relays && !request.stream;
   CloseAttempt(attempt, problem.why.code);
   decisions_.Note(request.id, now, problem.why.detail);
@@ -220,7 +229,9 @@
     request.caller_gone = true;
     return Fail(request, problem.why);
   }
-  if (is_raw || !MayRetry(request, now)) return Fail(request, problem.why);
+  if (standing == fingerprint_standing::kConvicted) return Fail(request, Convicted(request, now));
+  const bool is_suspect = standing == fingerprint_standing::kSuspect;
+  if (is_raw || !MayRetry(request, is_suspect, now)) return Fail(request, problem.why);
   retries_total_.Add();
   if (request.began) resumes_total_.Add();
   request.state = request_state::kBackoff;
@@ -229,17 +240,20 @@
   timers_.Add(request.wake_at, request.id);
 }
 
-bool request_system::MayRetry(const request_row& request, time_point now) {
+bool request_system::MayRetry(const request_row& request, bool is_suspect, time_point now) {
   if (!request.repeatable && request.may_have_run) return false;
   if (request.attempts >= kMostAttempts || now >= request.deadline) return false;
   if (!routing_.HasUntried(request)) return false;
-  return retries_.Spend(request.service->name, now);
+  // Suspects run one at a time in the data centre: they need no budget to be kept from a storm.
+  return is_suspect || retries_.Spend(request.service->name, now);
 }
 
 void request_system::CloseAttempt(const attempt_row& attempt, std::string result) {
-  if (const request_row* request = requests_.Find(attempt.request)) {
+  if (request_row* request = requests_.Find(attempt.request)) {
     answers_.RecordAttempt(*request, attempt, std::move(result));
     admission_.Closed(*request);
+    if (request->alone) turns_.Release(request->fingerprint, ports_.time->Now());
+    request->alone = false;
   }
   routing_.work().Ended(attempt.upstream, attempt.id);
   attempts_.Erase(attempt_id(attempt.id));
--- a/src/libhawthorndrum/systems/request_reader.cpp
+++ b/src/libhawthorndrum/systems/request_reader.cpp
@@ -211,7 +211,11 @@
   if (row.path.front() != '/') row.path.insert(0, "/");
   row.headers = std::move(request.headers);
   row.body = std::move(request.body);
-  const std::uint64_t place = Hash64(row.method + " " + row.path, Hash64(row.service->name));
+  // Another version of the model gives other tokens, so it makes another request.
+  const model_use& model = row.service->model;
+  const std::uint64_t served =
+      Hash64(row.service->name + "/" + model.name + "/" + model.version + "/" + model.adapter);
+  const std::uint64_t place = Hash64(row.method + " " + row.path, served);
   row.fingerprint = Hash64(row.body, place);
   if (row.fingerprint == 0) row.fingerprint = 1;
   if (auto read = ReadTimes(row); !read) return tl::make_unexpected(read.error());
--- a/src/libhawthorndrum/systems/request_system.cpp
+++ b/src/libhawthorndrum/systems/request_system.cpp
@@ -36,10 +36,13 @@
       admission_(requests_, routing_),
       decisions_(*ports.upstreams),
       answers_(ports, decisions_),
+      poison_(ports),
+      turns_(ports, requests_, poison_),
       dropped_events_(ports.metrics->Counter("hawthorndrum_dropped_upstream_events_total")),
       attempts_total_(ports.metrics->Counter("hawthorndrum_attempts_total")),
       retries_total_(ports.metrics->Counter("hawthorndrum_retries_total")),
-      resumes_total_(ports.metrics->Counter("hawthorndrum_stream_resumes_total")) {}
+      resumes_total_(ports.metrics->Counter("hawthorndrum_stream_resumes_total")),
+      bad_peer_messages_(ports.metrics->Counter("hawthorndrum_bad_suspect_messages_total")) {}
 
 request_system::~request_system() = default;
 
@@ -50,6 +53,9 @@
   if (!read) return answers_.RefuseUnread(id, read.error());
   read->trace = ReadTraceparent(FindHeader(read->headers, "traceparent"), *ports_.random);
   decisions_.Arrived(*read);
+  if (poison_.StandingOf(read->fingerprint, now) == fingerprint_standing::kConvicted) {
+    return answers_.Fail(*read, Convicted(*read, now));
+  }
   routing_.Run(now);
   if (const auto why = admission_.Admit(*read, now)) return answers_.Fail(*read, *why);
   admission_.Hold(*read);
@@ -129,8 +135,10 @@
 void request_system::Run(time_point now) {
   routing_.Run(now);
   admission_.Run(now);
+  turns_.Run(now);
   FireTimers(now);
   DispatchQueue(now);
+  poison_.Run(now);
 }
 
 void request_system::Queue(request_row& request, time_point now) {
@@ -200,9 +208,14 @@
   if (admission_.queued() == 0) return;
   const std::vector<request_id> order = admission_.InOrder(now);
   std::vector<std::pair<std::uint64_t, int>> misfits;
+  std::vector<request_id> suspects;
   for (const request_id id : order) {
     request_row* row = requests_.Find(id);
     if (!row || row->state != request_state::kQueued || !admission_.MayOpen(*row)) continue;
+    if (poison_.StandingOf(row->fingerprint, now) != fingerprint_standing::kClear) {
+      suspects.push_back(id);
+      continue;
+    }
     const std::uint64_t group = upstream_index::KeyOf(*row->service);
     auto misfit = std::find_if(misfits.begin(), misfits.end(),
                                [&](const auto& one) { return one.first == group; });
@@ -220,6 +233,7 @@
     if (misfit == misfits.end()) misfit = misfits.insert(misfits.end(), {group, 0});
     misfit->second += 1;
   }
+  DispatchSuspect(suspects, now);
 }
 
 void request_system::Dispatch(request_row& request, const routing_choice& choice, time_point now) {
--- a/src/libhawthorndrum/systems/request_system.h
+++ b/src/libhawthorndrum/systems/request_system.h
@@ -4,16 +4,20 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/http_message.h"
 #include "ports/attempt_event.h"
+#include "ports/peer_port.h"
 #include "systems/admission_system.h"
 #include "systems/answer_writer.h"
 #include "systems/claim_gate.h"
 #include "systems/decision_log.h"
+#include "systems/poison_system.h"
 #include "systems/request_ports.h"
 #include "systems/retry_budget.h"
 #include "systems/routing_system.h"
+#include "systems/suspect_turn.h"
 #include "systems/system.h"
 #include "systems/timer_queue.h"
 #include "tables/attempt_row.h"
@@ -30,7 +34,7 @@
  * Invariants: each request gets exactly one answer; an event whose attempt is not in attempts_
  * changes nothing; a granted claim gets exactly one report.
  */
-class request_system : public system, public claim_listener {
+class request_system : public system, public claim_listener, public peer_listener {
  public:
   explicit request_system(const request_ports& ports);
   ~request_system() override;
@@ -45,6 +49,9 @@
 
   void OnClaimDecision(const claim_decision& decision) override;
 
+  /** Takes the topics kSuspect and kSuspectTurn. */
+  void OnPeerMessage(peer_id from, const peer_message& message) override;
+
   void Run(time_point now) override;
 
   /** The daemon is going to stop: new requests are refused, those in flight finish. */
@@ -55,6 +62,8 @@
 
   /** The admin section `why`. */
   admin_section& why() { return decisions_; }
+  /** The admin section `poison`. */
+  admin_section& poison() { return poison_; }
   /** Where the engines' cache events belong. */
   prefix_index& prefixes() { return routing_.prefixes(); }
 
@@ -65,6 +74,8 @@
     bool may_have_run = true;
     /** Whether the upstream as such is in trouble. */
     bool upstream_failed = false;
+    /** Whether it may have taken the upstream down. */
+    bool crashed = false;
   };
 
   void Refuse(const request_row& request, const refusal& why);
@@ -75,6 +86,9 @@
   void GiveUpOrWait(request_row& request, time_point now);
   void DispatchQueue(time_point now);
   void Dispatch(request_row& request, const routing_choice& choice, time_point now);
+  /** Sends at most one suspect, once it is alone. */
+  void DispatchSuspect(const std::vector<request_id>& suspects, time_point now);
+  refusal Convicted(const request_row& request, time_point now) const;
 
   void TakeGrant(request_row& request, time_point now);
   void Relay(attempt_row& attempt, request_row& request, std::string_view bytes);
@@ -85,7 +99,7 @@
 
   /** The attempt ended badly: another one follows, or the request fails. */
   void Recover(attempt_row& attempt, const attempt_problem& problem, bool cancel);
-  bool MayRetry(const request_row& request, time_point now);
+  bool MayRetry(const request_row& request, bool is_suspect, time_point now);
   void CloseAttempt(const attempt_row& attempt, std::string result);
   void MarkUpstream(upstream_id id, bool failed, time_point now);
   duration Backoff(std::uint32_t attempts);
@@ -104,12 +118,15 @@
   retry_budget retries_;
   decision_log decisions_;
   answer_writer answers_;
+  poison_system poison_;
+  suspect_turn turns_;
   timer_queue timers_;
   bool stopping_ = false;
   counter& dropped_events_;
   counter& attempts_total_;
   counter& retries_total_;
   counter& resumes_total_;
+  counter& bad_peer_messages_;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/systems/routing_system.cpp
+++ b/src/libhawthorndrum/systems/routing_system.cpp
@@ -44,6 +44,13 @@
   return index_.Find(key, true) || (service.spill && index_.Find(key, false));
 }
 
+routing_choice routing_system::ChoiceOf(upstream_id upstream, const request_row& request,
+                                        time_point now) const {
+  routing_choice choice;
+  Weigh(upstreams_.Find(upstream), request, now, choice);
+  return choice;
+}
+
 bool routing_system::HasUntried(const request_row& request) const {
   const std::uint64_t key = upstream_index::KeyOf(*request.service);
   for (const bool own : {true, false}) {
--- a/src/libhawthorndrum/systems/routing_system.h
+++ b/src/libhawthorndrum/systems/routing_system.h
@@ -50,6 +50,9 @@
   /** Returns nothing when no upstream takes the request now. */
   std::optional<routing_choice> Choose(const request_row& request, time_point now) const;
 
+  /** The choice of one upstream that was decided otherwise, with its figures. */
+  routing_choice ChoiceOf(upstream_id upstream, const request_row& request, time_point now) const;
+
   /** Whether any upstream is known that serves the service, whether it takes work now or not. */
   bool IsServed(const service_config& service) const;
 
@@ -64,6 +67,9 @@
   /** Tokens that the request is expected to generate. */
   std::uint64_t ExpectedOutput(const request_row& request) const;
 
+  /** Whether a request of that fingerprint was answered whole lately. */
+  bool IsProven(std::uint64_t fingerprint) const;
+
   own_work& work() { return work_; }
   prefix_index& prefixes() { return prefixes_; }
 
@@ -75,7 +81,6 @@
              routing_choice& choice) const;
   std::optional<routing_choice> ChooseIn(const upstream_group& group, const request_row& request,
                                          time_point now) const;
-  bool IsProven(std::uint64_t fingerprint) const;
 
   upstream_table& upstreams_;
   random_source& random_;
--- /dev/null
+++ b/src/libhawthorndrum/systems/turn_message.cpp
@@ -0,0 +1,37 @@
+/// The peer message about the turn to run a suspect (topic kSuspectTurn).
+#include "systems/turn_message.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/cbor.h"
+
+namespace hawthorndrum {
+
+peer_message Encode(const turn_message& message) {
+  const nlohmann::json body = {static_cast<std::uint64_t>(message.verb), message.fingerprint,
+                               message.upstream.value()};
+  return {peer_topic::kSuspectTurn, EncodeCbor(body)};
+}
+
+expected<turn_message> DecodeTurn(const peer_message& message) {
+  const auto bad = tl::make_unexpected(error{error_code::kInvalid, "not a turn message"});
+  const auto decoded = DecodeCbor(message.body);
+  if (!decoded || !decoded->is_array() || decoded->size() != 3) return bad;
+  const nlohmann::json& body = *decoded;
+  for (const nlohmann::json& field : body) {
+    if (!field.is_number_unsigned()) return bad;
+  }
+  const auto verb = body[0].get<std::uint64_t>();
+  if (verb < static_cast<std::uint64_t>(turn_verb::kAsk) ||
+      verb > static_cast<std::uint64_t>(turn_verb::kFree)) {
+    return bad;
+  }
+  turn_message read;
+  read.verb = static_cast<turn_verb>(verb);
+  read.fingerprint = body[1].get<std::uint64_t>();
+  read.upstream = upstream_id(body[2].get<std::uint64_t>());
+  return read;
+}
+
+}  // namespace hawthorndrum
--- a/src/libhawthorndrum/tables/request_row.h
+++ b/src/libhawthorndrum/tables/request_row.h
@@ -68,6 +68,8 @@
   /** Whether an upstream may have started it. */
   bool may_have_run = false;
   bool claim_held = false;
+  /** Whether its attempt is a suspect's, which shares the upstream with no other request. */
+  bool alone = false;
   bool caller_gone = false;
   /** Whether the head of the answer went to the caller. */
   bool began = false;
--- a/tests/fakes/fake_upstream_port.h
+++ b/tests/fakes/fake_upstream_port.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -21,15 +22,21 @@
 class fake_upstream_port : public upstream_port {
  public:
   void Send(attempt_id attempt, std::string_view address, http_request request) override {
-    sent.push_back({attempt, std::string(address), std::move(request), false, false});
+    sent_attempt one{attempt, std::string(address), std::move(request), false, false};
+    if (on_send) return on_send(std::move(one));
+    sent.push_back(std::move(one));
   }
   void Cancel(attempt_id attempt) override {
+    if (on_cancel) return on_cancel(attempt);
     for (sent_attempt& one : sent) {
       if (one.attempt == attempt) one.cancelled = true;
     }
   }
 
   std::vector<sent_attempt> sent;
+  /** Where attempts go instead of `sent`, when set. */
+  std::function<void(sent_attempt)> on_send;
+  std::function<void(attempt_id)> on_cancel;
 };
 
 }  // namespace hawthorndrum
--- a/tests/fakes/request_path.h
+++ b/tests/fakes/request_path.h
@@ -24,7 +24,8 @@
  */
 class request_path {
  public:
-  explicit request_path(std::uint64_t seed = 1, peer_port* peers = nullptr) : random(seed) {
+  explicit request_path(std::uint64_t seed = 1, peer_port* peers = nullptr)
+      : random(seed), last_request(seed << 32) {
     service_config chat;
     chat.name = "chat";
     chat.model = {"m", "1", ""};
@@ -148,7 +149,7 @@
   fake_trace_sink traces;
   metrics_registry metrics;
   std::unique_ptr<request_system> system;
-  std::uint64_t last_request = 0;
+  std::uint64_t last_request;
 };
 
 }  // namespace hawthorndrum
--- /dev/null
+++ b/tests/poison/test_poison.cpp
@@ -0,0 +1,96 @@
+/// Tests of requests that crash the upstreams that run them.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "fake_fleet.h"
+
+namespace hawthorndrum {
+namespace {
+
+constexpr int kMostCrashes = 2;
+
+/** One request of a run: who got it when. */
+struct planned {
+  std::size_t daemon = 0;
+  duration at{0};
+  bool is_poison = false;
+  request_id id;
+};
+
+void RunPlan(fake_fleet& fleet, std::vector<planned>& plan) {
+  int number = 0;
+  for (planned& one : plan) {
+    number += 1;
+    fleet.events.After(one.at, [&fleet, &one, number] {
+      const std::string text = one.is_poison ? "CRASH" : "innocent" + std::to_string(number);
+      one.id = fleet.Post(one.daemon, "chat", fake_fleet::Body(text, 200, 4));
+    });
+  }
+  fleet.RunFor(seconds(60));
+}
+
+TEST(Poison, TakesDownAtMostTwoUpstreamsHoweverOftenItIsSent) {
+  fake_fleet fleet(1, 5, milliseconds(100));
+  std::vector<planned> plan;
+  plan.reserve(20);
+  for (int i = 0; i < 20; ++i) plan.push_back({0, milliseconds(400) * i, true, {}});
+  RunPlan(fleet, plan);
+  EXPECT_LE(fleet.Crashes(), kMostCrashes);
+  EXPECT_GE(fleet.Crashes(), 1);
+  const caller_record& last = fleet.daemons[0]->Caller(plan.back().id);
+  EXPECT_EQ(last.status, 422);
+  EXPECT_NE(last.body.find("\"outcome\":\"not_run\""), std::string::npos);
+}
+
+TEST(Poison, SentAtTheSameMomentToSeveralDaemons) {
+  for (const int daemons : {2, 3, 8}) {
+    fake_fleet fleet(daemons, 8, milliseconds(100));
+    std::vector<planned> plan;
+    plan.reserve(3 * static_cast<std::size_t>(daemons));
+    for (int i = 0; i < 3 * daemons; ++i) {
+      plan.push_back({static_cast<std::size_t>(i % daemons), milliseconds(0), true, {}});
+    }
+    RunPlan(fleet, plan);
+    EXPECT_LE(fleet.Crashes(), kMostCrashes) << daemons;
+    for (const planned& one : plan) {
+      EXPECT_TRUE(fleet.daemons[one.daemon]->Caller(one.id).IsOver());
+    }
+  }
+}
+
+TEST(Poison, IsAllowedAgainAfterAnHour) {
+  fake_fleet fleet(1, 4, milliseconds(100));
+  std::vector<planned> plan{{0, milliseconds(0), true, {}}};
+  RunPlan(fleet, plan);
+  EXPECT_EQ(fleet.Crashes(), kMostCrashes);
+  fleet.RunFor(seconds(3600));
+  const request_id id = fleet.Post(0, "chat", fake_fleet::Body("CRASH", 200, 4));
+  EXPECT_NE(fleet.daemons[0]->Caller(id).status, 422);
+}
+
+RC_GTEST_PROP(Poison, InnocentsAreAnsweredWhateverTheOrder, ()) {
+  const auto daemons = *rc::gen::inRange(1, 5);
+  const auto engines = *rc::gen::inRange(4, 7);
+  const auto seed = *rc::gen::inRange(1, 1000);
+  const auto lag = milliseconds(*rc::gen::element(100, 1000));
+  fake_fleet fleet(daemons, engines, lag, static_cast<std::uint64_t>(seed));
+  std::vector<planned> plan;
+  const auto count = *rc::gen::inRange(5, 40);
+  for (int i = 0; i < count; ++i) {
+    planned one;
+    one.daemon = static_cast<std::size_t>(*rc::gen::inRange(0, daemons));
+    one.at = milliseconds(*rc::gen::inRange(0, 1500));
+    one.is_poison = *rc::gen::inRange(0, 4) == 0;
+    plan.push_back(one);
+  }
+  RunPlan(fleet, plan);
+  RC_ASSERT(fleet.Crashes() <= kMostCrashes);
+  for (const planned& one : plan) {
+    const caller_record& caller = fleet.daemons[one.daemon]->Caller(one.id);
+    RC_ASSERT(caller.IsOver());
+    if (!one.is_poison) RC_ASSERT(caller.LooksWhole());
+  }
+}
+
+}  // namespace
+}  // namespace hawthorndrum
