--- a/src/libhawthorndrum/ports/peer_message.h
+++ b/src/libhawthorndrum/ports/peer_message.h
@@ -17,6 +17,7 @@
   kProbe = 3,
   kProbeRequest = 4,
   kProbeAnswer = 5,
+  kMembers = 6,
   kLoadDelta = 10,
   kUpstreamLeaving = 11,
   kCacheHint = 12,
--- a/src/libhawthorndrum/systems/peer_router.cpp
+++ b/src/libhawthorndrum/systems/peer_router.cpp
@@ -17,6 +17,8 @@
 /** A link that was heard from in this time is taken as working. */
 constexpr duration kFreshLink = milliseconds(2500);
 constexpr std::size_t kMostLinks = 1024;
+/** Ticks that follow each other faster change nothing here. */
+constexpr duration kRunPause = milliseconds(20);
 
 /** Whether the topic's messages may wait for the link's next frame. */
 bool MayWait(peer_topic topic) {
@@ -356,6 +358,8 @@
 }
 
 void peer_router::Run(time_point now) {
+  if (now - last_run_ < kRunPause) return;
+  last_run_ = now;
   std::vector<peer_link_id> late;
   for (auto& [id, present] : links_) {
     if (!present->greeted) {
--- a/src/libhawthorndrum/systems/peer_router.h
+++ b/src/libhawthorndrum/systems/peer_router.h
@@ -104,6 +104,7 @@
   std::unordered_map<peer_link_id, std::unique_ptr<link>> links_;
   std::unordered_map<peer_id, peer_link_id> by_peer_;
   std::vector<live_peer> peers_;
+  time_point last_run_;
 };
 
 }  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/tables/peer_table.h
@@ -0,0 +1,11 @@
+/// The table of peers that this daemon knows.
+#pragma once
+
+#include "base/table.h"
+#include "tables/peer.h"
+
+namespace hawthorndrum {
+
+using peer_table = table<peer_id, peer>;
+
+}  // namespace hawthorndrum
--- a/tests/fakes/fake_peer_network.h
+++ b/tests/fakes/fake_peer_network.h
@@ -1,6 +1,7 @@
 /// Links between several daemons' cores in one process, with faults that a test sets.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -78,7 +79,7 @@
     std::deque<event> events;
   };
   struct connection {
-    end ends[2];
+    std::array<end, 2> ends;
   };
 
   bool IsHeld(const std::string& from, const std::string& to) const {
