Share load reports and leaving signs between daemons

Cause: each daemon would have had to poll every engine, and a leaving sign stayed where it was seen.

A one-way cut first made a stand-in give up and start anew every tick, so that its poll never went out; it now waits for a report newer than its own start, and the test holds it.

Conclusion: a report costs one poll instead of one per daemon.

--- /dev/null
+++ b/src/libhawthorndrum/systems/load_digest_system.cpp
@@ -0,0 +1,199 @@
+/// Ownership of polls, and the reports that come in from engines.
+#include "systems/load_digest_system.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/hash.h"
+#include "systems/wire_bytes.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+constexpr duration kRunPause = milliseconds(50);
+constexpr duration kShortestPollInterval = seconds(1);
+constexpr duration kLongestPollInterval = seconds(4);
+/** The polls a second that the control budget leaves room for. */
+constexpr double kPollsPerSecond = 6;
+constexpr duration kPollTimeout = seconds(2);
+/** First polls of engines newly owned are spread over this time. */
+constexpr duration kFirstPollSpread = milliseconds(100);
+/** A report this old makes the others poll one after another by rank, until one's word arrives. */
+constexpr duration kStale = seconds(6);
+constexpr duration kStandInStep = milliseconds(500);
+constexpr duration kLongestStandInWait = seconds(5);
+constexpr std::size_t kPollRequestBytes = 90;
+constexpr std::size_t kPollAnswerBytes = 420;
+
+}  // namespace
+
+load_digest_system::counters::counters(metrics_registry& metrics)
+    : polls(metrics.Counter("hawthorndrum_load_polls_total")),
+      poll_failures(metrics.Counter("hawthorndrum_load_polls_failed_total")),
+      poll_bytes(metrics.Counter("hawthorndrum_load_poll_bytes_total")),
+      owned(metrics.Counter("hawthorndrum_load_engines_owned")),
+      stand_ins(metrics.Counter("hawthorndrum_load_stand_ins_total")),
+      messages(metrics.Counter("hawthorndrum_load_messages_total")),
+      fulls(metrics.Counter("hawthorndrum_load_entries_total", MetricLabel("kind", "full"))),
+      changes(metrics.Counter("hawthorndrum_load_entries_total", MetricLabel("kind", "change"))),
+      gaps(metrics.Counter("hawthorndrum_load_gaps_total")),
+      malformed(metrics.Counter("hawthorndrum_peer_messages_malformed_total",
+                                MetricLabel("part", "load"))),
+      stale(metrics.Counter("hawthorndrum_load_reports_stale")) {}
+
+load_digest_system::load_digest_system(upstream_table& upstreams, peer_port& peers,
+                                       engine_port& engines, const clock& time,
+                                       random_source& random, metrics_registry& metrics)
+    : upstreams_(upstreams),
+      peers_(peers),
+      engines_(engines),
+      clock_(time),
+      random_(random),
+      counters_(metrics) {}
+
+bool load_digest_system::Owns(upstream_id upstream) const { return owned_.count(upstream) != 0; }
+
+std::size_t load_digest_system::RankFor(upstream_id upstream) const {
+  const std::uint64_t own = RendezvousScore(upstream.value(), peers_.self().value());
+  std::size_t before = 0;
+  for (const live_peer& peer : peers_.Peers()) {
+    if (!peer.same_data_centre) continue;
+    if (RendezvousScore(upstream.value(), peer.id.value()) > own) ++before;
+  }
+  return before;
+}
+
+load_slot load_digest_system::FreeSlot() const {
+  std::vector<bool> taken(owned_.size() + 1, false);
+  for (const auto& [id, engine] : owned_) {
+    if (engine.slot < taken.size()) taken[engine.slot] = true;
+  }
+  return static_cast<load_slot>(std::find(taken.begin(), taken.end(), false) - taken.begin());
+}
+
+void load_digest_system::Own(upstream_id upstream, time_point now, bool stand_in) {
+  if (owned_.size() >= kMostLoadSlots) return;
+  owned_engine engine;
+  engine.slot = FreeSlot();
+  engine.stand_in = stand_in;
+  engine.next_poll = now + duration(random_.Below(kFirstPollSpread.count()));
+  if (stand_in) {
+    // Only a report made from now on shows that the owner's word arrives again.
+    engine.polled = now;
+    counters_.stand_ins.Add();
+  }
+  owned_.emplace(upstream, std::move(engine));
+}
+
+void load_digest_system::ReassignOwners(time_point now) {
+  for (auto place = owned_.begin(); place != owned_.end();) {
+    const upstream* row = upstreams_.Find(place->first);
+    place = row == nullptr ? owned_.erase(place) : std::next(place);
+  }
+  std::size_t stale = 0;
+  for (const upstream& row : upstreams_) {
+    if (row.kind != host_kind::kEngine) continue;
+    const std::size_t rank = RankFor(row.id);
+    const auto present = owned_.find(row.id);
+    const duration age = now - row.report_time;
+    const bool is_stale = row.has_report && age > kStale;
+    if (is_stale) ++stale;
+    if (rank == 0) {
+      if (present == owned_.end()) {
+        Own(row.id, now, false);
+      } else {
+        present->second.stand_in = false;
+      }
+      continue;
+    }
+    if (present == owned_.end()) {
+      const duration wait =
+          std::min<duration>(kStandInStep * static_cast<int>(rank), kLongestStandInWait);
+      if (row.has_report && age > kStale + wait) Own(row.id, now, true);
+      continue;
+    }
+    // Another owns it: let go, but stand in until that one's reports are the newer ones.
+    const owned_engine& engine = present->second;
+    const bool others_are_newer = row.report_time > engine.polled;
+    if (!engine.stand_in || others_are_newer) owned_.erase(present);
+  }
+  counters_.owned.Set(owned_.size());
+  counters_.stale.Set(stale);
+}
+
+duration load_digest_system::PollInterval() const {
+  const double wanted = static_cast<double>(owned_.size()) / kPollsPerSecond;
+  const auto interval = duration(static_cast<duration::rep>(wanted * 1e6));
+  return std::clamp<duration>(interval, kShortestPollInterval, kLongestPollInterval);
+}
+
+void load_digest_system::PollDue(time_point now) {
+  const duration interval = PollInterval();
+  for (auto& [id, engine] : owned_) {
+    if (engine.asked != time_point() && now - engine.asked > kPollTimeout) {
+      engine.asked = time_point();
+      ++engine.failures;
+      counters_.poll_failures.Add();
+    }
+    if (now < engine.next_poll || engine.asked != time_point()) continue;
+    const upstream* row = upstreams_.Find(id);
+    if (row == nullptr) continue;
+    engine.asked = now;
+    engine.next_poll = std::max(engine.next_poll + interval, now + interval / 2);
+    counters_.polls.Add();
+    counters_.poll_bytes.Add(WireBytesOfHttpCall(kPollRequestBytes, kPollAnswerBytes));
+    engines_.PollLoad(id, row->address);
+  }
+}
+
+void load_digest_system::Write(const load_report& report, time_point made) {
+  upstream* row = upstreams_.Find(report.upstream);
+  if (row == nullptr || (row->has_report && made <= row->report_time)) return;
+  row->report = report;
+  row->report_time = made;
+  row->has_report = true;
+}
+
+void load_digest_system::OnLoadReport(const load_report& report) {
+  const time_point now = clock_.Now();
+  Write(report, now);
+  const auto found = owned_.find(report.upstream);
+  if (found == owned_.end()) return;
+  found->second.asked = time_point();
+  found->second.polled = now;
+  found->second.failures = 0;
+  found->second.has_news = true;
+}
+
+void load_digest_system::OnLoadFailed(upstream_id upstream) {
+  counters_.poll_failures.Add();
+  const auto found = owned_.find(upstream);
+  if (found == owned_.end()) return;
+  found->second.asked = time_point();
+  ++found->second.failures;
+}
+
+void load_digest_system::Run(time_point now) {
+  if (now < next_run_) return;
+  next_run_ = now + kRunPause;
+  ReassignOwners(now);
+  PollDue(now);
+  SendSnapshots(now);
+  SpreadNews(now);
+}
+
+std::size_t load_digest_system::MemoryBytes() const {
+  constexpr std::size_t kNode = 4 * sizeof(void*);
+  std::size_t bytes = 0;
+  for (const auto& [id, engine] : owned_) {
+    bytes += sizeof(owned_engine) + kNode;
+    bytes += engine.sent.models.capacity() * sizeof(loaded_model);
+  }
+  for (const auto& [peer, view] : views_) {
+    bytes += sizeof(peer_view) + view.slots.size() * (sizeof(upstream_id) + kNode);
+  }
+  return bytes;
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/load_digest_system.h
@@ -0,0 +1,117 @@
+/// Each engine's load, polled by one daemon of the data centre and shared with the others.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/metrics_registry.h"
+#include "ports/clock.h"
+#include "ports/engine_port.h"
+#include "ports/load_report.h"
+#include "ports/peer_port.h"
+#include "ports/random_source.h"
+#include "systems/load_messages.h"
+#include "systems/system.h"
+#include "tables/upstream_table.h"
+
+namespace hawthorndrum {
+
+/**
+ * Polls the engines that this daemon owns by rendezvous hash over the live daemons, and writes its
+ * own and the others' reports into the upstream table. A report replaces an older one and is never
+ * added to it, so two owners at once count nothing twice; a report that grows old although it has
+ * an owner is polled by the next daemons in rank, so that no cut leaves a gap.
+ *
+ * Invariant: a row's report_time only rises.
+ */
+class load_digest_system : public system, public peer_listener {
+ public:
+  load_digest_system(upstream_table& upstreams, peer_port& peers, engine_port& engines,
+                     const clock& time, random_source& random, metrics_registry& metrics);
+
+  /** An engine answered PollLoad. */
+  void OnLoadReport(const load_report& report);
+  /** An engine could not be asked, or answered with rubbish. */
+  void OnLoadFailed(upstream_id upstream);
+  void OnPeerMessage(peer_id from, const peer_message& message) override;
+
+  void Run(time_point now) override;
+
+  /** Whether this daemon polls that engine now. */
+  bool Owns(upstream_id upstream) const;
+  std::size_t owned_count() const { return owned_.size(); }
+  std::size_t MemoryBytes() const;
+
+ private:
+  /** An engine that this daemon polls. */
+  struct owned_engine {
+    load_slot slot = 0;
+    time_point next_poll;
+    /** When the poll under way was sent; zero while there is none. */
+    time_point asked;
+    time_point polled;
+    std::uint32_t failures = 0;
+    /** Kept although another daemon owns it, because that one's reports do not arrive. */
+    bool stand_in = false;
+    bool has_news = false;
+    bool has_sent = false;
+    load_report sent;
+    time_point full_sent;
+  };
+
+  /** What another daemon's slots stand for. */
+  struct peer_view {
+    std::uint64_t sequence = 0;
+    bool complete = false;
+    time_point asked;
+    std::unordered_map<load_slot, upstream_id> slots;
+  };
+
+  struct counters {
+    explicit counters(metrics_registry& metrics);
+    counter& polls;
+    counter& poll_failures;
+    counter& poll_bytes;
+    counter& owned;
+    counter& stand_ins;
+    counter& messages;
+    counter& fulls;
+    counter& changes;
+    counter& gaps;
+    counter& malformed;
+    counter& stale;
+  };
+
+  void ReassignOwners(time_point now);
+  /** This daemon's place among those that could poll the engine; 0 owns it. */
+  std::size_t RankFor(upstream_id upstream) const;
+  void Own(upstream_id upstream, time_point now, bool stand_in);
+  load_slot FreeSlot() const;
+  void PollDue(time_point now);
+  duration PollInterval() const;
+  void Write(const load_report& report, time_point made);
+  void SpreadNews(time_point now);
+  load_message CollectNews(time_point now);
+  void SendSnapshots(time_point now);
+  load_full FullOf(owned_engine& engine, const upstream& row, time_point now);
+  void TakeNews(peer_id from, const load_message& message);
+  void AskForSnapshot(peer_id from, peer_view& view);
+
+  upstream_table& upstreams_;
+  peer_port& peers_;
+  engine_port& engines_;
+  const clock& clock_;
+  random_source& random_;
+  counters counters_;
+  std::unordered_map<upstream_id, owned_engine> owned_;
+  std::unordered_map<peer_id, peer_view> views_;
+  /** Which incarnation of each linked peer has had a snapshot. */
+  std::unordered_map<peer_id, incarnation_id> synced_;
+  std::uint64_t sequence_ = 0;
+  time_point next_run_;
+  time_point next_spread_;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/systems/upstream_membership.cpp
@@ -0,0 +1,220 @@
+/// The host list's rows, and leaving signs from all sources.
+#include "systems/upstream_membership.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+constexpr duration kRunPause = milliseconds(100);
+/** Signs are said again this often, while there are any or after a change. */
+constexpr duration kRepeat = seconds(10);
+constexpr duration kRepeatAfterChange = seconds(30);
+/** What a daemon that is gone had seen holds for this long. */
+constexpr duration kKeepSignsOfGone = seconds(60);
+/** Fewer rows than this may all leave at once. */
+constexpr std::size_t kSmallTable = 4;
+constexpr std::size_t kMostWishes = 8192;
+
+}  // namespace
+
+upstream_membership::upstream_membership(std::string data_centre, upstream_table& upstreams,
+                                         peer_port& peers, const clock& time,
+                                         metrics_registry& metrics)
+    : data_centre_(std::move(data_centre)),
+      upstreams_(upstreams),
+      peers_(peers),
+      clock_(time),
+      held_back_lists_(metrics.Counter("hawthorndrum_host_lists_held_back_total")),
+      rows_(metrics.Counter("hawthorndrum_upstreams", MetricLabel("state", "known"))),
+      leaving_rows_(metrics.Counter("hawthorndrum_upstreams", MetricLabel("state", "leaving"))),
+      malformed_(metrics.Counter("hawthorndrum_peer_messages_malformed_total",
+                                 MetricLabel("part", "leaving"))) {}
+
+void upstream_membership::OnHostList(boost::span<const host_entry> hosts) {
+  const time_point now = clock_.Now();
+  std::set<upstream_id> listed;
+  for (const host_entry& host : hosts) {
+    if (host.kind == host_kind::kDaemon || host.data_centre != data_centre_) continue;
+    listed.insert(UpstreamIdOf(host.address));
+  }
+  const bool held_back = LosesTooMany(listed, now);
+  if (held_back) held_back_lists_.Add();
+  for (const host_entry& host : hosts) {
+    if (host.kind != host_kind::kDaemon && host.data_centre == data_centre_) Apply(host);
+  }
+  for (upstream& row : upstreams_) {
+    if (listed.count(row.id) != 0) {
+      unlisted_since_.erase(row.id);
+    } else if (!held_back) {
+      unlisted_since_.try_emplace(row.id, now);
+      row.leaving.host_list = true;
+    }
+  }
+  next_run_ = now;
+}
+
+bool upstream_membership::LosesTooMany(const std::set<upstream_id>& listed, time_point now) {
+  std::size_t present = 0;
+  std::size_t lost = 0;
+  for (const upstream& row : upstreams_) {
+    if (unlisted_since_.count(row.id) != 0) continue;
+    ++present;
+    if (listed.count(row.id) == 0) ++lost;
+  }
+  if (present < kSmallTable || lost * 2 <= present) {
+    loss_since_ = time_point();
+    return false;
+  }
+  if (loss_since_ == time_point()) loss_since_ = now;
+  return now - loss_since_ < kBelieveLossAfter;
+}
+
+void upstream_membership::Apply(const host_entry& host) {
+  const upstream_id id = UpstreamIdOf(host.address);
+  upstream* row = upstreams_.Find(id);
+  if (row == nullptr) {
+    upstream fresh;
+    fresh.id = id;
+    fresh.address = host.address;
+    row = &upstreams_.Insert(std::move(fresh));
+  }
+  row->kind = host.kind;
+  row->pool = host.pool;
+  row->data_centre = host.data_centre;
+  row->checks_fencing = host.checks_fencing;
+  row->host_incarnation = host.incarnation;
+  row->leaving.host_list = host.leaving;
+}
+
+expected<void> upstream_membership::Drain(std::string_view address, bool drain) {
+  const upstream_id id = UpstreamIdOf(address);
+  if (upstreams_.Find(id) == nullptr) {
+    return tl::make_unexpected(
+        error{error_code::kNotFound, "no such upstream: " + std::string(address)});
+  }
+  drain_wish& wish = wishes_[id];
+  wish = {id, wish.version + 1, drain};
+  wishes_changed_ = true;
+  next_run_ = clock_.Now();
+  return {};
+}
+
+void upstream_membership::OnPeerMessage(peer_id from, const peer_message& message) {
+  const std::optional<leaving_message> said = DecodeLeaving(message);
+  if (!said) {
+    malformed_.Add();
+    return;
+  }
+  peer_signs& signs = signs_of_peers_[from];
+  signs.seen = std::set<upstream_id>(said->seen.begin(), said->seen.end());
+  signs.last_alive = clock_.Now();
+  for (const drain_wish& wish : said->wishes) {
+    if (wishes_.size() >= kMostWishes) break;
+    const auto [present, added] = wishes_.try_emplace(wish.id, wish);
+    if (!added && wish.GoesBefore(present->second)) present->second = wish;
+  }
+  next_run_ = clock_.Now();
+}
+
+void upstream_membership::ApplySigns() {
+  std::set<upstream_id> seen_by_peers;
+  for (const auto& [peer, signs] : signs_of_peers_) {
+    seen_by_peers.insert(signs.seen.begin(), signs.seen.end());
+  }
+  std::size_t leaving = 0;
+  for (upstream& row : upstreams_) {
+    row.leaving.engine = row.has_report && row.report.state == engine_state::kDraining;
+    row.leaving.peer = seen_by_peers.count(row.id) != 0;
+    const auto wish = wishes_.find(row.id);
+    row.leaving.operator_order = wish != wishes_.end() && wish->second.drain;
+    if (row.leaving.any()) ++leaving;
+  }
+  rows_.Set(upstreams_.size());
+  leaving_rows_.Set(leaving);
+}
+
+leaving_message upstream_membership::OwnSigns() const {
+  leaving_message own;
+  for (const upstream& row : upstreams_) {
+    if (row.leaving.host_list || row.leaving.engine) own.seen.push_back(row.id);
+  }
+  std::sort(own.seen.begin(), own.seen.end());
+  for (const auto& [id, wish] : wishes_) own.wishes.push_back(wish);
+  return own;
+}
+
+void upstream_membership::Spread(time_point now) {
+  const leaving_message own = OwnSigns();
+  const bool changed = own.seen != last_seen_ || wishes_changed_;
+  if (changed) last_change_ = now;
+  last_seen_ = own.seen;
+  wishes_changed_ = false;
+  const bool has_any = !own.seen.empty() || !own.wishes.empty();
+  const bool recent = now - last_change_ < kRepeatAfterChange;
+  const bool repeat = (has_any || recent) && now >= next_repeat_;
+  if (repeat) next_repeat_ = now + kRepeat;
+  const peer_message message = Encode(own);
+  std::unordered_map<peer_id, incarnation_id> told;
+  for (const live_peer& peer : peers_.Peers()) {
+    if (!peer.same_data_centre || !peer.linked) continue;
+    const auto before = told_.find(peer.id);
+    const bool is_new = before == told_.end() || before->second != peer.incarnation;
+    told[peer.id] = peer.incarnation;
+    if (changed || repeat || (is_new && has_any)) peers_.Send(peer.id, message);
+  }
+  told_ = std::move(told);
+}
+
+void upstream_membership::ForgetGonePeers(time_point now) {
+  for (const live_peer& peer : peers_.Peers()) {
+    const auto signs = signs_of_peers_.find(peer.id);
+    if (signs != signs_of_peers_.end()) signs->second.last_alive = now;
+  }
+  for (auto place = signs_of_peers_.begin(); place != signs_of_peers_.end();) {
+    const bool gone = now - place->second.last_alive > kKeepSignsOfGone;
+    place = gone ? signs_of_peers_.erase(place) : std::next(place);
+  }
+}
+
+void upstream_membership::EraseGone(time_point now) {
+  std::vector<upstream_id> gone;
+  for (const auto& [id, since] : unlisted_since_) {
+    const upstream* row = upstreams_.Find(id);
+    const bool idle = row == nullptr || row->own_in_flight == 0;
+    if (idle && now - since > kEraseAfter) gone.push_back(id);
+  }
+  for (const upstream_id id : gone) {
+    upstreams_.Erase(id);
+    unlisted_since_.erase(id);
+    wishes_.erase(id);
+  }
+}
+
+void upstream_membership::Run(time_point now) {
+  if (now < next_run_) return;
+  next_run_ = now + kRunPause;
+  ForgetGonePeers(now);
+  EraseGone(now);
+  ApplySigns();
+  Spread(now);
+}
+
+std::size_t upstream_membership::MemoryBytes() const {
+  constexpr std::size_t kNode = 4 * sizeof(void*);
+  std::size_t bytes = 0;
+  for (const upstream& row : upstreams_) {
+    bytes += sizeof(upstream) + row.address.capacity() + row.pool.capacity() + kNode;
+    for (const loaded_model& model : row.report.models) {
+      bytes += sizeof(loaded_model) + model.name.capacity() + model.version.capacity();
+      for (const std::string& adapter : model.adapters) bytes += adapter.capacity() + kNode;
+    }
+  }
+  for (const auto& [peer, signs] : signs_of_peers_) bytes += signs.seen.size() * 2 * kNode;
+  return bytes + wishes_.size() * (sizeof(drain_wish) + kNode);
+}
+
+}  // namespace hawthorndrum
