--- a/tests/fakes/fake_daemon_group.h
+++ b/tests/fakes/fake_daemon_group.h
@@ -10,36 +10,46 @@
 #include "fake_engines.h"
 #include "fake_peer_network.h"
 #include "fake_random_source.h"
-#include "systems/load_digest_system.h"
-#include "systems/membership_system.h"
-#include "systems/upstream_membership.h"
+#include "systems/peer_group_builder.h"
 
 namespace hawthorndrum {
 
+struct fake_cpu_clock : cpu_clock {
+  std::uint64_t ThreadNanoseconds() const override { return 0; }
+};
+
 /**
  * One daemon without its request path.
  */
 struct fake_daemon {
-  fake_daemon(fake_peer_network& network, const clock& time, fake_engines& engines,
-              daemon_identity identity, membership_settings settings, std::uint64_t seed)
+  fake_daemon(fake_peer_network& network, const clock& time, const cpu_clock& cpu,
+              fake_engines& engines, const daemon_identity& identity,
+              std::vector<std::string> seeds, std::uint64_t seed)
       : random(seed),
         transport(network, identity.address),
-        router({identity, "key"}, transport, time, random, metrics),
-        membership(settings, router, time, random, metrics),
-        listing(identity.data_centre, upstreams, router, time, metrics),
         engine_port(engines),
-        load(upstreams, router, engine_port, time, random, metrics) {
-    router.Register(peer_topic::kUpstreamLeaving, listing);
-    router.Register(peer_topic::kLoadDelta, load);
-    transport.Start(router);
+        group(peer_group_builder()
+                  .Self(identity)
+                  .Key("key")
+                  .Seeds(std::move(seeds))
+                  .Transport(transport)
+                  .Engines(engine_port)
+                  .Upstreams(upstreams)
+                  .Clock(time)
+                  .CpuClock(cpu)
+                  .Random(random)
+                  .Metrics(metrics)
+                  .Build()),
+        router(group->router()),
+        membership(group->membership()),
+        listing(group->listing()),
+        load(group->load()) {
+    transport.Start(*group);
   }
 
   void Run(time_point now) {
-    engine_port.AnswerAll(load);
-    membership.Run(now);
-    listing.Run(now);
-    load.Run(now);
-    router.Run(now);
+    engine_port.AnswerAll(*group);
+    group->Run(now);
   }
 
   bool Sees(peer_id other) const {
@@ -55,12 +65,13 @@
   metrics_registry metrics;
   fake_random_source random;
   fake_peer_transport transport;
-  peer_router router;
-  membership_system membership;
-  upstream_table upstreams;
-  upstream_membership listing;
   fake_engine_port engine_port;
-  load_digest_system load;
+  upstream_table upstreams;
+  std::unique_ptr<peer_group> group;
+  peer_router& router;
+  membership_system& membership;
+  upstream_membership& listing;
+  load_digest_system& load;
   bool frozen = false;
 };
 
@@ -69,7 +80,8 @@
  */
 class fake_daemon_group {
  public:
-  explicit fake_daemon_group(std::uint64_t seed = 1) : seed_(seed) {}
+  explicit fake_daemon_group(std::uint64_t seed = 1) : fake_daemon_group(seed, no_cpu) {}
+  fake_daemon_group(std::uint64_t seed, const cpu_clock& processor) : cpu(processor), seed_(seed) {}
 
   /** Starts a daemon; it knows the first of its data centre, and the very first of all. */
   fake_daemon& Start(const std::string& address, const std::string& data_centre = "dc1") {
@@ -79,15 +91,14 @@
     identity.incarnation = incarnation_id(++last_incarnation_);
     identity.data_centre = data_centre;
     identity.region = "region";
-    membership_settings settings;
-    settings.seeds = seeds_;
+    const std::vector<std::string> seeds = seeds_;
     const bool known = first_of_.count(data_centre) != 0;
     if (!known) {
       first_of_[data_centre] = address;
       seeds_.push_back(address);
     }
-    daemons_.push_back(std::make_unique<fake_daemon>(network, time, engines, std::move(identity),
-                                                     settings, seed_ * 1000 + daemons_.size()));
+    daemons_.push_back(std::make_unique<fake_daemon>(network, time, cpu, engines, identity, seeds,
+                                                     seed_ * 1000 + daemons_.size()));
     return *daemons_.back();
   }
 
@@ -171,6 +182,9 @@
 
   static constexpr duration kTick = milliseconds(50);
 
+  /** Takes no processor time, so that tests are the same every run. */
+  fake_cpu_clock no_cpu;
+  const cpu_clock& cpu;
   fake_clock time;
   fake_peer_network network{time};
   fake_engines engines;
