Assemble the daemon: the whole path as separate processes

Cause: the systems had no daemon around them, so no request could be served. Ruled out: a 408 for slow headers, since the transport has closed by then; the dead code is removed and the test asks for the closed connection.

--- /dev/null
+++ b/src/hawthorndrumd/core.cpp
@@ -0,0 +1,252 @@
+/// The systems of one daemon, built and joined.
+#include "core.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "admin_front.h"
+#include "base/hash.h"
+#include "http_lookup_port.h"
+#include "ports/model_catalogue.h"
+#include "systems/authority.h"
+#include "systems/claim_system_builder.h"
+#include "systems/config_system_builder.h"
+#include "systems/demand_system.h"
+#include "systems/load_digest_system.h"
+#include "systems/membership_system.h"
+#include "systems/peer_router.h"
+#include "systems/request_system_builder.h"
+#include "systems/store_client.h"
+#include "systems/tick_loop.h"
+#include "systems/upstream_membership.h"
+#include "tables/daemon_settings.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+peer_router_settings RouterSettings(const daemon_settings& settings, incarnation_id self) {
+  peer_router_settings result;
+  result.self.id = PeerIdOf(settings.peers_address);
+  result.self.incarnation = self;
+  result.self.address = settings.peers_address;
+  result.self.data_centre = settings.data_centre;
+  result.self.region = settings.region;
+  result.key = settings.peer_key;
+  return result;
+}
+
+lease_timing LeaseTiming(const daemon_settings& settings) {
+  lease_timing timing;
+  timing.length = settings.lease_duration;
+  timing.margin = settings.lease_duration / 10;
+  return timing;
+}
+
+role_settings RoleSettings(const daemon_settings& settings) {
+  role_settings roles;
+  roles.prices.role_change_price *= settings.role_change_price;
+  return roles;
+}
+
+/** The models of the configuration in force. */
+class config_catalogue : public model_catalogue {
+ public:
+  explicit config_catalogue(const config_system& config) : config_(config) {}
+
+  generation current() const override { return config_.current(); }
+  std::vector<model_use> Models() const override;
+
+ private:
+  const config_system& config_;
+};
+
+std::vector<model_use> config_catalogue::Models() const {
+  std::vector<model_use> models;
+  for (const auto& leaf : config_.tree().leaves) {
+    if (!leaf) continue;
+    for (const auto& service : leaf->services) {
+      if (service->kind != service_kind::kModel) continue;
+      if (std::find(models.begin(), models.end(), service->model) != models.end()) continue;
+      models.push_back(service->model);
+    }
+  }
+  return models;
+}
+
+/** Gives out lookups' answers at its place in the tick. */
+class lookup_answers : public system {
+ public:
+  explicit lookup_answers(http_lookup_port& port) : port_(port) {}
+  void Run(time_point) override { port_.GiveOut(); }
+
+ private:
+  http_lookup_port& port_;
+};
+
+}  // namespace
+
+/**
+ * Members are built from top to bottom; each refers only to those above it.
+ */
+struct core::parts {
+  parts(const daemon_settings& settings, incarnation_id self, const core_ports& ports);
+
+  void Register();
+  void Take(request_arrived& arrived) {
+    requests->OnRequest(arrived.request, std::move(arrived.message));
+  }
+  void Take(caller_gone& gone) { requests->OnCallerGone(gone.request); }
+  void Take(attempt_head& head) { requests->OnAttemptHead(head); }
+  void Take(attempt_bytes& bytes) { requests->OnAttemptBytes(bytes); }
+  void Take(attempt_finished& finished) { requests->OnAttemptFinished(finished); }
+  void Take(attempt_lost& lost) { requests->OnAttemptLost(lost); }
+  void Take(store_answered& answered) {
+    answered.listener->OnStoreAnswer(answered.call, answered.answer);
+  }
+  void Take(order_answered& answered) { answered.listener->OnOrderAnswer(answered.answer); }
+  void Take(load_reported& reported) { loads.OnLoadReport(reported.report); }
+  void Take(load_failed& failed) { loads.OnLoadFailed(failed.upstream); }
+  void Take(hosts_listed& listed);
+
+  const clock& time;
+  upstream_table upstreams;
+  store_client store;
+  peer_router router;
+  membership_system members;
+  upstream_membership upstream_members;
+  load_digest_system loads;
+  std::unique_ptr<config_system> config;
+  config_catalogue catalogue;
+  demand_system demand;
+  http_lookup_port lookups;
+  lookup_answers lookup_turn;
+  std::unique_ptr<claim_system> claims;
+  authority orders;
+  std::unique_ptr<request_system> requests;
+};
+
+core::parts::parts(const daemon_settings& settings, incarnation_id self, const core_ports& ports)
+    : time(ports.time),
+      store(ports.store, ports.time, ports.random, ports.metrics),
+      router(RouterSettings(settings, self), ports.links, ports.time, ports.random, ports.metrics),
+      members({settings.seed_peers}, router, ports.time, ports.random, ports.metrics),
+      upstream_members(settings.data_centre, upstreams, router, ports.time, ports.metrics),
+      loads(upstreams, router, ports.engines, ports.time, ports.random, ports.metrics),
+      config(config_system_builder()
+                 .Store(store)
+                 .Peers(router)
+                 .Clock(ports.time)
+                 .Random(ports.random)
+                 .Metrics(ports.metrics)
+                 .Address(settings.peers_address)
+                 .DataCentre(settings.data_centre)
+                 .Build()),
+      catalogue(*config),
+      demand(catalogue, router, ports.time, ports.metrics),
+      lookups(ports.calls, *config, upstreams, ports.random),
+      lookup_turn(lookups),
+      claims(claim_system_builder(store, router, ports.time, ports.random, ports.metrics)
+                 .Incarnation(self)
+                 .Lookup(lookups)
+                 .Build()),
+      orders(authority_builder(store, ports.engines, router, upstreams, ports.time, ports.random,
+                               ports.metrics, demand)
+                 .DataCentre(settings.data_centre)
+                 .Incarnation(self)
+                 .Timing(LeaseTiming(settings))
+                 .Roles(RoleSettings(settings))
+                 .Build()),
+      requests(request_system_builder()
+                   .Upstreams(upstreams)
+                   .Config(*config)
+                   .Claims(*claims)
+                   .Upstream(ports.upstreams)
+                   .Callers(ports.callers)
+                   .Clock(ports.time)
+                   .Random(ports.random)
+                   .Traces(ports.traces)
+                   .Metrics(ports.metrics)
+                   .Peers(router)
+                   .DataCentre(settings.data_centre)
+                   .Incarnation(self)
+                   .Build()) {
+  Register();
+}
+
+void core::parts::Register() {
+  router.SetObserver(members);
+  for (const peer_topic topic : {peer_topic::kHeartbeat, peer_topic::kProbe,
+                                 peer_topic::kProbeRequest, peer_topic::kProbeAnswer}) {
+    router.Register(topic, members);
+  }
+  router.Register(peer_topic::kLoadDelta, loads);
+  router.Register(peer_topic::kUpstreamLeaving, upstream_members);
+  router.Register(peer_topic::kDemand, demand);
+  for (const peer_topic topic : {peer_topic::kConfigHead, peer_topic::kConfigRequest,
+                                 peer_topic::kConfigPart, peer_topic::kStatus}) {
+    router.Register(topic, *config);
+  }
+  for (const peer_topic topic :
+       {peer_topic::kClaimForward, peer_topic::kClaimQuery, peer_topic::kClaimReply}) {
+    router.Register(topic, *claims);
+  }
+  router.Register(peer_topic::kSuspect, *requests);
+  router.Register(peer_topic::kSuspectTurn, *requests);
+  router.Register(peer_topic::kLeaseHolder, *orders.lease);
+  router.Register(peer_topic::kPlannedChanges, *orders.marks);
+  router.Register(peer_topic::kPlannedChangesSeen, *orders.marks);
+  router.Register(peer_topic::kAuthorityLost, *orders.orders);
+  router.Register(peer_topic::kAuthorityQuery, *orders.orders);
+}
+
+void core::parts::Take(hosts_listed& listed) {
+  members.OnHostList(listed.hosts);
+  upstream_members.OnHostList(listed.hosts);
+  orders.orders->OnHostList(listed.hosts, time.Now());
+}
+
+core::core(const daemon_settings& settings, incarnation_id self, const core_ports& ports)
+    : parts_(std::make_unique<parts>(settings, self, ports)) {}
+
+core::~core() = default;
+
+void core::AddSystems(tick_loop& loop) {
+  loop.Add(parts_->store);
+  loop.Add(parts_->members);
+  loop.Add(parts_->upstream_members);
+  loop.Add(parts_->loads);
+  loop.Add(*parts_->config);
+  loop.Add(parts_->demand);
+  loop.Add(*parts_->orders.lease);
+  loop.Add(*parts_->orders.marks);
+  loop.Add(*parts_->orders.orders);
+  loop.Add(*parts_->orders.roles);
+  loop.Add(parts_->lookup_turn);
+  loop.Add(*parts_->claims);
+  loop.Add(*parts_->requests);
+  // Last, so that what the others said leaves in this tick.
+  loop.Add(parts_->router);
+}
+
+void core::AddSections(admin_front& front) {
+  front.Add(*parts_->config);
+  front.Add(*parts_->orders.lease);
+  front.Add(*parts_->orders.orders);
+  front.Add(*parts_->orders.roles);
+  front.Add(parts_->requests->why());
+  front.Add(parts_->requests->poison());
+}
+
+void core::Receive(event happened) {
+  std::visit([this](auto& each) { parts_->Take(each); }, happened);
+}
+
+peer_transport_listener& core::peer_listener() { return parts_->router; }
+
+void core::BeginStop() { parts_->requests->BeginStop(); }
+
+std::size_t core::in_flight() const { return parts_->requests->in_flight(); }
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/hawthorndrumd/daemon.cpp
@@ -0,0 +1,140 @@
+/// One daemon: the core's systems joined to their ports.
+#include "daemon.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+#include <variant>
+
+#include "core.h"
+#include "tls_contexts.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+constexpr duration kStopCheckInterval = milliseconds(50);
+
+http_limits LimitsOf(const connection_limits& settings) {
+  http_limits limits;
+  limits.body_bytes = settings.body_bytes;
+  limits.header_bytes = static_cast<std::uint32_t>(settings.header_bytes);
+  limits.connections = settings.connections;
+  limits.idle_timeout = settings.idle_timeout;
+  return limits;
+}
+
+http_limits AdminLimits() {
+  http_limits limits;
+  limits.connections = 64;
+  limits.body_bytes = 64 * 1024;
+  return limits;
+}
+
+}  // namespace
+
+daemon::daemon(boost::asio::io_context& io, daemon_settings settings)
+    : io_(io),
+      settings_(std::move(settings)),
+      incarnation_(random_.Draw()),
+      ticks_(io, *this, clock_, metrics_),
+      client_(io),
+      calls_(client_),
+      caller_front_(ticks_),
+      admin_front_(settings_.admin_token, metrics_),
+      caller_server_(io, caller_front_, random_, metrics_, "callers", LimitsOf(settings_.limits)),
+      admin_server_(io, admin_front_, random_, metrics_, "admin", AdminLimits()),
+      upstream_port_(client_, ticks_),
+      engine_port_(calls_, ticks_),
+      raw_store_(calls_, ticks_, settings_.object_api),
+      host_list_(io, calls_, ticks_, random_, settings_.host_list),
+      traces_(io, calls_, clock_, metrics_, settings_.trace_exporter, settings_.peers_address),
+      peer_links_(io),
+      stop_timer_(io) {
+  caller_front_.SetAnswers(caller_server_);
+  admin_front_.SetAnswers(admin_server_);
+  const core_ports ports{raw_store_, engine_port_, upstream_port_, caller_server_, peer_links_,
+                         calls_,     clock_,       random_,        traces_,        metrics_};
+  core_ = std::make_unique<core>(settings_, incarnation_, ports);
+  core_->AddSystems(ticks_.loop());
+  core_->AddSections(admin_front_);
+}
+
+daemon::~daemon() {
+  ticks_.Stop();
+  peer_links_.Stop();
+}
+
+expected<void> daemon::Start() {
+  auto started = StartServer(caller_server_, settings_.callers_tls, settings_.callers_address);
+  if (!started) return started;
+  started = StartServer(admin_server_, settings_.admin_tls, settings_.admin_address);
+  if (!started) return started;
+  started = peer_links_.Start(settings_.peers_address, core_->peer_listener());
+  if (!started) return started;
+  host_list_.Start();
+  traces_.Start();
+  ticks_.Start();
+  caller_front_.SetReady(true);
+  LOG(INFO) << "started data_centre=" << settings_.data_centre
+            << " callers=" << settings_.callers_address << " peers=" << settings_.peers_address
+            << " admin=" << settings_.admin_address << " incarnation=" << incarnation_.value();
+  return {};
+}
+
+expected<void> daemon::StartServer(http_server& server, const tls_settings& tls,
+                                   const std::string& address) {
+  if (tls.enabled()) {
+    auto context = MakeTlsContext(tls);
+    if (!context) return tl::make_unexpected(context.error());
+    server.ReplaceTls(std::move(*context));
+  }
+  const auto port = server.Listen(address);
+  if (!port) return tl::make_unexpected(port.error());
+  return {};
+}
+
+expected<void> daemon::RereadTls() {
+  const std::pair<http_server*, const tls_settings*> servers[] = {
+      {&caller_server_, &settings_.callers_tls}, {&admin_server_, &settings_.admin_tls}};
+  for (const auto& [server, tls] : servers) {
+    if (!tls->enabled()) continue;
+    auto context = MakeTlsContext(*tls);
+    if (!context) return tl::make_unexpected(context.error());
+    server->ReplaceTls(std::move(*context));
+  }
+  LOG(INFO) << "TLS files read again";
+  return {};
+}
+
+void daemon::BeginStop() {
+  if (!caller_front_.ready()) return;
+  caller_front_.SetReady(false);
+  LOG(INFO) << "stopping: not ready, in_flight=" << core_->in_flight();
+  stop_timer_.expires_after(settings_.stop_grace);
+  stop_timer_.async_wait([this](boost::system::error_code failed) {
+    if (!failed) RefuseNewRequests();
+  });
+}
+
+void daemon::RefuseNewRequests() {
+  core_->BeginStop();
+  StopWhenIdle();
+}
+
+void daemon::StopWhenIdle() {
+  if (core_->in_flight() == 0 && caller_server_.open_requests() == 0) {
+    LOG(INFO) << "stopped: no request in flight";
+    caller_server_.StopListening();
+    io_.stop();
+    return;
+  }
+  stop_timer_.expires_after(kStopCheckInterval);
+  stop_timer_.async_wait([this](boost::system::error_code failed) {
+    if (!failed) StopWhenIdle();
+  });
+}
+
+void daemon::Receive(event happened) { core_->Receive(std::move(happened)); }
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/hawthorndrumd/daemon.h
@@ -0,0 +1,83 @@
+/// One daemon: the core's systems joined to their ports.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+
+#include "admin_front.h"
+#include "base/error.h"
+#include "base/metrics_registry.h"
+#include "boot_time_clock.h"
+#include "caller_front.h"
+#include "host_list_reader.h"
+#include "http_client.h"
+#include "http_engine_port.h"
+#include "http_lookup_port.h"
+#include "http_object_store.h"
+#include "http_server.h"
+#include "http_upstream_port.h"
+#include "otlp_exporter.h"
+#include "peer_link_server.h"
+#include "system_random_source.h"
+#include "systems/event_receiver.h"
+#include "tables/daemon_settings.h"
+#include "tables/upstream_table.h"
+#include "tick_driver.h"
+#include "whole_calls.h"
+
+namespace hawthorndrum {
+
+class core;
+
+/**
+ * Owns the sockets and the core. All of it runs on the thread that runs the io_context.
+ */
+class daemon : public event_receiver {
+ public:
+  daemon(boost::asio::io_context& io, daemon_settings settings);
+  ~daemon() override;
+
+  /** Opens the ports and starts; the first port that can't be opened is the error. */
+  expected<void> Start();
+  /**
+   * Not ready from now on; after the grace period new requests are refused, and when the last one
+   * in flight has ended the io_context is stopped.
+   */
+  void BeginStop();
+  /** Reads the TLS files again; connections made from now on use them. */
+  expected<void> RereadTls();
+
+  void Receive(event happened) override;
+
+ private:
+  expected<void> StartServer(http_server& server, const tls_settings& tls,
+                             const std::string& address);
+  void RefuseNewRequests();
+  void StopWhenIdle();
+
+  boost::asio::io_context& io_;
+  daemon_settings settings_;
+  boot_time_clock clock_;
+  system_random_source random_;
+  incarnation_id incarnation_;
+  metrics_registry metrics_;
+  tick_driver ticks_;
+  http_client client_;
+  whole_calls calls_;
+  caller_front caller_front_;
+  admin_front admin_front_;
+  http_server caller_server_;
+  http_server admin_server_;
+  http_upstream_port upstream_port_;
+  http_engine_port engine_port_;
+  http_object_store raw_store_;
+  host_list_reader host_list_;
+  otlp_exporter traces_;
+  peer_link_server peer_links_;
+  boost::asio::steady_timer stop_timer_;
+  std::unique_ptr<core> core_;
+};
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/hawthorndrumd/http_lookup_port.cpp
@@ -0,0 +1,79 @@
+/// Asks plain services over HTTP whether a key ran.
+#include "http_lookup_port.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+#include "base/url.h"
+#include "ports/random_source.h"
+#include "tables/config_view.h"
+#include "whole_calls.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr duration kTimeout = seconds(2);
+
+/** Reads `{"state":"done|not_run","status":N,"body":"..."}`. */
+lookup_answer ReadAnswer(request_id request, const whole_answer& ended) {
+  lookup_answer result;
+  result.request = request;
+  if (!ended.received || ended.answer.status != 200) return result;
+  const json text = json::parse(ended.answer.body, nullptr, false);
+  if (!text.is_object() || !text.contains("state")) return result;
+  if (text["state"] == "not_run") result.state = lookup_state::kNotRun;
+  if (text["state"] != "done") return result;
+  const auto status = text.find("status");
+  const auto body = text.find("body");
+  if (status == text.end() || !status->is_number_integer()) return result;
+  if (body == text.end() || !body->is_string()) return result;
+  result.state = lookup_state::kDone;
+  result.answer.status = status->get<int>();
+  result.answer.headers = {{"Content-Type", "application/json"}};
+  result.answer.body = body->get<std::string>();
+  return result;
+}
+
+}  // namespace
+
+void http_lookup_port::Ask(lookup_question question, lookup_listener& listener) {
+  const upstream* worker = ChooseWorker(question);
+  if (worker == nullptr) {
+    lookup_answer none;
+    none.request = question.request;
+    ready_.push_back({std::move(none), &listener});
+    return;
+  }
+  http_call call;
+  call.address = worker->address;
+  call.request.method = "GET";
+  call.request.target = question.lookup_path + "?key=" + EscapeUrl(question.key);
+  call.total_timeout = kTimeout;
+  calls_.Start(std::move(call),
+               [this, request = question.request, target = &listener](whole_answer ended) {
+                 ready_.push_back({ReadAnswer(request, ended), target});
+               });
+}
+
+void http_lookup_port::GiveOut() {
+  std::deque<ready_answer> taken;
+  taken.swap(ready_);
+  for (const ready_answer& ready : taken) ready.listener->OnLookupAnswer(ready.answer);
+}
+
+const upstream* http_lookup_port::ChooseWorker(const lookup_question& question) const {
+  const auto service = config_.Find(question.service);
+  if (!service) return nullptr;
+  std::vector<const upstream*> workers;
+  for (const upstream& row : upstreams_) {
+    const bool in_pool = row.kind == host_kind::kService && row.pool == service->pool;
+    if (in_pool && !row.leaving.any()) workers.push_back(&row);
+  }
+  return workers.empty() ? nullptr : workers[random_.Below(workers.size())];
+}
+
+}  // namespace hawthorndrum
--- a/src/hawthorndrumd/http_object_store.cpp
+++ b/src/hawthorndrumd/http_object_store.cpp
@@ -1,12 +1,12 @@
 /// The platform's object API over HTTP.
 #include "http_object_store.h"
 
-#include <boost/algorithm/hex.hpp>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <string_view>
 #include <utility>
 
+#include "base/url.h"
 #include "ports/event_sink.h"
 #include "whole_calls.h"
 
@@ -16,24 +16,6 @@
 
 constexpr duration kConnectTimeout = seconds(1);
 
-bool IsUnreserved(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
-         c == '_' || c == '.' || c == '~' || c == '/';
-}
-
-std::string Escaped(std::string_view key) {
-  std::string text;
-  for (const char c : key) {
-    if (IsUnreserved(c)) {
-      text += c;
-      continue;
-    }
-    text += '%';
-    boost::algorithm::hex(std::string(1, c), std::back_inserter(text));
-  }
-  return text;
-}
-
 bool IsWrite(store_operation operation) {
   return operation == store_operation::kCreate || operation == store_operation::kUpdate ||
          operation == store_operation::kRemove;
@@ -41,7 +23,7 @@
 
 http_request ToRequest(const store_call& call) {
   http_request request;
-  const std::string object = "/v1/objects/" + Escaped(call.key);
+  const std::string object = "/v1/objects/" + EscapeUrl(call.key);
   const std::string version = "\"" + std::to_string(call.expected.value()) + "\"";
   request.method = "GET";
   request.target = object;
@@ -63,10 +45,10 @@
       request.headers.push_back({"If-Match", version});
       return request;
     case store_operation::kList:
-      request.target = "/v1/list?prefix=" + Escaped(call.key);
+      request.target = "/v1/list?prefix=" + EscapeUrl(call.key);
       return request;
     case store_operation::kWatch:
-      request.target = "/v1/watch?prefix=" + Escaped(call.key) +
+      request.target = "/v1/watch?prefix=" + EscapeUrl(call.key) +
                        "&after=" + std::to_string(call.expected.value()) +
                        "&timeout_ms=" + std::to_string(ToMilliseconds(call.timeout) / 2);
       return request;
--- /dev/null
+++ b/src/hawthorndrumd/tick_driver.cpp
@@ -0,0 +1,57 @@
+/// Runs the core's ticks on an io_context.
+#include "tick_driver.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "base/metrics_registry.h"
+#include "ports/clock.h"
+
+namespace hawthorndrum {
+
+namespace {
+constexpr duration kLongestInterval = milliseconds(100);
+}
+
+tick_driver::tick_driver(boost::asio::io_context& io, event_receiver& receiver, const clock& time,
+                         metrics_registry& metrics)
+    : io_(io), timer_(io), clock_(time), ticks_(metrics.Counter("ticks_total")), loop_(receiver) {}
+
+void tick_driver::Start() { Wait(); }
+
+void tick_driver::Stop() {
+  stopped_ = true;
+  timer_.cancel();
+}
+
+void tick_driver::Post(event happened) {
+  loop_.Post(std::move(happened));
+  Schedule();
+}
+
+void tick_driver::Schedule() {
+  if (scheduled_ || stopped_) return;
+  scheduled_ = true;
+  boost::asio::post(io_, [this] {
+    scheduled_ = false;
+    Tick();
+  });
+}
+
+void tick_driver::Tick() {
+  if (stopped_) return;
+  ticks_.Add();
+  loop_.Tick(clock_.Now());
+}
+
+void tick_driver::Wait() {
+  timer_.expires_after(kLongestInterval);
+  timer_.async_wait([this](boost::system::error_code failed) {
+    if (failed || stopped_) return;
+    Tick();
+    Wait();
+  });
+}
+
+}  // namespace hawthorndrum
--- a/src/libhawthorndrum/ports/peer_message.h
+++ b/src/libhawthorndrum/ports/peer_message.h
@@ -36,6 +36,7 @@
   kConfigPart = 52,
   kStatus = 60,
   kDrain = 61,
+  kDemand = 62,
 };
 
 /**
--- a/src/libhawthorndrum/systems/config_codec.cpp
+++ b/src/libhawthorndrum/systems/config_codec.cpp
@@ -150,7 +150,8 @@
   if (entry.removed) {
     stored = {{"service", entry.config.name}, {"removed", true}};
   } else {
-    for (const auto& [key, value] : ServiceToJson(entry.config).items()) {
+    const json whole = ServiceToJson(entry.config);
+    for (const auto& [key, value] : whole.items()) {
       if (StoredDefaultsAsJson()[key] != value) stored[key] = value;
     }
     if (entry.config.team == entry.config.name) stored.erase("team");
@@ -307,8 +308,9 @@
 std::vector<std::string> DescribeDifference(const service_config& before,
                                             const service_config& after) {
   const json old_values = ServiceToJson(before);
+  const json new_values = ServiceToJson(after);
   std::vector<std::string> lines;
-  for (const auto& [key, value] : ServiceToJson(after).items()) {
+  for (const auto& [key, value] : new_values.items()) {
     if (old_values[key] == value) continue;
     lines.push_back(key + ": " + ValueText(old_values[key]) + " -> " + ValueText(value));
   }
--- a/src/libhawthorndrum/tables/daemon_settings.h
+++ b/src/libhawthorndrum/tables/daemon_settings.h
@@ -57,6 +57,8 @@
   /** How much the gain of a role change must be worth; 1 is neutral, higher means fewer changes. */
   double role_change_price = 1;
   duration lease_duration = seconds(10);
+  /** How long a stopping daemon still takes requests, so that the balancer can turn away. */
+  duration stop_grace = seconds(5);
   /** Model loads that may run at once against the weight store. */
   std::uint32_t model_loads_at_once = 2;
   /** Where spans go by OTLP/HTTP; empty when tracing is off. */
--- a/src/libtransport/http_server.cpp
+++ b/src/libtransport/http_server.cpp
@@ -38,6 +38,7 @@
   void StopListening();
   void ReplaceTls(std::shared_ptr<asio::ssl::context> tls) { tls_ = std::move(tls); }
   std::size_t connections() const { return sessions_.size(); }
+  std::size_t open_requests() const { return requests_.size(); }
   http_session* FindSession(request_id request) const {
     const auto found = requests_.find(request);
     return found == requests_.end() ? nullptr : found->second;
@@ -161,6 +162,8 @@
 
 std::size_t http_server::connections() const { return impl_->connections(); }
 
+std::size_t http_server::open_requests() const { return impl_->open_requests(); }
+
 void http_server::Answer(request_id request, http_answer answer) {
   if (http_session* session = impl_->FindSession(request)) session->Answer(std::move(answer));
 }
--- a/src/libtransport/http_server.h
+++ b/src/libtransport/http_server.h
@@ -41,6 +41,8 @@
   /** Connections made from now on use this context. */
   void ReplaceTls(std::shared_ptr<boost::asio::ssl::context> tls);
   std::size_t connections() const;
+  /** Requests whose answers are not complete. */
+  std::size_t open_requests() const;
 
   void Answer(request_id request, http_answer answer) override;
   void Begin(request_id request, int status, std::vector<http_header> headers) override;
--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -162,7 +162,6 @@
   namespace http = boost::beast::http;
   if (failed == http::error::header_limit) return Reject(431, "the header is too large");
   if (failed == http::error::body_limit) return Reject(413, "the body is too large");
-  if (failed == boost::beast::error::timeout) return Reject(408, "the request came too slowly");
   if (failed == http::error::partial_message || failed == http::error::end_of_stream) {
     return Close();
   }
@@ -199,7 +198,6 @@
 void http_stream_session<Stream>::Answer(http_answer answer) {
   if (closed_ || answer_ended_) return;
   answer_ended_ = true;
-  if (answer.status == 408 || answer.status == 413) keep_alive_ = false;
   Queue(AnswerBytes(answer, version_, keep_alive_ && !closing_, head_only_));
 }
 
