Join the daemon's group as one object and measure the demand of its callers

Cause: the peers' parts were wired one by one, and the role planner heard of no demand. Change: the core owns a peer_group, so control work is counted against its budget; the request path reports every model request to the demand system. Conclusion: planning sees real demand; no measurement of the planner in the daemon yet.

--- a/src/hawthorndrumd/core.cpp
+++ b/src/hawthorndrumd/core.cpp
@@ -13,28 +13,25 @@
 #include "systems/claim_system_builder.h"
 #include "systems/config_system_builder.h"
 #include "systems/demand_system.h"
-#include "systems/load_digest_system.h"
-#include "systems/membership_system.h"
-#include "systems/peer_router.h"
+#include "systems/peer_group_builder.h"
 #include "systems/request_system_builder.h"
 #include "systems/store_client.h"
 #include "systems/tick_loop.h"
-#include "systems/upstream_membership.h"
 #include "tables/daemon_settings.h"
+#include "thread_cpu_clock.h"
 
 namespace hawthorndrum {
 
 namespace {
 
-peer_router_settings RouterSettings(const daemon_settings& settings, incarnation_id self) {
-  peer_router_settings result;
-  result.self.id = PeerIdOf(settings.peers_address);
-  result.self.incarnation = self;
-  result.self.address = settings.peers_address;
-  result.self.data_centre = settings.data_centre;
-  result.self.region = settings.region;
-  result.key = settings.peer_key;
-  return result;
+daemon_identity IdentityOf(const daemon_settings& settings, incarnation_id self) {
+  daemon_identity identity;
+  identity.id = PeerIdOf(settings.peers_address);
+  identity.incarnation = self;
+  identity.address = settings.peers_address;
+  identity.data_centre = settings.data_centre;
+  identity.region = settings.region;
+  return identity;
 }
 
 lease_timing LeaseTiming(const daemon_settings& settings) {
@@ -106,17 +103,15 @@
     answered.listener->OnStoreAnswer(answered.call, answered.answer);
   }
   void Take(order_answered& answered) { answered.listener->OnOrderAnswer(answered.answer); }
-  void Take(load_reported& reported) { loads.OnLoadReport(reported.report); }
-  void Take(load_failed& failed) { loads.OnLoadFailed(failed.upstream); }
+  void Take(load_reported& reported) { group->OnLoadReport(reported.report); }
+  void Take(load_failed& failed) { group->OnLoadFailed(failed.upstream); }
   void Take(hosts_listed& listed);
 
   const clock& time;
   upstream_table upstreams;
   store_client store;
-  peer_router router;
-  membership_system members;
-  upstream_membership upstream_members;
-  load_digest_system loads;
+  thread_cpu_clock cpu;
+  std::unique_ptr<peer_group> group;
   std::unique_ptr<config_system> config;
   config_catalogue catalogue;
   demand_system demand;
@@ -130,13 +125,21 @@
 core::parts::parts(const daemon_settings& settings, incarnation_id self, const core_ports& ports)
     : time(ports.time),
       store(ports.store, ports.time, ports.random, ports.metrics),
-      router(RouterSettings(settings, self), ports.links, ports.time, ports.random, ports.metrics),
-      members({settings.seed_peers}, router, ports.time, ports.random, ports.metrics),
-      upstream_members(settings.data_centre, upstreams, router, ports.time, ports.metrics),
-      loads(upstreams, router, ports.engines, ports.time, ports.random, ports.metrics),
+      group(peer_group_builder()
+                .Self(IdentityOf(settings, self))
+                .Key(settings.peer_key)
+                .Seeds(settings.seed_peers)
+                .Transport(ports.links)
+                .Engines(ports.engines)
+                .Upstreams(upstreams)
+                .Clock(ports.time)
+                .CpuClock(cpu)
+                .Random(ports.random)
+                .Metrics(ports.metrics)
+                .Build()),
       config(config_system_builder()
                  .Store(store)
-                 .Peers(router)
+                 .Peers(group->router())
                  .Clock(ports.time)
                  .Random(ports.random)
                  .Metrics(ports.metrics)
@@ -144,15 +147,15 @@
                  .DataCentre(settings.data_centre)
                  .Build()),
       catalogue(*config),
-      demand(catalogue, router, ports.time, ports.metrics),
+      demand(catalogue, group->router(), ports.time, ports.metrics),
       lookups(ports.calls, *config, upstreams, ports.random),
       lookup_turn(lookups),
-      claims(claim_system_builder(store, router, ports.time, ports.random, ports.metrics)
+      claims(claim_system_builder(store, group->router(), ports.time, ports.random, ports.metrics)
                  .Incarnation(self)
                  .Lookup(lookups)
                  .Build()),
-      orders(authority_builder(store, ports.engines, router, upstreams, ports.time, ports.random,
-                               ports.metrics, demand)
+      orders(authority_builder(store, ports.engines, group->router(), upstreams, ports.time,
+                               ports.random, ports.metrics, demand)
                  .DataCentre(settings.data_centre)
                  .Incarnation(self)
                  .Timing(LeaseTiming(settings))
@@ -168,7 +171,8 @@
                    .Random(ports.random)
                    .Traces(ports.traces)
                    .Metrics(ports.metrics)
-                   .Peers(router)
+                   .Peers(group->router())
+                   .Demand(demand)
                    .DataCentre(settings.data_centre)
                    .Incarnation(self)
                    .Build()) {
@@ -176,13 +180,7 @@
 }
 
 void core::parts::Register() {
-  router.SetObserver(members);
-  for (const peer_topic topic : {peer_topic::kHeartbeat, peer_topic::kProbe,
-                                 peer_topic::kProbeRequest, peer_topic::kProbeAnswer}) {
-    router.Register(topic, members);
-  }
-  router.Register(peer_topic::kLoadDelta, loads);
-  router.Register(peer_topic::kUpstreamLeaving, upstream_members);
+  peer_router& router = group->router();
   router.Register(peer_topic::kDemand, demand);
   for (const peer_topic topic : {peer_topic::kConfigHead, peer_topic::kConfigRequest,
                                  peer_topic::kConfigPart, peer_topic::kStatus}) {
@@ -202,8 +200,7 @@
 }
 
 void core::parts::Take(hosts_listed& listed) {
-  members.OnHostList(listed.hosts);
-  upstream_members.OnHostList(listed.hosts);
+  group->OnHostList(listed.hosts);
   orders.orders->OnHostList(listed.hosts, time.Now());
 }
 
@@ -214,9 +211,7 @@
 
 void core::AddSystems(tick_loop& loop) {
   loop.Add(parts_->store);
-  loop.Add(parts_->members);
-  loop.Add(parts_->upstream_members);
-  loop.Add(parts_->loads);
+  loop.Add(*parts_->group);
   loop.Add(*parts_->config);
   loop.Add(parts_->demand);
   loop.Add(*parts_->orders.lease);
@@ -226,11 +221,10 @@
   loop.Add(parts_->lookup_turn);
   loop.Add(*parts_->claims);
   loop.Add(*parts_->requests);
-  // Last, so that what the others said leaves in this tick.
-  loop.Add(parts_->router);
 }
 
 void core::AddSections(admin_front& front) {
+  for (admin_section* section : parts_->group->sections()) front.Add(*section);
   front.Add(*parts_->config);
   front.Add(*parts_->orders.lease);
   front.Add(*parts_->orders.orders);
@@ -243,7 +237,7 @@
   std::visit([this](auto& each) { parts_->Take(each); }, happened);
 }
 
-peer_transport_listener& core::peer_listener() { return parts_->router; }
+peer_transport_listener& core::peer_listener() { return *parts_->group; }
 
 void core::BeginStop() { parts_->requests->BeginStop(); }
 
--- a/src/libhawthorndrum/systems/request_ports.h
+++ b/src/libhawthorndrum/systems/request_ports.h
@@ -12,6 +12,7 @@
 class claim_gate;
 class clock;
 class config_view;
+class demand_observer;
 class metrics_registry;
 class peer_port;
 class random_source;
@@ -19,8 +20,8 @@
 class upstream_port;
 
 /**
- * The ports and tables, and this daemon's own place. All but `peers` are set; without peers no
- * suspects are shared.
+ * The ports and tables, and this daemon's own place. All but `peers` and `demand` are set;
+ * without peers no suspects are shared, without `demand` nobody is told of the work asked for.
  */
 struct request_ports {
   upstream_table* upstreams = nullptr;
@@ -33,6 +34,7 @@
   trace_sink* traces = nullptr;
   metrics_registry* metrics = nullptr;
   peer_port* peers = nullptr;
+  demand_observer* demand = nullptr;
   std::string data_centre;
   incarnation_id incarnation;
 };
--- a/src/libhawthorndrum/systems/request_system.cpp
+++ b/src/libhawthorndrum/systems/request_system.cpp
@@ -7,6 +7,7 @@
 
 #include "base/metrics_registry.h"
 #include "ports/clock.h"
+#include "ports/demand_observer.h"
 #include "ports/random_source.h"
 #include "ports/upstream_port.h"
 #include "systems/request_reader.h"
@@ -53,6 +54,9 @@
   if (!read) return answers_.RefuseUnread(id, read.error());
   read->trace = ReadTraceparent(FindHeader(read->headers, "traceparent"), *ports_.random);
   decisions_.Arrived(*read);
+  if (ports_.demand != nullptr && read->service->kind == service_kind::kModel) {
+    ports_.demand->OnModelRequest(read->service->model, read->prompt_tokens, read->max_tokens);
+  }
   if (poison_.StandingOf(read->fingerprint, now) == fingerprint_standing::kConvicted) {
     return answers_.Fail(*read, Convicted(*read, now));
   }
--- a/src/libhawthorndrum/systems/request_system_builder.h
+++ b/src/libhawthorndrum/systems/request_system_builder.h
@@ -11,7 +11,8 @@
 namespace hawthorndrum {
 
 /**
- * Collects what a request_system needs. All setters but Peers must be called before Build.
+ * Collects what a request_system needs. All setters but Peers and Demand must be called before
+ * Build.
  */
 class request_system_builder {
  public:
@@ -55,6 +56,10 @@
     ports_.peers = &peers;
     return *this;
   }
+  request_system_builder& Demand(demand_observer& observer) {
+    ports_.demand = &observer;
+    return *this;
+  }
   request_system_builder& DataCentre(std::string name) {
     ports_.data_centre = std::move(name);
     return *this;
