--- a/src/libhawthorndrum/systems/load_digest_system.cpp
+++ b/src/libhawthorndrum/systems/load_digest_system.cpp
@@ -15,7 +15,7 @@
 constexpr duration kShortestPollInterval = seconds(1);
 constexpr duration kLongestPollInterval = seconds(4);
 /** The polls a second that the control budget leaves room for. */
-constexpr double kPollsPerSecond = 6;
+constexpr double kPollsPerSecond = 4.5;
 constexpr duration kPollTimeout = seconds(2);
 /** First polls of engines newly owned are spread over this time. */
 constexpr duration kFirstPollSpread = milliseconds(100);
--- a/src/libhawthorndrum/systems/membership_system.cpp
+++ b/src/libhawthorndrum/systems/membership_system.cpp
@@ -22,6 +22,9 @@
 /** Views that differ longer than this are compared member by member. */
 constexpr duration kViewsMayDiffer = seconds(3);
 constexpr duration kMembersPause = seconds(5);
+/** Views are said every second for this long after a change, and seldom when all agree. */
+constexpr duration kSettleTime = seconds(5);
+constexpr duration kQuietHeartbeat = seconds(10);
 constexpr std::size_t kMostRetired = 256;
 constexpr std::size_t kMostPeers = 4096;
 constexpr double kMostDialsAtOnce = 8;
@@ -297,8 +300,15 @@
 
 void membership_system::SendHeartbeats(time_point now) {
   if (now < next_heartbeat_) return;
-  next_heartbeat_ = now + kFrameInterval;
-  const peer_message heartbeat = Encode(heartbeat_message{ViewHash()});
+  const std::uint64_t hash = ViewHash();
+  if (hash != said_hash_) unsettled_until_ = now + kSettleTime;
+  for (const peer& row : peers_) {
+    if (row.views_differ_since != time_point()) unsettled_until_ = now + kSettleTime;
+  }
+  said_hash_ = hash;
+  // Frames go out every second anyway and show that this daemon lives.
+  next_heartbeat_ = now + (now < unsettled_until_ ? kFrameInterval : kQuietHeartbeat);
+  const peer_message heartbeat = Encode(heartbeat_message{hash});
   for (const live_peer& peer : router_.Peers()) {
     if (peer.linked) router_.Send(peer.id, heartbeat);
   }
@@ -314,6 +324,7 @@
     if (!own && !router_.IsLinked(row.id)) continue;
     alive.push_back({row.id, row.identity.incarnation, own, false});
   }
+  next_heartbeat_ = std::min(next_heartbeat_, clock_.Now() + kFrameInterval);
   counters_.alive.Set(alive.size());
   counters_.known.Set(peers_.size());
   router_.SetPeers(std::move(alive));
--- a/src/libhawthorndrum/systems/membership_system.h
+++ b/src/libhawthorndrum/systems/membership_system.h
@@ -88,6 +88,9 @@
   std::deque<incarnation_id> retired_;
   time_point last_run_;
   time_point next_heartbeat_;
+  /** The hash that the last heartbeat said, and until when heartbeats go out every second. */
+  std::uint64_t said_hash_ = 0;
+  time_point unsettled_until_;
   time_point next_relay_choice_;
   /** Tokens of a bucket that bounds how many links are opened a second. */
   double dial_tokens_;
