Test the request path by a fault matrix

Cause: the promises to callers must hold for every fault at every step. Change: one request is led to a step, hurt by one fault or two at once, and helped to its end, with another request beside it; the fakes know what really ran.

--- /dev/null
+++ b/tests/path/fault_run.h
@@ -0,0 +1,91 @@
+/// One request led to a step, hurt by faults there, and then helped to its end.
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "request_path.h"
+
+namespace hawthorndrum {
+
+enum class request_kind { kStream, kWhole, kPlain, kPayment };
+enum class request_step { kClaiming, kQueued, kSent, kHead, kMiddle, kOver };
+enum class fault_kind {
+  kCrash,
+  kCutUnsent,
+  kRefused,
+  kMalformed,
+  kPause,
+  kLateAnswer,
+  kDuplicate,
+  kForeign,
+  kReportLag,
+  kLeaving,
+  kConfigChange,
+  kDaemonStop,
+  kCallerGone,
+};
+
+constexpr int kKinds = 4;
+constexpr int kSteps = 6;
+constexpr int kFaults = 13;
+
+/** What is really true of an attempt, whatever the daemon believes. */
+struct true_attempt {
+  attempt_id id;
+  std::string address;
+  /** The letter of the request that it belongs to. */
+  char marker = 0;
+  bool started = true;
+  bool over = false;
+  bool paused = false;
+  bool has_head = false;
+  std::uint64_t next = 0;
+};
+
+/**
+ * Request `A` is hurt; request `B`, of the same kind, is in flight beside it. Check() returns what
+ * promise was broken, or an empty text.
+ */
+class fault_run {
+ public:
+  static constexpr std::uint64_t kTokens = 5;
+
+  explicit fault_run(request_kind kind);
+
+  void LeadTo(request_step step);
+  void Apply(fault_kind fault);
+  /** Whether the caller of `A` must get its whole answer whatever else the faults do. */
+  bool MustAnswer(const std::vector<fault_kind>& faults) const;
+  /** Whether `A` got its whole answer. */
+  bool Answered() { return path_.Caller(a_).LooksWhole(); }
+  /** Serves all attempts that can be served, until the deadline has passed. */
+  void End();
+  std::string Check();
+
+ private:
+  request_id Send(char marker);
+  std::string Whole(char marker) const;
+  void Watch();
+  true_attempt* Open(char marker);
+  void GiveHead(true_attempt& attempt, int status = 200, std::vector<http_header> headers = {});
+  void GiveTokens(true_attempt& attempt, std::uint64_t to);
+  void Serve(true_attempt& attempt);
+  void Lose(true_attempt& attempt, bool sent, attempt_failure failure);
+  void Crash(const std::string& address);
+  void Replay(attempt_id id, char marker);
+  void HoldAll(bool hold);
+  std::string CheckCaller(request_id id, char marker);
+  std::string CheckClaim(request_id id, char marker);
+
+  request_kind kind_;
+  request_path path_;
+  std::vector<true_attempt> attempts_;
+  request_id a_;
+  request_id b_;
+  bool a_gone_ = false;
+};
+
+}  // namespace hawthorndrum
