Refuse early and keep goodput under overload

Change: estimates learn from this daemon's own streams (lateness of first tokens, gaps between tokens, how much longer a service's answers take). Low priorities wait here while an upstream's queue is long; age raises work, but not above callers on the phone, and each ninth dispatch goes to the oldest. Requests are refused at arrival when the queue's pace and the estimate, with room for error, miss their time.

--- a/src/libhawthorndrum/systems/admission_system.cpp
+++ b/src/libhawthorndrum/systems/admission_system.cpp
@@ -11,7 +11,13 @@
 namespace {
 
 constexpr int kHighestPriority = 9;
-/** From this effective priority on a request never waits for a short upstream queue. */
+/** Work of lower priority does not age beyond this, so that a caller on the phone stays first. */
+constexpr int kHighestAged = 8;
+/** After so many dispatches the oldest goes first and needs no room, so that nothing starves. */
+constexpr std::uint32_t kAgeTurn = 8;
+/** The part of its useful time that a request must have waited for that. */
+constexpr double kAged = 0.5;
+/** From this priority on a request never waits for a short upstream queue. */
 constexpr int kUrgentPriority = 7;
 /** The wait at an upstream that each step of priority below urgent may meet. */
 constexpr duration kWaitPerPriority = milliseconds(60);
@@ -23,6 +29,8 @@
 constexpr duration kServiceIdle = seconds(120);
 constexpr double kDrainWeight = 0.2;
 constexpr double kLongestDrainSeconds = 5;
+/** How far ahead the queue's present pace says anything; patient work is not refused by it. */
+constexpr double kHorizonSeconds = 30;
 
 duration RetryAfter(duration wanted) {
   return std::clamp(wanted, kShortestRetryAfter, kLongestRetryAfter);
@@ -32,6 +40,16 @@
   return {status, outcome::kNotRun, std::move(code), std::move(detail), RetryAfter(retry_after)};
 }
 
+/** Requests with the same key follow one another in the queue. */
+std::uint64_t DrainKey(const request_row& request) {
+  return upstream_index::KeyOf(*request.service) + static_cast<std::uint64_t>(request.priority);
+}
+
+/** The estimate with room for its error; urgent work overtakes at the upstream and needs none. */
+duration Cautious(const request_row& request, duration estimated) {
+  return request.priority >= kUrgentPriority ? estimated : estimated * 6 / 5;
+}
+
 }  // namespace
 
 admission_system::admission_system(const request_table& requests, const routing_system& routing)
@@ -56,7 +74,7 @@
   state.used = now;
   const std::uint64_t room = std::uint64_t{limits.concurrency} + limits.queue_length;
   if (state.held >= room || queue_.size() >= kLongestQueue) {
-    return NotRun(429, "queue_full", "the service's queue is full", QueueWait(request, now));
+    return NotRun(429, "queue_full", "the service's queue is full", QueueWait(request));
   }
   if (!state.rate.Take(now)) {
     return NotRun(429, "rate_limited", "the service is over its request rate",
@@ -69,7 +87,8 @@
                                                       time_point now) const {
   const auto choice = routing_.Choose(request, now);
   if (!choice) return std::nullopt;
-  const duration needed = choice->best().estimate.whole + QueueWait(request, now);
+  const duration needed =
+      Cautious(request, choice->best().estimate.whole + QueueWait(request) * 5 / 4);
   const duration left = request.useful_by - now;
   if (needed <= left) return std::nullopt;
   return NotRun(503, "too_late", "no upstream can answer in time", needed - left);
@@ -98,7 +117,8 @@
 
 void admission_system::Opened(const request_row& request, time_point now) {
   StateOf(*request.service).open += 1;
-  drain_state& drain = drains_[upstream_index::KeyOf(*request.service)];
+  opened_ += 1;
+  drain_state& drain = drains_[DrainKey(request)];
   if (drain.last != time_point()) {
     const double gap = std::min(ToSeconds(now - drain.last), kLongestDrainSeconds);
     drain.seconds_between += kDrainWeight * (gap - drain.seconds_between);
@@ -122,7 +142,8 @@
   keys.reserve(queue_.size());
   for (const request_id id : queue_) {
     const request_row* row = requests_.Find(id);
-    if (row) keys.push_back({EffectivePriority(*row, now), row->useful_by, id});
+    if (!row) continue;
+    keys.push_back({EffectivePriority(*row, now), row->useful_by, id});
   }
   std::sort(keys.begin(), keys.end(), [](const key& a, const key& b) {
     if (a.priority != b.priority) return a.priority > b.priority;
@@ -132,9 +153,30 @@
   for (const key& one : keys) queue_.push_back(one.id);
   sorted_ = true;
   sorted_at_ = now;
+  PutAgedFirst(now);
   return queue_;
 }
 
+void admission_system::PutAgedFirst(time_point now) {
+  if (opened_ - aged_opened_ < kAgeTurn) return;
+  aged_ = request_id();
+  double most = kAged;
+  std::size_t at = 0;
+  for (std::size_t i = 0; i < queue_.size(); ++i) {
+    const request_row* row = requests_.Find(queue_[i]);
+    const double waited = ToSeconds(now - row->arrived) / ToSeconds(row->useful_by - row->arrived);
+    if (row->attempts > 0 || waited < most) continue;
+    most = waited;
+    at = i;
+    aged_ = queue_[i];
+  }
+  if (!aged_) return;
+  aged_opened_ = opened_;
+  const auto begin = queue_.begin();
+  std::rotate(begin, begin + static_cast<std::ptrdiff_t>(at),
+              begin + static_cast<std::ptrdiff_t>(at) + 1);
+}
+
 bool admission_system::MayOpen(const request_row& request) const {
   const auto found = services_.find(request.service->name);
   return found == services_.end() || found->second.open < request.service->limits.concurrency;
@@ -143,16 +185,18 @@
 bool admission_system::HasRoom(const request_row& request, const load_estimate& estimate,
                                time_point now) const {
   // What can't be in time there waits: its upstream may get faster, or the queue gives it up.
-  if (now + estimate.whole > request.useful_by && request.attempts == 0) return false;
+  if (now + Cautious(request, estimate.whole) > request.useful_by && request.attempts == 0)
+    return false;
+  if (request.priority >= kUrgentPriority || request.id == aged_ || estimate.is_idle) return true;
   const int priority = EffectivePriority(request, now);
-  return priority >= kUrgentPriority || estimate.wait <= kWaitPerPriority * (priority + 1);
+  return estimate.wait <= kWaitPerPriority * (priority + 1);
 }
 
 time_point admission_system::GiveUpAt(const request_row& request, time_point now) const {
   const auto choice = routing_.Choose(request, now);
   if (!choice) return request.useful_by;
   const load_estimate& estimate = choice->best().estimate;
-  return request.useful_by - (estimate.whole - estimate.wait);
+  return request.useful_by - Cautious(request, estimate.whole - estimate.wait);
 }
 
 int admission_system::EffectivePriority(const request_row& request, time_point now) {
@@ -160,21 +204,20 @@
   if (whole <= duration::zero()) return kHighestPriority;
   const duration waited = now - request.arrived;
   const auto raised = static_cast<int>((kHighestPriority + 1) * waited.count() / whole.count());
-  return std::clamp(request.priority + raised, 0, kHighestPriority);
+  return std::clamp(request.priority + raised, 0, std::max(request.priority, kHighestAged));
 }
 
-duration admission_system::QueueWait(const request_row& request, time_point now) const {
-  const std::uint64_t group = upstream_index::KeyOf(*request.service);
-  const auto drain = drains_.find(group);
+duration admission_system::QueueWait(const request_row& request) const {
+  const std::uint64_t key = DrainKey(request);
+  const auto drain = drains_.find(key);
   if (drain == drains_.end()) return duration::zero();
-  const int priority = EffectivePriority(request, now);
   std::size_t ahead = 0;
   for (const request_id id : queue_) {
     const request_row* row = requests_.Find(id);
-    if (!row || upstream_index::KeyOf(*row->service) != group) continue;
-    if (EffectivePriority(*row, now) >= priority) ahead += 1;
+    if (row && DrainKey(*row) == key && row->useful_by <= request.useful_by) ahead += 1;
   }
-  const double wait = static_cast<double>(ahead) * drain->second.seconds_between;
+  const double wait =
+      std::min(static_cast<double>(ahead) * drain->second.seconds_between, kHorizonSeconds);
   return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
 }
 
--- a/src/libhawthorndrum/systems/admission_system.h
+++ b/src/libhawthorndrum/systems/admission_system.h
@@ -56,7 +56,7 @@
   /** The last moment at which sending the request makes sense. */
   time_point GiveUpAt(const request_row& request, time_point now) const;
 
-  /** From 0 to 9: the request's priority, raised with its age. */
+  /** The request's priority, raised with its age, but not up to that of a caller on the phone. */
   static int EffectivePriority(const request_row& request, time_point now);
 
   std::size_t queued() const { return queue_.size(); }
@@ -69,7 +69,7 @@
     std::uint32_t open = 0;
     time_point used;
   };
-  /** How fast requests of one upstream group leave the queue. */
+  /** How fast requests of one upstream group and priority leave the queue. */
   struct drain_state {
     double seconds_between = 0;
     time_point last;
@@ -78,7 +78,8 @@
   service_state& StateOf(const service_config& service);
   std::optional<refusal> RefuseByLimits(const request_row& request, time_point now);
   std::optional<refusal> RefuseByTime(const request_row& request, time_point now) const;
-  duration QueueWait(const request_row& request, time_point now) const;
+  void PutAgedFirst(time_point now);
+  duration QueueWait(const request_row& request) const;
 
   const request_table& requests_;
   const routing_system& routing_;
@@ -86,6 +87,11 @@
   bool sorted_ = true;
   time_point sorted_at_;
   std::size_t held_bytes_ = 0;
+  /** Attempts opened so far. */
+  std::uint32_t opened_ = 0;
+  /** How many were open when age decided last, and for whom. */
+  std::uint32_t aged_opened_ = 0;
+  request_id aged_;
   std::unordered_map<std::string, service_state> services_;
   std::unordered_map<std::uint64_t, drain_state> drains_;
   time_point swept_;
--- a/src/libhawthorndrum/systems/load_estimate.cpp
+++ b/src/libhawthorndrum/systems/load_estimate.cpp
@@ -28,9 +28,10 @@
   load_estimate estimate;
   const duration lateness = own.Lateness(row.id, now);
   if (row.kind == host_kind::kService) {
-    estimate.wait = FromSeconds(kPlainSecondsPerRequest * row.own_in_flight) + lateness;
-    estimate.first_token = estimate.wait + FromSeconds(kPlainSecondsPerRequest);
+    estimate.wait = FromSeconds(kPlainSecondsPerRequest * row.own_in_flight);
+    estimate.first_token = estimate.wait + FromSeconds(kPlainSecondsPerRequest) + lateness;
     estimate.whole = estimate.first_token;
+    estimate.is_idle = row.own_in_flight == 0;
     return estimate;
   }
   const load_report& report = row.report;
@@ -49,8 +50,11 @@
   estimate.wait = FromSeconds(wait) + lateness;
   const double prefill = static_cast<double>(work.prefill_tokens) / prefill_rate;
   estimate.first_token = estimate.wait + FromSeconds(prefill);
+  estimate.is_idle =
+      report.running + report.queued + row.own_in_flight == 0 && report.queued_prefill_tokens == 0;
   const double batch = report.running + own_open + 1;
-  estimate.whole = estimate.first_token + FromSeconds(output * batch / decode_rate);
+  const double gap = std::max(batch / decode_rate, ToSeconds(own.TokenGap(row.id, now)));
+  estimate.whole = estimate.first_token + FromSeconds(output * gap);
   return estimate;
 }
 
--- a/src/libhawthorndrum/systems/load_estimate.h
+++ b/src/libhawthorndrum/systems/load_estimate.h
@@ -24,6 +24,8 @@
   duration wait{0};
   duration first_token{0};
   duration whole{0};
+  /** Whether nothing is known to run there. */
+  bool is_idle = false;
 };
 
 /**
--- a/src/libhawthorndrum/systems/own_work.cpp
+++ b/src/libhawthorndrum/systems/own_work.cpp
@@ -12,6 +12,9 @@
 constexpr double kLatenessWeight = 0.3;
 constexpr double kLatenessHalfLifeSeconds = 2;
 constexpr double kHighestLatenessSeconds = 30;
+/** The weight of a new gap between tokens. */
+constexpr double kGapWeight = 0.05;
+constexpr duration kGapLives = seconds(3);
 
 }  // namespace
 
@@ -38,6 +41,24 @@
   UpdateRow(upstream, work);
 }
 
+void own_work::Token(upstream_id upstream, duration gap, time_point now) {
+  const auto found = work_.find(upstream);
+  if (found == work_.end()) return;
+  upstream_work& work = found->second;
+  const double seen = ToSeconds(gap);
+  const bool is_known = TokenGap(upstream, now) > duration::zero();
+  work.token_gap_seconds =
+      is_known ? work.token_gap_seconds + kGapWeight * (seen - work.token_gap_seconds) : seen;
+  work.token_time = now;
+}
+
+duration own_work::TokenGap(upstream_id upstream, time_point now) const {
+  const auto found = work_.find(upstream);
+  if (found == work_.end() || now - found->second.token_time > kGapLives) return duration::zero();
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(found->second.token_gap_seconds));
+}
+
 void own_work::Ended(upstream_id upstream, attempt_id attempt) {
   const auto found = work_.find(upstream);
   if (found == work_.end()) return;
--- a/src/libhawthorndrum/systems/own_work.h
+++ b/src/libhawthorndrum/systems/own_work.h
@@ -22,6 +22,8 @@
   void Sent(upstream_id upstream, attempt_id attempt, std::uint64_t prefill_tokens, time_point now);
   /** The first byte of the answer came, `late_by` after it was expected (negative: early). */
   void Started(upstream_id upstream, attempt_id attempt, duration late_by, time_point now);
+  /** A further token came, `gap` after the one before it. */
+  void Token(upstream_id upstream, duration gap, time_point now);
   /** The attempt is over, whatever became of it. */
   void Ended(upstream_id upstream, attempt_id attempt);
 
@@ -31,6 +33,8 @@
   std::uint32_t OpenSince(upstream_id upstream, time_point since) const;
   /** How late first tokens came there lately, faded with time. */
   duration Lateness(upstream_id upstream, time_point now) const;
+  /** The time between tokens there lately; 0 when none was seen lately. */
+  duration TokenGap(upstream_id upstream, time_point now) const;
 
  private:
   struct entry {
@@ -43,6 +47,8 @@
     std::vector<entry> open;
     double lateness_seconds = 0;
     time_point lateness_time;
+    double token_gap_seconds = 0;
+    time_point token_time;
   };
 
   void UpdateRow(upstream_id upstream, const upstream_work& work);
--- a/src/libhawthorndrum/systems/request_attempts.cpp
+++ b/src/libhawthorndrum/systems/request_attempts.cpp
@@ -125,6 +125,11 @@
     }
     if (number != request.offset + 1) return false;
     request.offset = number;
+    const time_point now = ports_.time->Now();
+    if (attempt.last_token != time_point()) {
+      routing_.work().Token(attempt.upstream, now - attempt.last_token, now);
+    }
+    attempt.last_token = now;
   }
   answers_.BeginStream(request);
   answers_.Token(request, attempt.upstream, std::move(event));
@@ -192,6 +197,9 @@
 void request_system::FinishStream(attempt_row& attempt, request_row& request) {
   MarkUpstream(attempt.upstream, false, ports_.time->Now());
   routing_.Answered(request, request.offset);
+  if (request.attempts == 1) {
+    routing_.Took(request, ports_.time->Now() - attempt.sent, attempt.estimated_whole);
+  }
   poison_.Answered(request.fingerprint, ports_.time->Now());
   answers_.BeginStream(request);
   answers_.EndStream(request);
@@ -256,6 +264,7 @@
     request->alone = false;
   }
   routing_.work().Ended(attempt.upstream, attempt.id);
+  has_news_ = true;
   attempts_.Erase(attempt_id(attempt.id));
 }
 
--- a/src/libhawthorndrum/systems/request_system.cpp
+++ b/src/libhawthorndrum/systems/request_system.cpp
@@ -21,6 +21,8 @@
 
 /** How many requests of one upstream group may fail to find room before the rest must wait. */
 constexpr int kMisfitsPerGroup = 8;
+/** Reports and time alone are looked at so often. */
+constexpr duration kDispatchPeriod = milliseconds(10);
 constexpr duration kGiveUpCheck = milliseconds(20);
 /** How long an attempt without a caller may go on. */
 constexpr duration kDetachedFor = seconds(60);
@@ -147,6 +149,7 @@
 
 void request_system::Queue(request_row& request, time_point now) {
   request.state = request_state::kQueued;
+  has_news_ = true;
   admission_.Enqueue(request);
   if (request.attempts == 0) timers_.Add(admission_.GiveUpAt(request, now), request.id);
 }
@@ -210,6 +213,9 @@
 
 void request_system::DispatchQueue(time_point now) {
   if (admission_.queued() == 0) return;
+  if (!has_news_ && now - dispatched_ < kDispatchPeriod) return;
+  has_news_ = false;
+  dispatched_ = now;
   const std::vector<request_id> order = admission_.InOrder(now);
   std::vector<std::pair<std::uint64_t, int>> misfits;
   std::vector<request_id> suspects;
@@ -255,6 +261,7 @@
   attempt.sent = now;
   attempt.prefill_tokens = best.prefill_tokens;
   attempt.estimated_first_token = request.stream ? best.estimate.first_token : best.estimate.whole;
+  attempt.estimated_whole = best.unstretched;
   attempt.span = ports_.random->Draw();
   request.state = request_state::kInFlight;
   request.attempt = attempt.id;
--- a/src/libhawthorndrum/systems/request_system.h
+++ b/src/libhawthorndrum/systems/request_system.h
@@ -122,6 +122,9 @@
   suspect_turn turns_;
   timer_queue timers_;
   bool stopping_ = false;
+  /** Whether something happened that may let a queued request go. */
+  bool has_news_ = true;
+  time_point dispatched_;
   counter& dropped_events_;
   counter& attempts_total_;
   counter& retries_total_;
--- a/src/libhawthorndrum/systems/routing_system.cpp
+++ b/src/libhawthorndrum/systems/routing_system.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t kProvenPlaces = 65536;
 constexpr double kOutputWeight = 0.1;
 constexpr double kFirstOutputGuess = 64;
+constexpr double kStretchWeight = 0.1;
+constexpr double kLongestStretch = 4;
+constexpr double kShortestEstimateSeconds = 0.02;
 constexpr std::uint64_t kSecondPlace = 0x9E3779B97F4A7C15;
 
 }  // namespace
@@ -138,6 +141,13 @@
   candidate.prefill_tokens = request.prompt_tokens - candidate.cached_tokens;
   const work_shape shape{candidate.prefill_tokens, ExpectedOutput(request)};
   candidate.estimate = EstimateLoad(*row, work_, shape, now);
+  candidate.unstretched = candidate.estimate.whole;
+  const auto stretch = stretch_.find(request.service->name);
+  if (stretch != stretch_.end()) {
+    const std::chrono::duration<double> whole(ToSeconds(candidate.estimate.whole) *
+                                              stretch->second);
+    candidate.estimate.whole = std::chrono::duration_cast<duration>(whole);
+  }
   choice.weighed.push_back(candidate);
 }
 
@@ -155,6 +165,13 @@
   if (!added) found->second += kOutputWeight * (tokens - found->second);
 }
 
+void routing_system::Took(const request_row& request, duration real, duration estimated) {
+  double& stretch = stretch_.try_emplace(request.service->name, 1).first->second;
+  const double ratio = ToSeconds(real) / std::max(ToSeconds(estimated), kShortestEstimateSeconds);
+  const double wanted = std::clamp(ratio, 1.0, kLongestStretch);
+  stretch += kStretchWeight * (wanted - stretch);
+}
+
 void routing_system::FirstToken(const request_row& request, upstream_id upstream, time_point now) {
   for (const std::uint64_t piece : request.prefix) prefixes_.Stored(upstream, piece, now);
 }
--- a/src/libhawthorndrum/systems/routing_system.h
+++ b/src/libhawthorndrum/systems/routing_system.h
@@ -27,6 +27,8 @@
   std::uint64_t cached_tokens = 0;
   std::uint64_t prefill_tokens = 0;
   load_estimate estimate;
+  /** `estimate.whole` before it was stretched by what was learnt of the service. */
+  duration unstretched{0};
 };
 
 /** `chosen` is the place of the best one in `weighed`. */
@@ -63,6 +65,8 @@
 
   /** An answer came whole: notes its length and that its like is safe. */
   void Answered(const request_row& request, std::uint64_t output_tokens);
+  /** The first attempt of a request took `real` where `estimated` was expected. */
+  void Took(const request_row& request, duration real, duration estimated);
   void FirstToken(const request_row& request, upstream_id upstream, time_point now);
   /** Tokens that the request is expected to generate. */
   std::uint64_t ExpectedOutput(const request_row& request) const;
@@ -89,6 +93,8 @@
   prefix_index prefixes_;
   /** Mean tokens of the answers of each service. */
   std::unordered_map<std::string, double> output_tokens_;
+  /** How much longer answers take than estimated, for each service. */
+  std::unordered_map<std::string, double> stretch_;
   /** Fingerprints answered before, one in each place of a fixed array. */
   std::vector<std::uint64_t> proven_;
 };
--- a/src/libhawthorndrum/tables/attempt_row.h
+++ b/src/libhawthorndrum/tables/attempt_row.h
@@ -24,6 +24,9 @@
   /** Tokens that the upstream must prefill, as it was estimated. */
   std::uint64_t prefill_tokens = 0;
   duration estimated_first_token{0};
+  duration estimated_whole{0};
+  /** When the last token came. */
+  time_point last_token;
   bool has_head = false;
   bool has_bytes = false;
   /** Status, headers and the body so far, of an answer that is not relayed as a stream. */
--- a/tests/fakes/fake_caller_port.h
+++ b/tests/fakes/fake_caller_port.h
@@ -1,6 +1,7 @@
 /// A caller port that remembers what each caller got.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -26,12 +27,16 @@
 
 class fake_caller_port : public caller_port {
  public:
+  /** Called when a request's answer has come to its end. */
+  std::function<void(request_id, const caller_record&)> on_over;
+
   void Answer(request_id request, http_answer answer) override {
     caller_record& record = records[request];
     record.answers += 1;
     record.status = answer.status;
     record.headers = std::move(answer.headers);
     record.body = std::move(answer.body);
+    if (on_over) on_over(request, record);
   }
   void Begin(request_id request, int status, std::vector<http_header> headers) override {
     caller_record& record = records[request];
@@ -42,8 +47,14 @@
   void Write(request_id request, std::string_view bytes) override {
     records[request].body += bytes;
   }
-  void End(request_id request) override { records[request].ends += 1; }
-  void Abort(request_id request) override { records[request].aborts += 1; }
+  void End(request_id request) override {
+    records[request].ends += 1;
+    if (on_over) on_over(request, records[request]);
+  }
+  void Abort(request_id request) override {
+    records[request].aborts += 1;
+    if (on_over) on_over(request, records[request]);
+  }
 
   std::map<request_id, caller_record> records;
 };
--- a/tests/fakes/fake_engine.h
+++ b/tests/fakes/fake_engine.h
@@ -31,7 +31,7 @@
  */
 class fake_engine {
  public:
-  static constexpr std::uint64_t kChunk = 1024;
+  static constexpr std::uint64_t kChunk = 256;
   static constexpr double kPrefillRate = 10000;
   static constexpr std::size_t kLargestBatch = 32;
   static constexpr duration kStep = milliseconds(10);
--- a/tests/fakes/fake_fleet.h
+++ b/tests/fakes/fake_fleet.h
@@ -45,6 +45,11 @@
            " out=" + std::to_string(out) + " " + padding + "\"}]}";
   }
 
+  /** Puts a service into force at every daemon. */
+  void Publish(const service_config& service) {
+    for (auto& daemon : daemons) daemon->config.Put(service);
+  }
+
   void RunFor(duration time) { events.RunUntil(events.now() + time); }
 
   int Crashes() const {
