--- a/tests/end_to_end/process.cpp
+++ b/tests/end_to_end/process.cpp
@@ -20,6 +20,7 @@
 
 process::process(const std::vector<std::string>& command, const std::string& log) {
   std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
   for (const std::string& part : command) arguments.push_back(const_cast<char*>(part.c_str()));
   arguments.push_back(nullptr);
   posix_spawn_file_actions_t actions;
--- a/tests/end_to_end/test_end_to_end.cpp
+++ b/tests/end_to_end/test_end_to_end.cpp
@@ -121,6 +121,7 @@
   fleet served(options);
   ASSERT_TRUE(served.WaitUntilServing());
   std::vector<std::shared_ptr<web_exchange>> calls;
+  calls.reserve(8);
   for (int i = 0; i < 8; ++i) {
     calls.push_back(served.http().Start(served.Callers(i % 2), fleet::Payment("twice")));
   }
@@ -213,6 +214,7 @@
       served.http().Start(served.Callers(0), fleet::Completion("innocent", kLongStream));
   for (int round = 0; round < 4; ++round) {
     std::vector<std::shared_ptr<web_exchange>> calls;
+    calls.reserve(4);
     for (int i = 0; i < 4; ++i) {
       calls.push_back(
           served.http().Start(served.Callers(i % 2), fleet::Completion("poison pill", 4)));
