--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -9,10 +9,12 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 
 #include "base/role_names.h"
 #include "engine_standin.h"
 #include "host_list_standin.h"
+#include "load_command.h"
 #include "service_standin.h"
 #include "store_standin.h"
 #include "weight_standin.h"
@@ -26,6 +28,7 @@
     "Usage: hawthorndrum-standin KIND --listen IP:PORT [options]\n"
     "\n"
     "Kinds: object-store, host-list, engine, service, weights\n"
+    "Also: hawthorndrum-standin load --help, a load tool\n"
     "\n"
     "  --listen IP:PORT          where to listen\n"
     "  --hosts FILE              host-list: the JSON list to start with\n"
@@ -157,6 +160,7 @@
 }
 
 int Run(int argc, char** argv) {
+  if (argc > 1 && std::string_view(argv[1]) == "load") return RunLoadCommand(argc - 1, argv + 1);
   command_line line;
   for (int value; (value = getopt_long(argc, argv, "", kOptions, nullptr)) != -1;) {
     if (value == kHelp) {
