--- a/src/libhawthorndrum/systems/config_codec.cpp
+++ b/src/libhawthorndrum/systems/config_codec.cpp
@@ -227,8 +227,8 @@
 
 std::string HistoryKey(generation number) {
   std::string digits = std::to_string(number.value());
-  constexpr std::size_t width = 12;
-  if (digits.size() < width) digits.insert(0, width - digits.size(), '0');
+  constexpr std::size_t kWidth = 12;
+  if (digits.size() < kWidth) digits.insert(0, kWidth - digits.size(), '0');
   return std::string(kConfigHistoryPrefix) + digits;
 }
 
--- a/src/libhawthorndrum/systems/config_message_codec.cpp
+++ b/src/libhawthorndrum/systems/config_message_codec.cpp
@@ -163,8 +163,8 @@
                      ReadNumber(body, "n", daemons) && ReadGeneration(body, "g", read.lowest) &&
                      ReadLagging(Member(body, "l"), read.lagging) &&
                      ReadFlag(body, "f", read.forwarded);
-  constexpr std::uint64_t most_daemons = 100'000;
-  if (!whole || daemons > most_daemons) return Malformed<config_status>();
+  constexpr std::uint64_t kMostDaemons = 100'000;
+  if (!whole || daemons > kMostDaemons) return Malformed<config_status>();
   read.daemons = static_cast<std::uint32_t>(daemons);
   return read;
 }
--- a/tests/config/config_properties.cpp
+++ b/tests/config/config_properties.cpp
@@ -193,14 +193,14 @@
 
   fate MessageFate() {
     if (Below(random_, 100) >= disorder_) return fate::kPass;
-    constexpr std::array<fate, 3> kinds = {fate::kLose, fate::kDamage, fate::kTwice};
-    return kinds[random_.Below(kinds.size())];
+    constexpr std::array<fate, 3> kKinds = {fate::kLose, fate::kDamage, fate::kTwice};
+    return kKinds[random_.Below(kKinds.size())];
   }
 
   fate StoreFate() {
     if (Below(random_, 100) >= disorder_) return fate::kPass;
-    constexpr std::array<fate, 3> kinds = {fate::kLose, fate::kDamage, fate::kRefuse};
-    return kinds[random_.Below(kinds.size())];
+    constexpr std::array<fate, 3> kKinds = {fate::kLose, fate::kDamage, fate::kRefuse};
+    return kKinds[random_.Below(kKinds.size())];
   }
 
   void PutHead(const std::string& bytes) {
--- a/tests/config/test_config.cpp
+++ b/tests/config/test_config.cpp
@@ -86,6 +86,7 @@
 TEST(Config, OneChangeFetchesTwoPartsAndTouchesOneLeaf) {
   fake_object_store store;
   std::vector<service_config> services;
+  services.reserve(3000);
   for (int i = 0; i < 3000; ++i) services.push_back(MakeService("s" + std::to_string(i)));
   PublishNow(store, MakeRequest(7, "ann", services));
   config_fleet fleet(store, 1, 1);
@@ -253,19 +254,19 @@
   std::uint64_t before = 0;
   for (int i = 0; i < fleet.size(); ++i) before += fleet.member(i).bytes_sent;
   const std::uint64_t calls = store.calls();
-  constexpr int quiet_seconds = 60;
-  fleet.Steps(quiet_seconds * 10);
+  constexpr int kQuietSeconds = 60;
+  fleet.Steps(kQuietSeconds * 10);
   std::uint64_t most = 0;
   std::uint64_t after = 0;
   for (int i = 0; i < fleet.size(); ++i) after += fleet.member(i).bytes_sent;
-  most = (after - before) / (static_cast<std::uint64_t>(fleet.size()) * quiet_seconds);
-  const double calls_a_second = static_cast<double>(store.calls() - calls) / quiet_seconds;
+  most = (after - before) / (static_cast<std::uint64_t>(fleet.size()) * kQuietSeconds);
+  const double calls_a_second = static_cast<double>(store.calls() - calls) / kQuietSeconds;
   std::cout << "quiet: " << most << " bytes/s a daemon, " << calls_a_second / 3
             << " store calls/s a data centre\n";
-  constexpr std::uint64_t tenth_of_the_budget = 1100;
-  EXPECT_LT(most, tenth_of_the_budget);
-  constexpr double share_of_a_data_centre = 2000.0 / 21 / 10;
-  EXPECT_LT(calls_a_second / 3, share_of_a_data_centre);
+  constexpr std::uint64_t kTenthOfTheBudget = 1100;
+  EXPECT_LT(most, kTenthOfTheBudget);
+  constexpr double kShareOfADataCentre = 2000.0 / 21 / 10;
+  EXPECT_LT(calls_a_second / 3, kShareOfADataCentre);
 }
 
 }  // namespace
--- a/tests/fakes/config_fleet.h
+++ b/tests/fakes/config_fleet.h
@@ -33,11 +33,11 @@
  public:
   fleet_peers(config_fleet& fleet, int number) : fleet_(fleet), number_(number) {}
   void Send(peer_id to, peer_message message) override;
-  const std::vector<live_peer>& Peers() const override { return peers_; }
+  const std::vector<live_peer>& Peers() const override { return links; }
   peer_id self() const override { return PeerIdOf(AddressOf(number_)); }
   static std::string AddressOf(int number) { return "10.0.0." + std::to_string(number) + ":8002"; }
 
-  std::vector<live_peer> peers_;
+  std::vector<live_peer> links;
 
  private:
   config_fleet& fleet_;
@@ -186,7 +186,7 @@
         peers.push_back({PeerIdOf(fleet_peers::AddressOf(j)),
                          incarnation_id(static_cast<std::uint64_t>(j) + 1), same, IsLinked(i, j)});
       }
-      member(i).peers.peers_ = std::move(peers);
+      member(i).peers.links = std::move(peers);
     }
   }
 
--- a/tests/fakes/publish_driver.h
+++ b/tests/fakes/publish_driver.h
@@ -78,8 +78,8 @@
 
 /** Publishes without faults and returns the result. */
 inline publish_result PublishNow(fake_object_store& store, publish_request request) {
-  constexpr int client = 9999;
-  publish_driver driver(store, client, std::move(request));
+  constexpr int kClient = 9999;
+  publish_driver driver(store, kClient, std::move(request));
   return driver.Finish();
 }
 
--- a/tests/publishing/publish_faults.cpp
+++ b/tests/publishing/publish_faults.cpp
@@ -242,9 +242,9 @@
 };
 
 TEST(PublishFaults, EveryStepUnderEveryFault) {
-  constexpr std::size_t steps_of_a_run = 7;
+  constexpr std::size_t kStepsOfARun = 7;
   int cells = 0;
-  for (std::size_t step = 0; step < steps_of_a_run; ++step) {
+  for (std::size_t step = 0; step < kStepsOfARun; ++step) {
     std::string row;
     for (const publish_fault fault : kFaults) {
       faulty_run run(step, fault);
@@ -258,7 +258,7 @@
     std::cout << row << "\n";
   }
   std::cout << "publishing: " << cells << " cells\n";
-  EXPECT_EQ(cells, static_cast<int>(steps_of_a_run * kFaults.size()));
+  EXPECT_EQ(cells, static_cast<int>(kStepsOfARun * kFaults.size()));
 }
 
 /** A race of several operators under random faults. */
