--- a/src/hawthorndrumd/core.cpp
+++ b/src/hawthorndrumd/core.cpp
@@ -239,7 +239,10 @@
 
 peer_transport_listener& core::peer_listener() { return *parts_->group; }
 
-void core::BeginStop() { parts_->requests->BeginStop(); }
+void core::BeginStop() {
+  parts_->requests->BeginStop();
+  parts_->orders.lease->Stop();
+}
 
 std::size_t core::in_flight() const { return parts_->requests->in_flight(); }
 
--- a/src/hawthorndrumd/core.h
+++ b/src/hawthorndrumd/core.h
@@ -49,7 +49,7 @@
   void Receive(event happened);
   peer_transport_listener& peer_listener();
 
-  /** New requests are refused from now on. */
+  /** New requests are refused from now on, and the lease is given back. */
   void BeginStop();
   /** Requests that are not over. */
   std::size_t in_flight() const;
--- a/src/hawthorndrumd/daemon.cpp
+++ b/src/hawthorndrumd/daemon.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr duration kStopCheckInterval = milliseconds(50);
+/** How often the last spans' way out is looked at before the daemon stops without it. */
+constexpr int kFlushChecks = 20;
 
 http_limits LimitsOf(const connection_limits& settings) {
   http_limits limits;
@@ -119,15 +121,15 @@
 
 void daemon::RefuseNewRequests() {
   core_->BeginStop();
+  caller_server_.StopListening();
   StopWhenIdle();
 }
 
 void daemon::StopWhenIdle() {
-  if (core_->in_flight() == 0 && caller_server_.open_requests() == 0) {
+  if (core_->in_flight() == 0 && caller_server_.busy_connections() == 0) {
     LOG(INFO) << "stopped: no request in flight";
-    caller_server_.StopListening();
-    io_.stop();
-    return;
+    traces_.Flush();
+    return StopWhenFlushed(kFlushChecks);
   }
   stop_timer_.expires_after(kStopCheckInterval);
   stop_timer_.async_wait([this](boost::system::error_code failed) {
@@ -135,6 +137,14 @@
   });
 }
 
+void daemon::StopWhenFlushed(int checks_left) {
+  if (!traces_.sending() || checks_left == 0) return io_.stop();
+  stop_timer_.expires_after(kStopCheckInterval);
+  stop_timer_.async_wait([this, checks_left](boost::system::error_code failed) {
+    if (!failed) StopWhenFlushed(checks_left - 1);
+  });
+}
+
 void daemon::Receive(event happened) { core_->Receive(std::move(happened)); }
 
 }  // namespace hawthorndrum
--- a/src/hawthorndrumd/daemon.h
+++ b/src/hawthorndrumd/daemon.h
@@ -56,6 +56,7 @@
                              const std::string& address);
   void RefuseNewRequests();
   void StopWhenIdle();
+  void StopWhenFlushed(int checks_left);
 
   boost::asio::io_context& io_;
   daemon_settings settings_;
--- a/src/hawthorndrumd/otlp_exporter.h
+++ b/src/hawthorndrumd/otlp_exporter.h
@@ -28,6 +28,7 @@
   void Record(trace_span span) override;
   /** Sends what is collected now. */
   void Flush();
+  bool sending() const { return sending_; }
 
  private:
   void Wait();
--- a/src/libtransport/http_server.cpp
+++ b/src/libtransport/http_server.cpp
@@ -1,6 +1,7 @@
 /// Accepting connections and matching answers to them.
 #include "http_server.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl/context.hpp>
@@ -38,7 +39,10 @@
   void StopListening();
   void ReplaceTls(std::shared_ptr<asio::ssl::context> tls) { tls_ = std::move(tls); }
   std::size_t connections() const { return sessions_.size(); }
-  std::size_t open_requests() const { return requests_.size(); }
+  std::size_t busy_connections() const {
+    return static_cast<std::size_t>(std::count_if(
+        sessions_.begin(), sessions_.end(), [](const auto& kept) { return kept.first->busy(); }));
+  }
   http_session* FindSession(request_id request) const {
     const auto found = requests_.find(request);
     return found == requests_.end() ? nullptr : found->second;
@@ -162,7 +166,7 @@
 
 std::size_t http_server::connections() const { return impl_->connections(); }
 
-std::size_t http_server::open_requests() const { return impl_->open_requests(); }
+std::size_t http_server::busy_connections() const { return impl_->busy_connections(); }
 
 void http_server::Answer(request_id request, http_answer answer) {
   if (http_session* session = impl_->FindSession(request)) session->Answer(std::move(answer));
--- a/src/libtransport/http_server.h
+++ b/src/libtransport/http_server.h
@@ -36,13 +36,13 @@
 
   /** Listens on `ip:port`; port 0 chooses a free one. Returns the port. */
   expected<std::uint16_t> Listen(std::string_view address);
-  /** Closes the listening socket; connections go on. */
+  /** Closes the listening socket and idle connections; the others close after their answer. */
   void StopListening();
   /** Connections made from now on use this context. */
   void ReplaceTls(std::shared_ptr<boost::asio::ssl::context> tls);
   std::size_t connections() const;
-  /** Requests whose answers are not complete. */
-  std::size_t open_requests() const;
+  /** Connections on which a request is being read or answered. */
+  std::size_t busy_connections() const;
 
   void Answer(request_id request, http_answer answer) override;
   void Begin(request_id request, int status, std::vector<http_header> headers) override;
--- a/src/libtransport/http_session.h
+++ b/src/libtransport/http_session.h
@@ -21,7 +21,9 @@
   virtual void Write(std::string_view bytes) = 0;
   virtual void End() = 0;
   virtual void Abort() = 0;
-  /** Closes at once when no request is being answered, else after its answer. */
+  /** Whether a request is being read or answered. */
+  virtual bool busy() const = 0;
+  /** Closes at once when no request is being read or answered, else after its answer. */
   virtual void CloseWhenIdle() = 0;
 };
 
--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -44,6 +44,9 @@
   void Write(std::string_view bytes) override;
   void End() override;
   void Abort() override { Close(); }
+  bool busy() const override {
+    return request_ || writing_ || (parser_ && (parser_->got_some() || buffer_.size() > 0));
+  }
   void CloseWhenIdle() override;
 
  private:
@@ -104,8 +107,8 @@
 
 template <typename Stream>
 void http_stream_session<Stream>::ReadHeader() {
-  if (closing_) return Close();
   parser_.emplace();
+  if (closing_ && buffer_.size() == 0) return Close();
   parser_->header_limit(limits_.header_bytes);
   parser_->body_limit(limits_.body_bytes);
   // The wait for the first byte may be long; once a header has begun it must come quickly.
@@ -226,7 +229,7 @@
 template <typename Stream>
 void http_stream_session<Stream>::CloseWhenIdle() {
   closing_ = true;
-  if (!request_ && !writing_) Close();
+  if (!busy()) Close();
 }
 
 template <typename Stream>
