Read the object API's answers in one place

Cause: the daemon and the command line each had a class http_object_store, two different definitions of one name in test programs that link both, and two readings of the same answers that disagreed (a 500 on a list, a write's success without version). Change: libtransport/object_api holds the translation; the two adapters are named for how they wait. A write answered as done without a version now counts as unknown, and a watch entry with a wrong type no longer throws. Conclusion: one meaning for each answer, tested.

--- a/src/hawthorndrumctl/http_object_store.h
+++ b/src/hawthorndrumctl/blocking_object_store.h
@@ -12,9 +12,9 @@
 /**
  * Keeps submitted calls until Pump makes them one after the other.
  */
-class http_object_store : public object_store {
+class blocking_object_store : public object_store {
  public:
-  explicit http_object_store(http_endpoint endpoint) : endpoint_(std::move(endpoint)) {}
+  explicit blocking_object_store(http_endpoint endpoint) : endpoint_(std::move(endpoint)) {}
 
   store_call_id Submit(store_call call, store_listener& listener) override;
 
--- a/src/hawthorndrumctl/publish_command.cpp
+++ b/src/hawthorndrumctl/publish_command.cpp
@@ -3,7 +3,7 @@
 
 #include <ostream>
 
-#include "http_object_store.h"
+#include "blocking_object_store.h"
 #include "publish_run.h"
 #include "service_folders.h"
 
@@ -63,7 +63,7 @@
   request->changes = ToChanges(std::move(services), removed);
 
   const std::uint64_t id = request->publish_id;
-  http_object_store store(http_endpoint{given.Value("store"), {}});
+  blocking_object_store store(http_endpoint{given.Value("store"), {}});
   const publish_result result = RunPublisher(store, std::move(*request), streams.err);
   const exit_code code = PrintResult(result, id, *as_json, streams);
   const bool in_force =
--- a/src/hawthorndrumctl/publish_run.cpp
+++ b/src/hawthorndrumctl/publish_run.cpp
@@ -12,7 +12,7 @@
 
 #include "admin_client.h"
 #include "base/quantity.h"
-#include "http_object_store.h"
+#include "blocking_object_store.h"
 #include "publish_text.h"
 #include "system_random.h"
 #include "systems/publisher.h"
@@ -96,7 +96,8 @@
   return request;
 }
 
-publish_result RunPublisher(http_object_store& store, publish_request request, std::ostream& err) {
+publish_result RunPublisher(blocking_object_store& store, publish_request request,
+                            std::ostream& err) {
   system_random random;
   publisher run(store, random, std::move(request));
   progress_line line(err);
--- a/src/hawthorndrumctl/publish_run.h
+++ b/src/hawthorndrumctl/publish_run.h
@@ -9,7 +9,7 @@
 
 namespace hawthorndrum {
 
-class http_object_store;
+class blocking_object_store;
 
 /** The options that describe a run: --store, --author, --note, --publish-id and so on. */
 std::vector<option_spec> PublishOptions();
@@ -18,7 +18,8 @@
 expected<publish_request> RequestFromOptions(const arguments& given);
 
 /** Runs it to its end; prints a progress line on `err` when that is a terminal. */
-publish_result RunPublisher(http_object_store& store, publish_request request, std::ostream& err);
+publish_result RunPublisher(blocking_object_store& store, publish_request request,
+                            std::ostream& err);
 
 /** Prints the result and returns its exit code. */
 exit_code PrintResult(const publish_result& result, std::uint64_t publish_id, bool as_json,
--- a/src/hawthorndrumd/daemon.h
+++ b/src/hawthorndrumd/daemon.h
@@ -11,11 +11,11 @@
 #include "base/metrics_registry.h"
 #include "boot_time_clock.h"
 #include "caller_front.h"
+#include "event_object_store.h"
 #include "host_list_reader.h"
 #include "http_client.h"
 #include "http_engine_port.h"
 #include "http_lookup_port.h"
-#include "http_object_store.h"
 #include "http_server.h"
 #include "http_upstream_port.h"
 #include "otlp_exporter.h"
@@ -73,7 +73,7 @@
   http_server admin_server_;
   http_upstream_port upstream_port_;
   http_engine_port engine_port_;
-  http_object_store raw_store_;
+  event_object_store raw_store_;
   host_list_reader host_list_;
   otlp_exporter traces_;
   peer_link_server peer_links_;
--- /dev/null
+++ b/src/hawthorndrumd/event_object_store.cpp
@@ -0,0 +1,39 @@
+/// The platform's object API over HTTP.
+#include "event_object_store.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "object_api.h"
+#include "ports/event_sink.h"
+#include "whole_calls.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+constexpr duration kConnectTimeout = seconds(1);
+
+}  // namespace
+
+store_call_id event_object_store::Submit(store_call call, store_listener& listener) {
+  const store_call_id id(++last_id_);
+  http_call sent;
+  sent.address = address_;
+  sent.request = ObjectApiRequest(call);
+  sent.connect_timeout = std::min(kConnectTimeout, call.timeout);
+  sent.idle_timeout = call.timeout;
+  sent.total_timeout = call.timeout;
+  // A write must not be sent twice: a kept connection may prove closed after it was written.
+  sent.reuse = !IsStoreWrite(call.operation);
+  call.value.clear();
+  calls_.Start(
+      std::move(sent), [this, id, call = std::move(call), target = &listener](whole_answer ended) {
+        store_answer answer = ended.received ? ObjectApiAnswer(call, std::move(ended.answer))
+                                             : ObjectApiSilence(call, ended.bytes_sent);
+        events_.Post(store_answered{id, std::move(answer), target});
+      });
+  return id;
+}
+
+}  // namespace hawthorndrum
--- a/src/hawthorndrumd/http_object_store.h
+++ b/src/hawthorndrumd/event_object_store.h
@@ -1,4 +1,4 @@
-/// The platform's object API over HTTP.
+/// The platform's object API over HTTP, with answers as events.
 #pragma once
 
 #include <cstdint>
@@ -14,9 +14,9 @@
 /**
  * One HTTP call for each store call, without retries: those belong to the store client in front.
  */
-class http_object_store : public object_store {
+class event_object_store : public object_store {
  public:
-  http_object_store(whole_calls& calls, event_sink& events, std::string address)
+  event_object_store(whole_calls& calls, event_sink& events, std::string address)
       : calls_(calls), events_(events), address_(std::move(address)) {}
 
   store_call_id Submit(store_call call, store_listener& listener) override;
--- /dev/null
+++ b/tests/object_api/test_object_api.cpp
@@ -0,0 +1,84 @@
+/// Tests of what each answer of the object API means.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "object_api.h"
+
+namespace hawthorndrum {
+namespace {
+
+using op = store_operation;
+using out = store_outcome;
+
+store_call Call(op operation) {
+  store_call call;
+  call.operation = operation;
+  call.key = "claims/a b";
+  call.expected = object_version(7);
+  return call;
+}
+
+struct meaning {
+  op operation;
+  int status;
+  const char* etag;
+  const char* body;
+  out wanted;
+};
+
+TEST(ObjectApi, EveryAnswerHasOneMeaning) {
+  const std::vector<meaning> table = {
+      {op::kGet, 200, "\"5\"", "v", out::kDone},
+      {op::kGet, 404, "", "", out::kMissing},
+      {op::kGet, 500, "", "", out::kRefused},
+      {op::kCreate, 201, "\"5\"", "", out::kDone},
+      {op::kCreate, 412, "\"5\"", "", out::kConflict},
+      {op::kCreate, 412, "", "", out::kConflict},
+      {op::kCreate, 429, "", "", out::kRefused},
+      {op::kCreate, 503, "", "", out::kRefused},
+      {op::kCreate, 500, "", "", out::kUnknown},
+      {op::kCreate, 504, "", "", out::kUnknown},
+      {op::kCreate, 201, "", "", out::kUnknown},
+      {op::kUpdate, 200, "\"9\"", "", out::kDone},
+      {op::kUpdate, 412, "\"9\"", "", out::kConflict},
+      {op::kUpdate, 412, "", "", out::kMissing},
+      {op::kUpdate, 200, "garbage", "", out::kUnknown},
+      {op::kUpdate, 413, "", "", out::kRefused},
+      {op::kRemove, 204, "", "", out::kDone},
+      {op::kRemove, 404, "", "", out::kMissing},
+      {op::kRemove, 502, "", "", out::kUnknown},
+      {op::kWatch, 410, "", "", out::kStale},
+      {op::kWatch, 200, "", R"({"revision":3,"events":[]})", out::kDone},
+      {op::kWatch, 200, "", R"({"revision":3})", out::kRefused},
+      {op::kWatch, 200, "", R"({"revision":3,"events":[{"key":1,"version":2}]})", out::kRefused},
+      {op::kList, 200, "", R"({"revision":3,"objects":[{"key":"k","version":2}]})", out::kDone},
+      {op::kList, 200, "", R"({"revision":-3,"objects":[]})", out::kRefused},
+      {op::kList, 200, "", "not json", out::kRefused},
+  };
+  for (const meaning& row : table) {
+    http_answer answer{row.status, {}, row.body};
+    if (*row.etag != '\0') answer.headers.push_back({"ETag", row.etag});
+    EXPECT_EQ(ObjectApiAnswer(Call(row.operation), answer).outcome, row.wanted)
+        << static_cast<int>(row.operation) << " " << row.status << " " << row.body;
+  }
+}
+
+TEST(ObjectApi, SilenceMayHideAWriteButNeverARead) {
+  EXPECT_EQ(ObjectApiSilence(Call(op::kCreate), true).outcome, out::kUnknown);
+  EXPECT_EQ(ObjectApiSilence(Call(op::kUpdate), true).outcome, out::kUnknown);
+  EXPECT_EQ(ObjectApiSilence(Call(op::kRemove), true).outcome, out::kUnknown);
+  EXPECT_EQ(ObjectApiSilence(Call(op::kCreate), false).outcome, out::kRefused);
+  EXPECT_EQ(ObjectApiSilence(Call(op::kGet), true).outcome, out::kRefused);
+}
+
+TEST(ObjectApi, WritesAreConditional) {
+  EXPECT_EQ(FindHeader(ObjectApiRequest(Call(op::kCreate)).headers, "If-None-Match"), "*");
+  EXPECT_EQ(FindHeader(ObjectApiRequest(Call(op::kUpdate)).headers, "If-Match"), "\"7\"");
+  EXPECT_EQ(FindHeader(ObjectApiRequest(Call(op::kRemove)).headers, "If-Match"), "\"7\"");
+  EXPECT_EQ(ObjectApiRequest(Call(op::kGet)).target, "/v1/objects/claims/a%20b");
+}
+
+}  // namespace
+}  // namespace hawthorndrum
