Route by cached prefixes and prove it; name the model that engines know

Cause: a prompt's first holder was drawn by the request's own hash, so that the next request with the same beginning missed it; pieces were hashed otherwise than engines name them; a caller who names the service in place of the model got an engine's 404; 404 with X-Not-Started was passed on. Change: requests that share a first piece meet at one place, which wins a tie; pieces are chained as in cache events; the body names the service's model; any answer with X-Not-Started proves that it did not start; a lost upstream's pieces are forgotten.

--- a/src/libhawthorndrum/systems/prefix_chain.cpp
+++ b/src/libhawthorndrum/systems/prefix_chain.cpp
@@ -5,8 +5,8 @@
 
 namespace hawthorndrum {
 
-std::vector<std::uint64_t> PrefixChain(const model_use& model, std::string_view text) {
-  std::uint64_t previous = Hash64(model.name + "/" + model.version + "/" + model.adapter);
+std::vector<std::uint64_t> PrefixChain(std::string_view text) {
+  std::uint64_t previous = 0;
   std::vector<std::uint64_t> chain;
   chain.reserve(text.size() / kPieceBytes);
   for (; text.size() >= kPieceBytes; text.remove_prefix(kPieceBytes)) {
--- a/src/libhawthorndrum/systems/prefix_chain.h
+++ b/src/libhawthorndrum/systems/prefix_chain.h
@@ -6,8 +6,6 @@
 #include <string_view>
 #include <vector>
 
-#include "tables/service_config.h"
-
 namespace hawthorndrum {
 
 /** Engines hold their cache in pieces of so many tokens. */
@@ -18,8 +16,8 @@
 
 /**
  * One hash for each whole piece of the text: xxh3 of the piece, seeded with the hash of the piece
- * before it; the first is seeded with the hash of `model/version/adapter`.
+ * before it; the first is seeded with 0. Engines name pieces in their cache events the same way.
  */
-std::vector<std::uint64_t> PrefixChain(const model_use& model, std::string_view text);
+std::vector<std::uint64_t> PrefixChain(std::string_view text);
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/systems/request_attempts.cpp
+++ b/src/libhawthorndrum/systems/request_attempts.cpp
@@ -41,7 +41,7 @@
 }
 
 bool IsNotStarted(const attempt_head& head) {
-  return head.status == 503 && FindHeader(head.headers, "X-Not-Started") == "1";
+  return FindHeader(head.headers, "X-Not-Started") == "1";
 }
 
 /** Whether a stream that was collected, because it may not be repeated, came to its end. */
@@ -228,6 +228,7 @@
     poison_.Lost(request.fingerprint, {attempt.upstream, attempt.upstream_incarnation},
                  request.alone, now);
   }
+  if (problem.crashed) routing_.prefixes().Forget(attempt.upstream);
   const fingerprint_standing standing = poison_.StandingOf(request.fingerprint, now);
   const bool is_raw = request.began && !attempt.relays && !request.stream;
   CloseAttempt(attempt, problem.why.code);
--- a/src/libhawthorndrum/systems/request_reader.cpp
+++ b/src/libhawthorndrum/systems/request_reader.cpp
@@ -85,25 +85,14 @@
   return {};
 }
 
-/** The text of one message's content: a string, or a list of parts with a text each. */
-void AppendContent(const nlohmann::json& content, std::string& text) {
-  if (content.is_string()) text += content.get_ref<const std::string&>();
-  if (!content.is_array()) return;
-  for (const nlohmann::json& part : content) {
-    if (!part.is_object()) continue;
-    const auto found = part.find("text");
-    if (found != part.end() && found->is_string()) text += found->get_ref<const std::string&>();
-  }
-}
-
+/** Appends the content, as engines count and hash it; returns whether it is a message. */
 bool AppendMessage(const nlohmann::json& message, std::string& text) {
   if (!message.is_object()) return false;
   const auto role = message.find("role");
   if (role == message.end() || !role->is_string()) return false;
-  text += role->get_ref<const std::string&>();
-  text += '\n';
   const auto content = message.find("content");
-  if (content != message.end()) AppendContent(*content, text);
+  if (content == message.end()) return true;
+  text += content->is_string() ? content->get_ref<const std::string&>() : content->dump();
   text += '\n';
   return true;
 }
@@ -131,7 +120,7 @@
 
 tl::expected<void, refusal> ReadCompletion(request_row& row) {
   const service_config& service = *row.service;
-  const nlohmann::json body = nlohmann::json::parse(row.body, nullptr, false);
+  nlohmann::json body = nlohmann::json::parse(row.body, nullptr, false);
   if (body.is_discarded()) return Refuse(400, "bad_json", "the body is not JSON in UTF-8");
   if (!body.is_object()) return Refuse(400, "bad_json", "the body must be a JSON object");
   if (auto model = ReadModel(body, service); !model) return model;
@@ -157,8 +146,15 @@
       return Refuse(400, "bad_messages", "each message must be an object with a `role`");
     }
   }
+  // Callers may name the service in place of the model, or nothing; engines know only models.
+  const model_use& use = service.model;
+  const std::string& model = use.adapter.empty() ? use.name : use.adapter;
+  if (body.value("model", "") != model) {
+    body["model"] = model;
+    row.body = body.dump();
+  }
   row.prompt_tokens = text.size() / kBytesPerToken + 1;
-  row.prefix = PrefixChain(service.model, text);
+  row.prefix = PrefixChain(text);
   return {};
 }
 
--- a/src/libhawthorndrum/systems/routing_system.cpp
+++ b/src/libhawthorndrum/systems/routing_system.cpp
@@ -82,12 +82,10 @@
     }
   }
   const bool proven = IsProven(request.fingerprint);
-  const std::uint64_t place = proven ? random_.Draw() : request.fingerprint;
-  const upstream* first = AtRing(group, place, request, upstream_id(), now);
+  const auto [first_place, second_place] = Places(request, proven);
+  const upstream* first = AtRing(group, first_place, request, upstream_id(), now);
   if (!first) return std::nullopt;
   Weigh(first, request, now, choice);
-  std::uint64_t second_place = proven ? random_.Draw() : request.fingerprint * kSecondPlace;
-  if (!proven && !request.prefix.empty()) second_place = request.prefix.front();
   Weigh(AtRing(group, second_place, request, first->id, now), request, now, choice);
   if (proven) {
     for (const upstream_id holder : prefixes_.BestHolders(request.prefix, now)) {
@@ -103,6 +101,14 @@
   return choice;
 }
 
+std::pair<std::uint64_t, std::uint64_t> routing_system::Places(const request_row& request,
+                                                               bool proven) const {
+  if (proven) return {random_.Draw(), random_.Draw()};
+  // All that share a first piece meet at one place; it comes first, so that it wins a tie.
+  if (!request.prefix.empty()) return {request.prefix.front(), request.fingerprint};
+  return {request.fingerprint, request.fingerprint * kSecondPlace};
+}
+
 bool routing_system::IsUsable(const upstream& row, const request_row& request,
                               time_point now) const {
   if (!row.TakesWork() || row.reserved_for_suspect || now < row.avoid_until) return false;
--- a/src/libhawthorndrum/systems/routing_system.h
+++ b/src/libhawthorndrum/systems/routing_system.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -78,6 +79,8 @@
   prefix_index& prefixes() { return prefixes_; }
 
  private:
+  /** The two places on the ring where the request's candidates are. */
+  std::pair<std::uint64_t, std::uint64_t> Places(const request_row& request, bool proven) const;
   bool IsUsable(const upstream& row, const request_row& request, time_point now) const;
   const upstream* AtRing(const upstream_group& group, std::uint64_t place,
                          const request_row& request, upstream_id other, time_point now) const;
