--- a/src/hawthorndrumctl/command_line.cpp
+++ b/src/hawthorndrumctl/command_line.cpp
@@ -7,7 +7,10 @@
 #include "base/spelling.h"
 #include "check_command.h"
 #include "common_options.h"
+#include "config_command.h"
 #include "publish_command.h"
+#include "section_command.h"
+#include "status_command.h"
 
 namespace hawthorndrum {
 namespace {
@@ -47,6 +50,11 @@
   std::vector<std::unique_ptr<command>> commands;
   commands.push_back(std::make_unique<check_command>());
   commands.push_back(std::make_unique<publish_command>());
+  commands.push_back(std::make_unique<config_command>());
+  commands.push_back(std::make_unique<status_command>());
+  for (section_spec& spec : SectionSpecs()) {
+    commands.push_back(std::make_unique<section_command>(std::move(spec)));
+  }
   return commands;
 }
 
--- /dev/null
+++ b/src/hawthorndrumctl/config_command.h
@@ -0,0 +1,35 @@
+/// `hawthorndrumctl config`: what is and was in force, and going back as a new generation.
+#pragma once
+
+#include "command.h"
+
+namespace hawthorndrum {
+
+class stored_config;
+
+class config_command : public command {
+ public:
+  std::string_view name() const override { return "config"; }
+  std::string_view summary() const override { return "show and compare generations; roll back"; }
+  std::string_view operands() const override {
+    return "history | show [SERVICE] | diff FROM TO | rollback GENERATION [SERVICE]...";
+  }
+  std::vector<std::string_view> words() const override {
+    return {"history", "show", "diff", "rollback"};
+  }
+  std::string_view details() const override;
+  std::vector<option_spec> options() const override;
+  exit_code Run(const arguments& given, command_streams streams) const override;
+
+ private:
+  exit_code History(stored_config& config, const arguments& given, bool as_json,
+                    command_streams streams) const;
+  exit_code Show(stored_config& config, const arguments& given, bool as_json,
+                 command_streams streams) const;
+  exit_code Compare(stored_config& config, const arguments& given, bool as_json,
+                    command_streams streams) const;
+  exit_code RollBack(stored_config& config, const arguments& given, bool as_json,
+                     command_streams streams) const;
+};
+
+}  // namespace hawthorndrum
--- a/src/hawthorndrumctl/publish_command.cpp
+++ b/src/hawthorndrumctl/publish_command.cpp
@@ -3,7 +3,6 @@
 
 #include <ostream>
 
-#include "blocking_object_store.h"
 #include "publish_run.h"
 #include "service_folders.h"
 
@@ -49,9 +48,6 @@
   if (given.Value("store").empty()) {
     return Fail(streams, {error_code::kInvalid, "name the object API with --store"});
   }
-  if (given.Has("wait") && given.Value("admin").empty()) {
-    return Fail(streams, {error_code::kInvalid, "--wait needs a daemon's --admin"});
-  }
   findings found;
   std::vector<stated_service> services = CollectServices(given.operands(), found);
   if (!found.empty()) {
@@ -62,14 +58,7 @@
   if (!request) return Fail(streams, request.error());
   request->changes = ToChanges(std::move(services), removed);
 
-  const std::uint64_t id = request->publish_id;
-  blocking_object_store store(http_endpoint{given.Value("store"), {}});
-  const publish_result result = RunPublisher(store, std::move(*request), streams.err);
-  const exit_code code = PrintResult(result, id, *as_json, streams);
-  const bool in_force =
-      result.status == publish_status::kPublished || result.status == publish_status::kUnchanged;
-  if (!in_force || !given.Has("wait")) return code;
-  return WaitUntilInForce(result.number, given, streams);
+  return PublishAndWait(std::move(*request), given, *as_json, streams);
 }
 
 }  // namespace hawthorndrum
--- a/src/hawthorndrumctl/publish_run.cpp
+++ b/src/hawthorndrumctl/publish_run.cpp
@@ -59,45 +59,7 @@
   std::string last_;
 };
 
-}  // namespace
-
-std::vector<option_spec> PublishOptions() {
-  return {kStoreOption,
-          {"author", "NAME", "who publishes (default: user@host)"},
-          {"note", "TEXT", "kept in the history"},
-          {"base", "GENERATION", "a service changed after it by others is a conflict"},
-          {"publish-id", "ID", "settle an earlier run with this id, or run it again"},
-          {"floor", "GENERATION", "number the new generation at least this"},
-          {"patience", "TIME", "how long to go on when the store does not answer (default: 30s)"},
-          {"dry-run", "", "show the difference to what is in force and stop"},
-          {"wait", "", "wait until every daemon has it; needs --admin"},
-          {"wait-time", "TIME", "how long to wait (default: 60s)"}};
-}
-
-expected<publish_request> RequestFromOptions(const arguments& given) {
-  publish_request request;
-  const expected<std::uint64_t> id = NumberOption(given, "publish-id", 0);
-  const expected<std::uint64_t> base = NumberOption(given, "base", 0);
-  const expected<std::uint64_t> floor = NumberOption(given, "floor", 0);
-  const expected<duration> patience = TimeOption(given, "patience", kDefaultPatience);
-  if (!id) return tl::make_unexpected(id.error());
-  if (!base) return tl::make_unexpected(base.error());
-  if (!floor) return tl::make_unexpected(floor.error());
-  if (!patience) return tl::make_unexpected(patience.error());
-  request.settle = *id != 0;
-  request.publish_id = *id != 0 ? *id : system_random().Draw();
-  request.base = generation(*base);
-  request.floor = generation(*floor);
-  request.patience = *patience;
-  request.author = given.Has("author") ? given.Value("author") : DefaultAuthor();
-  request.note = given.Value("note");
-  request.time = std::time(nullptr);
-  request.dry_run = given.Has("dry-run");
-  return request;
-}
-
-publish_result RunPublisher(blocking_object_store& store, publish_request request,
-                            std::ostream& err) {
+publish_result RunPublisher(blocking_object_store& store, publish_request request, std::ostream& err) {
   system_random random;
   publisher run(store, random, std::move(request));
   progress_line line(err);
@@ -161,4 +123,56 @@
   return exit_code::kNotYet;
 }
 
+}  // namespace
+
+std::vector<option_spec> PublishOptions() {
+  return {kStoreOption,
+          {"author", "NAME", "who publishes (default: user@host)"},
+          {"note", "TEXT", "kept in the history"},
+          {"base", "GENERATION", "a service changed after it by others is a conflict"},
+          {"publish-id", "ID", "settle an earlier run with this id, or run it again"},
+          {"floor", "GENERATION", "number the new generation at least this"},
+          {"patience", "TIME", "how long to go on when the store does not answer (default: 30s)"},
+          {"dry-run", "", "show the difference to what is in force and stop"},
+          {"wait", "", "wait until every daemon has it; needs --admin"},
+          {"wait-time", "TIME", "how long to wait (default: 60s)"}};
+}
+
+expected<publish_request> RequestFromOptions(const arguments& given) {
+  publish_request request;
+  const expected<std::uint64_t> id = NumberOption(given, "publish-id", 0);
+  const expected<std::uint64_t> base = NumberOption(given, "base", 0);
+  const expected<std::uint64_t> floor = NumberOption(given, "floor", 0);
+  const expected<duration> patience = TimeOption(given, "patience", kDefaultPatience);
+  if (!id) return tl::make_unexpected(id.error());
+  if (!base) return tl::make_unexpected(base.error());
+  if (!floor) return tl::make_unexpected(floor.error());
+  if (!patience) return tl::make_unexpected(patience.error());
+  request.settle = *id != 0;
+  request.publish_id = *id != 0 ? *id : system_random().Draw();
+  request.base = generation(*base);
+  request.floor = generation(*floor);
+  request.patience = *patience;
+  request.author = given.Has("author") ? given.Value("author") : DefaultAuthor();
+  request.note = given.Value("note");
+  request.time = std::time(nullptr);
+  request.dry_run = given.Has("dry-run");
+  return request;
+}
+
+exit_code PublishAndWait(publish_request request, const arguments& given, bool as_json,
+                         command_streams streams) {
+  if (given.Has("wait") && given.Value("admin").empty()) {
+    return Fail(streams, {error_code::kInvalid, "--wait needs a daemon's --admin"});
+  }
+  const std::uint64_t id = request.publish_id;
+  blocking_object_store store(http_endpoint{given.Value("store"), {}});
+  const publish_result result = RunPublisher(store, std::move(request), streams.err);
+  const exit_code code = PrintResult(result, id, as_json, streams);
+  const bool in_force =
+      result.status == publish_status::kPublished || result.status == publish_status::kUnchanged;
+  if (!in_force || !given.Has("wait")) return code;
+  return WaitUntilInForce(result.number, given, streams);
+}
+
 }  // namespace hawthorndrum
--- a/src/hawthorndrumctl/publish_text.cpp
+++ b/src/hawthorndrumctl/publish_text.cpp
@@ -80,12 +80,17 @@
   return {text.data(), length};
 }
 
-std::string ResultAsText(const publish_result& result, std::uint64_t publish_id) {
+std::string ChangesAsText(const publish_result& result) {
   std::string text;
   for (const planned_change& change : result.changes) {
     text += std::string(Name(change.kind)) + " " + change.service + "\n";
     for (const std::string& line : change.lines) text += "    " + line + "\n";
   }
+  return text;
+}
+
+std::string ResultAsText(const publish_result& result, std::uint64_t publish_id) {
+  std::string text = ChangesAsText(result);
   for (const publish_conflict& conflict : result.conflicts) text += ConflictText(conflict);
   return text + Summary(result, publish_id) + "\n";
 }
--- a/src/hawthorndrumctl/publish_text.h
+++ b/src/hawthorndrumctl/publish_text.h
@@ -10,6 +10,9 @@
 std::string ResultAsText(const publish_result& result, std::uint64_t publish_id);
 std::string ResultAsJson(const publish_result& result, std::uint64_t publish_id);
 
+/** Only the changes. */
+std::string ChangesAsText(const publish_result& result);
+
 /** Seconds since 1970 as `2026-12-03 14:05:09 UTC`. */
 std::string FormatTime(std::int64_t time);
 
--- /dev/null
+++ b/src/hawthorndrumctl/section_command.cpp
@@ -0,0 +1,131 @@
+/// Sections of the admin port.
+#include "section_command.h"
+
+#include <nlohmann/json.hpp>
+#include <ostream>
+
+#include "admin_client.h"
+#include "json_text.h"
+
+namespace hawthorndrum {
+namespace {
+
+using json = nlohmann::json;
+
+exit_code Print(const expected<json>& report, bool as_json, command_streams streams) {
+  if (!report) return Fail(streams, report.error());
+  streams.out << (as_json ? JsonAsJson(*report) : JsonAsText(*report));
+  return exit_code::kDone;
+}
+
+}  // namespace
+
+std::vector<std::string_view> section_command::words() const {
+  std::vector<std::string_view> words;
+  words.reserve(spec_.verbs.size());
+  for (const section_verb& verb : spec_.verbs) words.push_back(verb.word);
+  return words;
+}
+
+std::vector<option_spec> section_command::options() const { return AdminOptions(); }
+
+const section_verb* section_command::FindVerb(const std::string& word) const {
+  for (const section_verb& verb : spec_.verbs) {
+    if (verb.word == word) return &verb;
+  }
+  return nullptr;
+}
+
+exit_code section_command::Show(const admin_client& client,
+                                const std::vector<std::string>& operands, bool as_json,
+                                command_streams streams) const {
+  if (operands.size() > 1) return Fail(streams, {error_code::kInvalid, "too many arguments"});
+  const std::string item = operands.empty() ? "" : "/" + operands.front();
+  return Print(client.Get("/admin/" + std::string(spec_.section) + item), as_json, streams);
+}
+
+exit_code section_command::Act(const admin_client& client, const section_verb& verb,
+                               const std::vector<std::string>& operands, bool as_json,
+                               command_streams streams) const {
+  if (operands.size() != verb.fields.size()) {
+    std::string wanted = std::string(spec_.name) + " " + std::string(verb.word);
+    for (const std::string_view field : verb.fields) wanted += " " + std::string(field);
+    return Fail(streams, {error_code::kInvalid, "expected: " + wanted});
+  }
+  json body = json::object();
+  for (std::size_t i = 0; i < operands.size(); ++i) {
+    body[std::string(verb.fields[i])] = operands[i];
+  }
+  const std::string path = "/admin/" + std::string(spec_.section) + "/" + std::string(verb.verb);
+  return Print(client.Post(path, body), as_json, streams);
+}
+
+exit_code section_command::Run(const arguments& given, command_streams streams) const {
+  const expected<bool> as_json = WantsJson(given);
+  if (!as_json) return Fail(streams, as_json.error());
+  const expected<admin_client> client = admin_client::FromOptions(given);
+  if (!client) return Fail(streams, client.error());
+  const std::vector<std::string>& operands = given.operands();
+  const section_verb* verb = operands.empty() ? nullptr : FindVerb(operands.front());
+  if (verb != nullptr) {
+    return Act(*client, *verb, {operands.begin() + 1, operands.end()}, *as_json, streams);
+  }
+  if (spec_.first_verb_is_implied) {
+    return Act(*client, spec_.verbs.front(), operands, *as_json, streams);
+  }
+  return Show(*client, operands, *as_json, streams);
+}
+
+std::vector<section_spec> SectionSpecs() {
+  return {
+      {"upstreams",
+       "show engines and plain services",
+       "[ADDRESS]",
+       "upstreams",
+       {},
+       "Role, load and whether new work is kept away, as this daemon knows them.\n"},
+      {"drain",
+       "keep new work away from an upstream, or let it back",
+       "ADDRESS | stop ADDRESS",
+       "upstreams",
+       {{"start", "drain", {"address"}}, {"stop", "undrain", {"address"}}},
+       "What is in flight there ends undisturbed.\n",
+       true},
+      {"orders",
+       "show orders to engines; give or release one",
+       "[ENGINE | set-role ENGINE ROLE | release ENGINE]",
+       "orders",
+       {{"set-role", "set_role", {"engine", "role"}}, {"release", "release", {"engine"}}},
+       "Ask the daemon that holds the lease. `release` says that the process which gave the open\n"
+       "order is gone for good; only then may the engine get a different one.\n"},
+      {"roles", "show the plan for the engines' roles", "", "roles", {}, ""},
+      {"claims",
+       "show open claims; settle one",
+       "[SERVICE/KEY | load SERVICE KEY | settle SERVICE KEY ATTEMPT STATE]",
+       "claims",
+       {{"load", "load", {"service", "key"}},
+        {"settle", "settle", {"service", "key", "attempt", "state"}}},
+       "A claim whose outcome is not known stays closed until someone who knows settles it.\n"},
+      {"leases",
+       "show who may give orders; give the lease back",
+       "[give-back]",
+       "leases",
+       {{"give-back", "give_back", {}}},
+       ""},
+      {"peers", "show the other daemons", "[ADDRESS]", "peers", {}, ""},
+      {"poison",
+       "show suspect and convicted requests; clear one",
+       "[clear FINGERPRINT]",
+       "poison",
+       {{"clear", "clear", {"fingerprint"}}},
+       ""},
+      {"why",
+       "explain what became of a request",
+       "[REQUEST]",
+       "why",
+       {},
+       "REQUEST is the X-Request-Id of an answer of this daemon. Without it, the last ones.\n"},
+  };
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/hawthorndrumctl/status_command.cpp
@@ -0,0 +1,42 @@
+/// Status from several sections.
+#include "status_command.h"
+
+#include <nlohmann/json.hpp>
+#include <ostream>
+
+#include "admin_client.h"
+#include "json_text.h"
+#include "status_text.h"
+
+namespace hawthorndrum {
+
+std::string_view status_command::details() const {
+  return "Daemons, data centres, the lease, upstreams with role, load and drain, the lowest\n"
+         "generation in force and who lags, open claims, quarantined requests, as the daemon at\n"
+         "--admin knows them. A section that can't be had is named on a line that starts with !.\n";
+}
+
+std::vector<option_spec> status_command::options() const { return AdminOptions(); }
+
+exit_code status_command::Run(const arguments& given, command_streams streams) const {
+  const expected<bool> as_json = WantsJson(given);
+  if (!as_json) return Fail(streams, as_json.error());
+  const expected<admin_client> client = admin_client::FromOptions(given);
+  if (!client) return Fail(streams, client.error());
+  nlohmann::json sections = nlohmann::json::object();
+  for (const char* name :
+       {"config", "peers", "leases", "orders", "claims", "poison", "upstreams"}) {
+    const expected<nlohmann::json> report = client->Get(std::string("/admin/") + name);
+    if (report) {
+      sections[name] = *report;
+      continue;
+    }
+    const bool missing = report.error().code == error_code::kNotFound;
+    if (!missing) return Fail(streams, report.error());
+    sections[name] = {{"problem", report.error().message}};
+  }
+  streams.out << (*as_json ? JsonAsJson(sections) : StatusAsText(sections));
+  return exit_code::kDone;
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/hawthorndrumctl/stored_config.h
@@ -0,0 +1,50 @@
+/// Reads published configurations from the object store.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "tables/config_entry.h"
+#include "tables/config_head.h"
+#include "tables/publish_request.h"
+
+namespace hawthorndrum {
+
+class blocking_object_store;
+
+/**
+ * Reads heads, and the parts in which two of them differ. Parts are checked by their digest and
+ * kept, so that none is read twice.
+ */
+class stored_config {
+ public:
+  explicit stored_config(blocking_object_store& store) : store_(store) {}
+
+  /** The head in force. */
+  expected<config_head> Newest();
+  /** The head of a generation, in force or in the history. */
+  expected<config_head> Head(generation number);
+  /** The service as the head has it; kNotFound when it does not. */
+  expected<config_entry> Find(const config_head& head, const std::string& service);
+  /** What would lead from one configuration to the other, in the order of the names. */
+  expected<std::vector<service_change>> Difference(const config_head& from, const config_head& to);
+  /** Every service under the head. */
+  expected<std::map<std::string, config_entry>> Services(const config_head& head);
+
+ private:
+  using entry_map = std::map<std::string, config_entry>;
+
+  expected<std::string> Part(const content_digest& digest);
+  expected<config_page> Page(const content_digest& digest);
+  expected<void> AddLeaf(const content_digest& digest, std::size_t number, entry_map& entries);
+  /** Reads the entries of both sides where they differ, and only there. */
+  expected<void> Differing(const config_head& from, const config_head& to, entry_map& from_entries,
+                           entry_map& to_entries);
+
+  blocking_object_store& store_;
+  std::map<content_digest, std::string> parts_;
+};
+
+}  // namespace hawthorndrum
