--- a/src/hawthorndrumctl/json_text.cpp
+++ b/src/hawthorndrumctl/json_text.cpp
@@ -2,6 +2,7 @@
 #include "json_text.h"
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <vector>
 
@@ -33,8 +34,15 @@
   return value.is_array() && !value.empty() && std::all_of(value.begin(), value.end(), is_object);
 }
 
+/** What names a row comes first; the other columns follow by name. */
+constexpr std::array<const char*, 6> kNamingColumns = {"generation", "time",    "address",
+                                                       "engine",     "service", "key"};
+
 std::vector<std::string> ColumnsOf(const json& rows) {
   std::vector<std::string> columns;
+  for (const char* name : kNamingColumns) {
+    if (rows.front().contains(name)) columns.emplace_back(name);
+  }
   for (const json& row : rows) {
     for (const auto& [key, value] : row.items()) {
       if (std::find(columns.begin(), columns.end(), key) == columns.end()) columns.push_back(key);
--- a/src/hawthorndrumctl/publish_run.cpp
+++ b/src/hawthorndrumctl/publish_run.cpp
@@ -59,7 +59,8 @@
   std::string last_;
 };
 
-publish_result RunPublisher(blocking_object_store& store, publish_request request, std::ostream& err) {
+publish_result RunPublisher(blocking_object_store& store, publish_request request,
+                            std::ostream& err) {
   system_random random;
   publisher run(store, random, std::move(request));
   progress_line line(err);
