--- a/tests/ctl/test_ctl.cpp
+++ b/tests/ctl/test_ctl.cpp
@@ -181,7 +181,7 @@
 }
 
 /** Sets the token for the test's time. */
-class admin_ctl : public testing::Test {
+class operating : public testing::Test {
  protected:
   void SetUp() override { setenv("HAWTHORNDRUM_ADMIN_TOKEN", platform::kToken, 1); }
   void TearDown() override { unsetenv("HAWTHORNDRUM_ADMIN_TOKEN"); }
@@ -193,7 +193,7 @@
   platform platform_;
 };
 
-TEST_F(admin_ctl, ShowsASection) {
+TEST_F(operating, ShowsASection) {
   const command_outcome table = here().WithAdmin({"upstreams"});
   EXPECT_EQ(table.code, exit_code::kDone) << table.err;
   EXPECT_EQ(table.out, "upstreams:\n  address      role\n  10.0.0.9:80  mixed\n");
@@ -203,7 +203,7 @@
   EXPECT_EQ(here().WithAdmin({"orders", "other"}).code, exit_code::kNotFound);
 }
 
-TEST_F(admin_ctl, GivesOrders) {
+TEST_F(operating, GivesOrders) {
   EXPECT_EQ(here().WithAdmin({"drain", "10.0.0.9:80"}).code, exit_code::kDone);
   EXPECT_EQ(LastOrder("upstreams"), "drain {\"address\":\"10.0.0.9:80\"}");
   EXPECT_EQ(here().WithAdmin({"drain", "stop", "10.0.0.9:80"}).code, exit_code::kDone);
@@ -214,7 +214,7 @@
   EXPECT_EQ(here().WithAdmin({"drain"}).code, exit_code::kUsage);
 }
 
-TEST_F(admin_ctl, RefusedTokensAndMissingDaemons) {
+TEST_F(operating, RefusedTokensAndMissingDaemons) {
   setenv("HAWTHORNDRUM_ADMIN_TOKEN", "wrong", 1);
   EXPECT_EQ(here().WithAdmin({"upstreams"}).code, exit_code::kUnauthorised);
   EXPECT_EQ(here().WithAdmin({"status"}).code, exit_code::kUnauthorised);
@@ -223,7 +223,7 @@
   EXPECT_EQ(here().WithAdmin({"upstreams", "--token-file", token.path()}).code, exit_code::kDone);
 }
 
-TEST_F(admin_ctl, StatusAtAGlance) {
+TEST_F(operating, StatusAtAGlance) {
   const command_outcome outcome = here().WithAdmin({"status"});
   EXPECT_EQ(outcome.code, exit_code::kDone) << outcome.err;
   EXPECT_TRUE(Has(outcome.out, "generation 7, lowest in force 6, 3 services")) << outcome.out;
@@ -233,7 +233,7 @@
   EXPECT_TRUE(Has(outcome.out, "10.0.0.9:80")) << outcome.out;
 }
 
-TEST_F(admin_ctl, WaitsUntilEveryDaemonHasIt) {
+TEST_F(operating, WaitsUntilEveryDaemonHasIt) {
   temporary_file file("service: a\nmodel: m@1\n");
   const std::vector<std::string> words = {"publish", file.path(),   "--store", here().store(),
                                           "--wait",  "--wait-time", "200ms"};
