--- a/src/libhawthorndrum/systems/claim_attempt.h
+++ b/src/libhawthorndrum/systems/claim_attempt.h
@@ -35,6 +35,8 @@
   peer_id forwarded_to;
   time_point direct_at;
 
+  /** What the bucket's owner last saw there, when it could not ask the store. */
+  claim_record known;
   /** The other attempt's record, for kWaiting and kLooking. */
   claim_record other;
   /** Whether the other attempt is known to have ended, so that lookup's "not run" may count. */
--- a/src/libhawthorndrum/systems/claim_bucket_writer.cpp
+++ b/src/libhawthorndrum/systems/claim_bucket_writer.cpp
@@ -62,13 +62,7 @@
       ++place;
       continue;
     }
-    claim_result result{place->change.kind,
-                        claim_result_kind::kRefused,
-                        place->change.record.attempt,
-                        place->change.origin,
-                        {},
-                        place->may_be_written};
-    refused.push_back(std::move(result));
+    refused.push_back(Refusal(*place));
     place = waiting_.erase(place);
   }
   Give(refused);
@@ -273,16 +267,23 @@
       kept.push_back(std::move(waiting));
       continue;
     }
-    claim_result result;
-    result.attempt = waiting.change.record.attempt;
-    result.origin = waiting.change.origin;
-    result.may_be_written = waiting.may_be_written;
-    refused.push_back(std::move(result));
+    refused.push_back(Refusal(waiting));
   }
   waiting_ = std::move(kept);
   Give(refused);
 }
 
+claim_result claim_bucket_writer::Refusal(const waiting_change& waiting) const {
+  claim_result result;
+  result.change = waiting.change.kind;
+  result.attempt = waiting.change.record.attempt;
+  result.origin = waiting.change.origin;
+  result.may_be_written = waiting.may_be_written;
+  const claim_record* seen = bucket_.Find(waiting.change.record.name);
+  if (seen != nullptr) result.present = *seen;
+  return result;
+}
+
 void claim_bucket_writer::BackOff() {
   not_before_ = now_ + JitteredDelay(failures_, context_.limits.first_backoff,
                                      context_.limits.longest_backoff, context_.random);
--- a/src/libhawthorndrum/systems/claim_bucket_writer.h
+++ b/src/libhawthorndrum/systems/claim_bucket_writer.h
@@ -104,6 +104,7 @@
   void OnWritten(const store_answer& answer);
   void TakeBucket(claim_bucket bucket, object_version version);
   void RefuseClaims();
+  claim_result Refusal(const waiting_change& waiting) const;
   void PutBack();
   void BackOff();
   void Give(const std::vector<claim_result>& results);
--- a/src/libhawthorndrum/systems/claim_change.h
+++ b/src/libhawthorndrum/systems/claim_change.h
@@ -48,7 +48,7 @@
   /** The attempt that the change was for. */
   attempt_id attempt;
   peer_id origin;
-  /** The record that is there, for kOpen, kDone and kUnknown. */
+  /** The record that is there; for kRefused the one that was last seen there, if any. */
   claim_record present;
   /** With kRefused: whether a record may have been written, or may yet land. */
   bool may_be_written = false;
--- a/src/libhawthorndrum/systems/claim_system.cpp
+++ b/src/libhawthorndrum/systems/claim_system.cpp
@@ -228,7 +228,7 @@
   switch (attempt.phase) {
     case claim_phase::kClaiming:
       if (now >= attempt.give_up_at) {
-        DecideUnasked(attempt, "the store did not answer in time");
+        DecideUnasked(attempt, "the store did not answer in time", now);
         return;
       }
       if (unanswered) SendDirectly(attempt, now);
--- a/src/libhawthorndrum/systems/claim_system.h
+++ b/src/libhawthorndrum/systems/claim_system.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -106,10 +107,10 @@
   void WaitFor(claim_attempt& attempt, const claim_record& other, time_point now);
   void Decide(claim_attempt& attempt, claim_verdict verdict, std::string reason,
               const http_answer& answer = {});
-  /** Ends an attempt that could not be stored. */
-  void DecideUnasked(claim_attempt& attempt, std::string reason);
-  /** Whether another attempt of this daemon at the same claim may run or have run. */
-  bool HeldHere(const claim_name& name, attempt_id except) const;
+  /** Ends, or lets wait, an attempt of which the store could not be asked. */
+  void DecideUnasked(claim_attempt& attempt, std::string reason, time_point now);
+  /** Another attempt that may run, or may have run, as far as is known without the store. */
+  std::optional<claim_record> KnownOther(const claim_attempt& attempt) const;
   void GiveUp(attempt_id id, time_point now);
   void Settle(claim_attempt& attempt, claim_state last_word, time_point now);
 
--- a/src/libhawthorndrum/systems/claim_system_results.cpp
+++ b/src/libhawthorndrum/systems/claim_system_results.cpp
@@ -71,6 +71,7 @@
 }
 
 void claim_system::TakeRefusal(claim_attempt& attempt, const claim_result& result, time_point now) {
+  if (result.present.attempt) attempt.known = result.present;
   if (attempt.forwarded_to) {
     // The owner has dropped it, so its word on what it wrote is the last.
     attempt.may_be_written = result.may_be_written;
@@ -80,36 +81,54 @@
   attempt.may_be_written = attempt.may_be_written || result.may_be_written;
   // While another's claim is waited for, its maker may still answer.
   if (attempt.phase == claim_phase::kWaiting) return;
-  DecideUnasked(attempt, "the store of claims can't be reached");
+  DecideUnasked(attempt, "the store of claims can't be reached", now);
 }
 
-void claim_system::DecideUnasked(claim_attempt& attempt, std::string reason) {
-  const claim_name name{attempt.wish.service, attempt.wish.key};
-  const claim_record* seen = committer_.LastSeen(name);
-  const bool ours = seen == nullptr || seen->attempt == attempt.id ||
-                    seen->attempt == attempt.replaces || seen->state == claim_state::kNotRun;
-  // The key's caller may take "not run" for the key's fate, so it is said only of a key that, as
-  // far as is known here, no other attempt holds.
-  if (ours && !HeldHere(name, attempt.id)) {
+void claim_system::DecideUnasked(claim_attempt& attempt, std::string reason, time_point now) {
+  // A caller may take "not run" for the key's fate, so it is said only of a key that, as far as is
+  // known here and at the bucket's owner, no other attempt holds.
+  const std::optional<claim_record> other = KnownOther(attempt);
+  if (!other) {
     Decide(attempt, claim_verdict::kNotRun, std::move(reason));
     return;
   }
-  const bool same = seen != nullptr && seen->digest == attempt.wish.digest;
-  if (same && seen->state == claim_state::kDone) {
-    Decide(attempt, claim_verdict::kAnswered, "", seen->answer);
+  if (other->digest != attempt.wish.digest) {
+    Decide(attempt, claim_verdict::kMismatch, "the key was used with another request");
     return;
   }
-  Decide(attempt, claim_verdict::kUnknown, "an earlier attempt may have run");
+  switch (other->state) {
+    case claim_state::kDone:
+      Decide(attempt, claim_verdict::kAnswered, "", other->answer);
+      return;
+    case claim_state::kClaimed:
+      WaitFor(attempt, *other, now);
+      return;
+    default:
+      attempt.other = *other;
+      LookUp(attempt, true, now);
+      return;
+  }
 }
 
-bool claim_system::HeldHere(const claim_name& name, attempt_id except) const {
-  return std::any_of(attempts_.begin(), attempts_.end(), [&](const claim_attempt& other) {
-    const bool settles = other.phase == claim_phase::kSettling;
-    const bool may_run = other.phase == claim_phase::kGranted ||
-                         (settles && other.last_word != claim_state::kNotRun);
-    return may_run && other.id != except && other.wish.service == name.service &&
-           other.wish.key == name.key;
-  });
+std::optional<claim_record> claim_system::KnownOther(const claim_attempt& attempt) const {
+  const auto tells = [&](const claim_record& record) {
+    return record.attempt && record.attempt != attempt.id && record.attempt != attempt.replaces &&
+           record.state != claim_state::kNotRun;
+  };
+  const claim_name name{attempt.wish.service, attempt.wish.key};
+  for (const claim_attempt& held : attempts_) {
+    if (held.id == attempt.id || held.wish.key != name.key) continue;
+    if (held.wish.service != name.service) continue;
+    const bool settles = held.phase == claim_phase::kSettling;
+    const bool may_run = settles && held.last_word != claim_state::kNotRun;
+    if (may_run || held.phase == claim_phase::kGranted) {
+      return ChangeFor(held, claim_change_kind::kClaim).record;
+    }
+  }
+  const claim_record* seen = committer_.LastSeen(name);
+  if (seen != nullptr && tells(*seen)) return *seen;
+  if (tells(attempt.known)) return attempt.known;
+  return std::nullopt;
 }
 
 void claim_system::TakeSettleResult(const claim_attempt& attempt, const claim_result& result) {
