Move settled claims into archive shards

Change: done records of a large bucket move into shard objects: first the shard is written, then the bucket without them with a raised count of moves, so that whoever reads the bucket and then the shard sees every record. What was read of a shard stays true while the bucket's count stays. Expiry, restarts and a vanished bucket have tests. The random sequences found one fault on the way: a claim in the same write as its key's removal met neither record; removals now apply last. Conclusion: what a commit writes is bounded whatever the retention.

--- a/src/libhawthorndrum/systems/claim_bucket_writer.cpp
+++ b/src/libhawthorndrum/systems/claim_bucket_writer.cpp
@@ -13,11 +13,26 @@
 
 bool IsClaim(const claim_change& change) { return change.kind == claim_change_kind::kClaim; }
 
+/** Whether the change is about a key that may be in the archive. */
+bool AsksArchive(const claim_change& change) {
+  return IsClaim(change) ||
+         (change.kind == claim_change_kind::kVisit && !change.record.name.key.empty());
+}
+
+std::string ArchivePrefix(std::uint32_t bucket) {
+  return "claims/settled/" + std::to_string(bucket) + "/";
+}
+
 }  // namespace
 
-claim_bucket_writer::claim_bucket_writer(claim_commit_context& context, std::string key,
-                                         epoch_sighting& sighting)
-    : context_(context), key_(std::move(key)), sighting_(sighting) {}
+std::string BucketKey(std::uint32_t bucket) { return "claims/bucket/" + std::to_string(bucket); }
+
+claim_bucket_writer::claim_bucket_writer(claim_commit_context& context, std::uint32_t bucket,
+                                         std::uint32_t shards, epoch_sighting& sighting)
+    : context_(context),
+      key_(BucketKey(bucket)),
+      sighting_(sighting),
+      archive_(context, ArchivePrefix(bucket), shards) {}
 
 void claim_bucket_writer::Submit(claim_change change, time_point give_up_at, time_point now) {
   last_used_ = now;
@@ -46,13 +61,30 @@
   now_ = now;
   if (calling_) return;
   RefuseOverdue(now);
+  if (waiting_.empty()) archive_.ForgetFetched();
+  if (archive_.TakeFailure()) {
+    RefuseClaims();
+    BackOff();
+  }
+  if (loaded_) archive_.MoveIfLarge(bucket_, size_, now);
   if (!IsDue(now)) return;
   last_used_ = now;
-  if (loaded_) {
-    Commit();
-  } else {
+  if (!loaded_) {
     Read();
+  } else if (KnowsArchive()) {
+    Commit();
+  }
+}
+
+bool claim_bucket_writer::KnowsArchive() {
+  bool known = true;
+  for (const waiting_change& waiting : waiting_) {
+    const claim_name& name = waiting.change.record.name;
+    if (!AsksArchive(waiting.change) || bucket_.Find(name) != nullptr) continue;
+    const claim_record* record = nullptr;
+    if (archive_.Find(bucket_, name, record) == claim_archive::knowledge::kNotKnown) known = false;
   }
+  return known;
 }
 
 void claim_bucket_writer::RefuseOverdue(time_point now) {
@@ -69,7 +101,8 @@
 }
 
 bool claim_bucket_writer::IsDue(time_point now) const {
-  if (waiting_.empty() || now < not_before_) return false;
+  if (now < not_before_) return false;
+  if (archive_.HasRemoval()) return true;
   return std::any_of(waiting_.begin(), waiting_.end(), [&](const waiting_change& waiting) {
     return IsClaim(waiting.change) || now >= waiting.submitted + context_.limits.settle_delay;
   });
@@ -92,15 +125,17 @@
   std::vector<claim_result> results;
   bool changed = KeepInOrder(next, size);
   for (const waiting_change& waiting : waiting_) {
-    change_effect effect = ApplyChange(next, size, waiting.change, context_.limits.bucket);
+    change_effect effect = Apply(next, size, waiting.change);
     changed = changed || effect.changed || NeedsFence(effect.result);
     results.push_back(std::move(effect.result));
   }
-  if (changed) {
+  // Last: a change in the same write has to meet the records that leave.
+  writing_removal_ = archive_.ApplyRemoval(next, size);
+  if (changed || writing_removal_) {
     writing_ = std::move(waiting_);
     waiting_.clear();
     results_ = std::move(results);
-    Write(std::move(next), size);
+    Write(std::move(next));
     return;
   }
   if (!IsFresh(results)) {
@@ -111,6 +146,19 @@
   Give(results);
 }
 
+change_effect claim_bucket_writer::Apply(claim_bucket& bucket, std::size_t& size,
+                                         const claim_change& change) {
+  const claim_record* archived = nullptr;
+  const claim_name& name = change.record.name;
+  if (IsClaim(change) && bucket_.Find(name) == nullptr) archive_.Find(bucket_, name, archived);
+  if (archived == nullptr) return ApplyChange(bucket, size, change, context_.limits.bucket);
+  // A done record can't be changed, so it is asked as if it were still in a bucket.
+  claim_bucket alone;
+  alone.records[name] = *archived;
+  std::size_t alone_size = StoredSize(alone);
+  return ApplyChange(alone, alone_size, change, context_.limits.bucket);
+}
+
 bool claim_bucket_writer::KeepInOrder(claim_bucket& bucket, std::size_t& size) {
   bool changed = false;
   const bool whole_epoch_seen = sighting_.seen && sighting_.epoch == bucket.epoch &&
@@ -143,7 +191,7 @@
   return true;
 }
 
-void claim_bucket_writer::Write(claim_bucket next, std::size_t size) {
+void claim_bucket_writer::Write(claim_bucket next) {
   store_call call;
   call.operation = version_ ? store_operation::kUpdate : store_operation::kCreate;
   call.key = key_;
@@ -153,7 +201,6 @@
   context_.metrics.Counter("claim_commits").Add();
   context_.metrics.Counter("claim_commit_bytes").Add(call.value.size());
   next_ = std::move(next);
-  next_size_ = size;
   calling_ = true;
   call_is_read_ = false;
   call_started_ = now_;
@@ -212,6 +259,7 @@
   switch (answer.outcome) {
     case store_outcome::kDone: {
       failures_ = 0;
+      if (writing_removal_) archive_.RemovalStored(bucket_);
       TakeBucket(std::move(next_), answer.version);
       not_before_ = call_started_ + context_.limits.commit_interval;
       std::vector<claim_result> results;
@@ -279,11 +327,16 @@
   result.attempt = waiting.change.record.attempt;
   result.origin = waiting.change.origin;
   result.may_be_written = waiting.may_be_written;
-  const claim_record* seen = bucket_.Find(waiting.change.record.name);
+  const claim_record* seen = LastSeen(waiting.change.record.name);
   if (seen != nullptr) result.present = *seen;
   return result;
 }
 
+const claim_record* claim_bucket_writer::LastSeen(const claim_name& name) const {
+  const claim_record* record = bucket_.Find(name);
+  return record == nullptr ? archive_.LastSeen(name) : record;
+}
+
 void claim_bucket_writer::BackOff() {
   not_before_ = now_ + JitteredDelay(failures_, context_.limits.first_backoff,
                                      context_.limits.longest_backoff, context_.random);
--- a/src/libhawthorndrum/systems/claim_bucket_writer.h
+++ b/src/libhawthorndrum/systems/claim_bucket_writer.h
@@ -5,44 +5,11 @@
 #include <vector>
 
 #include "ports/object_store.h"
-#include "systems/claim_change.h"
+#include "systems/claim_archive.h"
+#include "systems/claim_commit_context.h"
 
 namespace hawthorndrum {
 
-class clock;
-class metrics_registry;
-class random_source;
-
-/** Gets one result for each change, but for those that were withdrawn. */
-class claim_result_listener {
- public:
-  virtual ~claim_result_listener() = default;
-  virtual void OnClaimResult(const claim_result& result) = 0;
-};
-
-struct claim_commit_limits {
-  claim_bucket_limits bucket;
-  /** No bucket is written more often than this, so that changes gather under load. */
-  duration commit_interval = milliseconds(20);
-  /** How long settles may wait for a claim to be written along with. */
-  duration settle_delay = milliseconds(50);
-  duration call_timeout = seconds(2);
-  duration first_backoff = milliseconds(20);
-  duration longest_backoff = milliseconds(250);
-  /** The length of an epoch; see claim_bucket. */
-  duration epoch_length = std::chrono::hours(1);
-};
-
-/** What the writers of all buckets share. */
-struct claim_commit_context {
-  object_store& store;
-  const clock& time;
-  random_source& random;
-  metrics_registry& metrics;
-  claim_result_listener& listener;
-  claim_commit_limits limits;
-};
-
 /** Since when this daemon has seen a bucket's epoch, on its own clock. */
 struct epoch_sighting {
   std::uint64_t epoch = 0;
@@ -62,7 +29,8 @@
  */
 class claim_bucket_writer : public store_listener {
  public:
-  claim_bucket_writer(claim_commit_context& context, std::string key, epoch_sighting& sighting);
+  claim_bucket_writer(claim_commit_context& context, std::uint32_t bucket, std::uint32_t shards,
+                      epoch_sighting& sighting);
 
   /** A claim is refused when it is not stored by `give_up_at`; other changes are kept until done.
    */
@@ -75,10 +43,14 @@
   void Run(time_point now);
   void OnStoreAnswer(store_call_id id, const store_answer& answer) override;
 
-  bool idle() const { return !calling_ && !fenced_ && waiting_.empty() && writing_.empty(); }
+  bool idle() const {
+    return !calling_ && !fenced_ && waiting_.empty() && writing_.empty() && archive_.idle();
+  }
   /** The bucket as last seen; it may have changed since. */
   const claim_bucket& last_seen() const { return bucket_; }
-  std::size_t size() const { return size_; }
+  /** The record as last seen in the bucket or its archive, or nullptr. */
+  const claim_record* LastSeen(const claim_name& name) const;
+  std::size_t size() const { return size_ + archive_.size(); }
   time_point last_used() const { return last_used_; }
 
  private:
@@ -94,8 +66,11 @@
   void RefuseOverdue(time_point now);
   bool IsDue(time_point now) const;
   void Read();
+  /** Whether it is known of every claim that waits whether the archive holds its key. */
+  bool KnowsArchive();
   void Commit();
-  void Write(claim_bucket next, std::size_t size);
+  change_effect Apply(claim_bucket& bucket, std::size_t& size, const claim_change& change);
+  void Write(claim_bucket next);
   bool KeepInOrder(claim_bucket& bucket, std::size_t& size);
   bool NeedsFence(const claim_result& result) const;
   /** Whether the unchanged results may be given out, being read after the changes came. */
@@ -112,6 +87,7 @@
   claim_commit_context& context_;
   std::string key_;
   epoch_sighting& sighting_;
+  claim_archive archive_;
 
   /** Whether bucket_ and version_ hold what was last read or written. */
   bool loaded_ = false;
@@ -125,10 +101,11 @@
   std::vector<waiting_change> writing_;
   std::vector<claim_result> results_;
   claim_bucket next_;
-  std::size_t next_size_ = 0;
 
   bool calling_ = false;
   bool call_is_read_ = false;
+  /** Whether the write that is out takes the archive's removal out of the bucket. */
+  bool writing_removal_ = false;
   time_point call_started_;
   /** The version that an unknown write expects; it can land while that version stays. */
   object_version fence_;
@@ -139,4 +116,7 @@
   time_point last_used_;
 };
 
+/** The key of a bucket's object. */
+std::string BucketKey(std::uint32_t bucket);
+
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/systems/claim_committer.cpp
+++ b/src/libhawthorndrum/systems/claim_committer.cpp
@@ -16,32 +16,39 @@
 constexpr std::string_view kLayoutKey = "claims/layout";
 constexpr std::uint64_t kLayoutFormat = 1;
 constexpr std::uint64_t kMostBuckets = 65536;
+constexpr std::uint64_t kMostShards = 4096;
 constexpr duration kLayoutRetry = milliseconds(250);
 
-std::uint32_t DecodeLayout(std::string_view value) {
+bool ReadCount(const nlohmann::json& field, std::uint64_t most, std::uint32_t& count) {
+  std::uint64_t value = 0;
+  if (!ReadField(field, value) || value == 0 || value > most) return false;
+  count = static_cast<std::uint32_t>(value);
+  return true;
+}
+
+bool DecodeLayout(std::string_view value, claim_layout& layout) {
   const expected<nlohmann::json> item = DecodeCborText(value);
-  if (!item || !item->is_array() || item->size() != 2) return 0;
+  if (!item || !item->is_array() || item->size() != 3) return false;
   std::uint64_t format = 0;
-  std::uint64_t buckets = 0;
-  if (!ReadField((*item)[0], format) || format != kLayoutFormat) return 0;
-  if (!ReadField((*item)[1], buckets) || buckets > kMostBuckets) return 0;
-  return static_cast<std::uint32_t>(buckets);
+  if (!ReadField((*item)[0], format) || format != kLayoutFormat) return false;
+  return ReadCount((*item)[1], kMostBuckets, layout.buckets) &&
+         ReadCount((*item)[2], kMostShards, layout.shards);
 }
 
 }  // namespace
 
-std::string BucketKey(std::uint32_t bucket) { return "claims/bucket/" + std::to_string(bucket); }
-
-claim_committer::claim_committer(claim_commit_context context, std::uint32_t wished_buckets,
+claim_committer::claim_committer(claim_commit_context context, claim_layout wished,
                                  std::size_t cache_bytes)
-    : context_(context), wished_buckets_(std::max(wished_buckets, 1U)), cache_bytes_(cache_bytes) {}
+    : context_(context),
+      wished_{std::max(wished.buckets, 1U), std::max(wished.shards, 1U)},
+      cache_bytes_(cache_bytes) {}
 
 void claim_committer::Submit(claim_change change, time_point give_up_at, time_point now) {
   if (!ready()) {
     early_.push_back({std::move(change), give_up_at});
     return;
   }
-  const std::uint32_t bucket = BucketOf(change.record.name, buckets_);
+  const std::uint32_t bucket = BucketOf(change.record.name, layout_.buckets);
   Writer(bucket).Submit(std::move(change), give_up_at, now);
 }
 
@@ -53,7 +60,7 @@
                               }),
                early_.end());
   if (!ready()) return false;
-  const auto found = writers_.find(BucketOf(name, buckets_));
+  const auto found = writers_.find(BucketOf(name, layout_.buckets));
   return found != writers_.end() && found->second->Withdraw(attempt);
 }
 
@@ -63,10 +70,18 @@
   Writer(bucket).Submit(std::move(visit), time_point::max(), now);
 }
 
+void claim_committer::Look(const claim_name& name, time_point now) {
+  claim_change look;
+  look.kind = claim_change_kind::kVisit;
+  look.record.name = name;
+  Submit(std::move(look), time_point::max(), now);
+}
+
 claim_bucket_writer& claim_committer::Writer(std::uint32_t bucket) {
   std::unique_ptr<claim_bucket_writer>& writer = writers_[bucket];
   if (!writer) {
-    writer = std::make_unique<claim_bucket_writer>(context_, BucketKey(bucket), sightings_[bucket]);
+    writer =
+        std::make_unique<claim_bucket_writer>(context_, bucket, layout_.shards, sightings_[bucket]);
   }
   return *writer;
 }
@@ -88,7 +103,8 @@
   call.timeout = context_.limits.call_timeout;
   if (layout_step_ == layout_step::kCreate) {
     call.operation = store_operation::kCreate;
-    call.value = EncodeCborText(nlohmann::json::array({kLayoutFormat, wished_buckets_}));
+    call.value =
+        EncodeCborText(nlohmann::json::array({kLayoutFormat, wished_.buckets, wished_.shards}));
   }
   layout_asked_ = true;
   context_.store.Submit(std::move(call), *this);
@@ -100,7 +116,7 @@
   if (layout_step_ == layout_step::kCreate) {
     // Whatever came of it, what is stored decides.
     layout_step_ = layout_step::kRead;
-    if (answer.outcome == store_outcome::kDone) Start(wished_buckets_);
+    if (answer.outcome == store_outcome::kDone) Start(wished_);
     return;
   }
   if (answer.outcome == store_outcome::kMissing) {
@@ -115,17 +131,17 @@
 
 void claim_committer::TakeLayout(const store_answer& answer) {
   if (answer.outcome != store_outcome::kDone) return;
-  const std::uint32_t buckets = DecodeLayout(answer.value);
-  if (buckets == 0) {
+  claim_layout layout;
+  if (!DecodeLayout(answer.value, layout)) {
     context_.metrics.Counter("claim_layout_malformed").Add();
     return;
   }
-  Start(buckets);
+  Start(layout);
 }
 
-void claim_committer::Start(std::uint32_t buckets) {
-  buckets_ = buckets;
-  sightings_.resize(buckets);
+void claim_committer::Start(claim_layout layout) {
+  layout_ = layout;
+  sightings_.resize(layout.buckets);
   std::vector<early_change> early;
   early.swap(early_);
   const time_point now = context_.time.Now();
@@ -151,8 +167,8 @@
 
 const claim_record* claim_committer::LastSeen(const claim_name& name) const {
   if (!ready()) return nullptr;
-  const auto found = writers_.find(BucketOf(name, buckets_));
-  return found == writers_.end() ? nullptr : found->second->last_seen().Find(name);
+  const auto found = writers_.find(BucketOf(name, layout_.buckets));
+  return found == writers_.end() ? nullptr : found->second->LastSeen(name);
 }
 
 void claim_committer::Evict() {
--- a/src/libhawthorndrum/systems/claim_committer.h
+++ b/src/libhawthorndrum/systems/claim_committer.h
@@ -10,6 +10,13 @@
 
 namespace hawthorndrum {
 
+/** How claims are spread over objects; the same for all daemons. */
+struct claim_layout {
+  std::uint32_t buckets = 16;
+  /** Archive shards of each bucket. */
+  std::uint32_t shards = 64;
+};
+
 /**
  * Hands changes to their buckets' writers. How many buckets there are is read from the store
  * (`claims/layout`), where the first daemon ever puts its own setting: two daemons with different
@@ -17,16 +24,17 @@
  */
 class claim_committer : public store_listener, public system {
  public:
-  claim_committer(claim_commit_context context, std::uint32_t wished_buckets,
-                  std::size_t cache_bytes);
+  claim_committer(claim_commit_context context, claim_layout wished, std::size_t cache_bytes);
 
-  bool ready() const { return buckets_ != 0; }
+  bool ready() const { return layout_.buckets != 0; }
   /** 0 until ready. */
-  std::uint32_t buckets() const { return buckets_; }
+  std::uint32_t buckets() const { return layout_.buckets; }
 
   void Submit(claim_change change, time_point give_up_at, time_point now);
   /** See claim_bucket_writer. */
   bool Withdraw(const claim_name& name, attempt_id attempt);
+  /** Reads the claim's bucket, and its archive if need be, for LastSeen. */
+  void Look(const claim_name& name, time_point now);
   /** Lets the bucket's age and expired records be looked after. */
   void Visit(std::uint32_t bucket, time_point now);
   void Run(time_point now) override;
@@ -48,14 +56,15 @@
   claim_bucket_writer& Writer(std::uint32_t bucket);
   void AskForLayout(time_point now);
   void TakeLayout(const store_answer& answer);
-  void Start(std::uint32_t buckets);
+  void Start(claim_layout layout);
   void RefuseEarlyClaims(time_point overdue_before);
   void Evict();
 
   claim_commit_context context_;
-  std::uint32_t wished_buckets_;
+  claim_layout wished_;
   std::size_t cache_bytes_;
-  std::uint32_t buckets_ = 0;
+  /** All 0 until it is read. */
+  claim_layout layout_{0, 0};
   std::vector<epoch_sighting> sightings_;
   std::map<std::uint32_t, std::unique_ptr<claim_bucket_writer>> writers_;
 
@@ -65,7 +74,4 @@
   time_point layout_not_before_;
 };
 
-/** The stored object's key for a bucket. */
-std::string BucketKey(std::uint32_t bucket);
-
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/systems/claim_system.cpp
+++ b/src/libhawthorndrum/systems/claim_system.cpp
@@ -44,7 +44,7 @@
       options_(options),
       committer_(claim_commit_context{ports.store, ports.time, ports.random, ports.metrics, *this,
                                       options.commit},
-                 options.buckets, options.cache_bytes) {}
+                 options.layout, options.cache_bytes) {}
 
 void claim_system::Claim(claim_wish wish, claim_listener& listener) {
   const time_point now = ports_.time.Now();
--- a/src/libhawthorndrum/systems/claim_system.h
+++ b/src/libhawthorndrum/systems/claim_system.h
@@ -19,8 +19,8 @@
 namespace hawthorndrum {
 
 struct claim_options {
-  /** Used only by the first daemon of a fleet; then the stored count holds. */
-  std::uint32_t buckets = 64;
+  /** Used only by the first daemon of a fleet; then the stored layout holds. */
+  claim_layout layout;
   /** How long the store may take for a claim before it is refused as not run. */
   duration budget = seconds(3);
   /** Whether changes go through the daemon of this data centre that owns the bucket. */
--- a/src/libhawthorndrum/systems/claim_system_results.cpp
+++ b/src/libhawthorndrum/systems/claim_system_results.cpp
@@ -240,7 +240,7 @@
   if (!committer_.ready()) {
     return tl::unexpected(error{error_code::kUnavailable, "the store was not read yet"});
   }
-  committer_.Visit(BucketOf(name, committer_.buckets()), ports_.time.Now());
+  committer_.Look(name, ports_.time.Now());
   return {};
 }
 
--- a/src/libhawthorndrum/tables/claim_bucket.cpp
+++ b/src/libhawthorndrum/tables/claim_bucket.cpp
@@ -19,6 +19,7 @@
 /** Five ids of 9 bytes, small numbers, and the heads of arrays and strings. */
 constexpr std::size_t kRecordOverhead = 96;
 constexpr std::size_t kHeaderOverhead = 16;
+constexpr std::size_t kMovesEntry = 9;
 
 error Malformed(std::string what) {
   return {error_code::kInvalid, "claim bucket: " + std::move(what)};
@@ -50,7 +51,7 @@
 }
 
 std::size_t StoredSize(const claim_bucket& bucket) {
-  std::size_t size = kBucketOverhead;
+  std::size_t size = kBucketOverhead + bucket.moves.size() * kMovesEntry;
   for (const auto& [name, record] : bucket.records) size += StoredSize(record);
   return size;
 }
@@ -58,13 +59,13 @@
 std::string EncodeBucket(const claim_bucket& bucket) {
   json records = json::array();
   for (const auto& [name, record] : bucket.records) records.push_back(RecordToJson(record));
-  return EncodeCborText(json::array({kFormat, bucket.epoch, std::move(records)}));
+  return EncodeCborText(json::array({kFormat, bucket.epoch, std::move(records), bucket.moves}));
 }
 
 expected<claim_bucket> DecodeBucket(std::string_view value) {
   const expected<json> item = DecodeCborText(value);
   if (!item) return tl::unexpected(item.error());
-  if (!item->is_array() || item->size() != 3) return tl::unexpected(Malformed("not three fields"));
+  if (!item->is_array() || item->size() != 4) return tl::unexpected(Malformed("not four fields"));
   std::uint64_t format = 0;
   claim_bucket bucket;
   if (!ReadField((*item)[0], format) || format != kFormat) {
@@ -72,6 +73,12 @@
   }
   if (!ReadField((*item)[1], bucket.epoch)) return tl::unexpected(Malformed("epoch"));
   if (!(*item)[2].is_array()) return tl::unexpected(Malformed("records"));
+  if (!(*item)[3].is_array()) return tl::unexpected(Malformed("moves"));
+  for (const json& stored : (*item)[3]) {
+    std::uint64_t moves = 0;
+    if (!ReadField(stored, moves)) return tl::unexpected(Malformed("moves"));
+    bucket.moves.push_back(moves);
+  }
   for (const json& stored : (*item)[2]) {
     claim_record record;
     if (!RecordFromJson(stored, record)) return tl::unexpected(Malformed("record"));
--- a/src/libhawthorndrum/tables/claim_bucket.h
+++ b/src/libhawthorndrum/tables/claim_bucket.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/error.h"
 #include "tables/claim_record.h"
@@ -18,7 +19,14 @@
 struct claim_bucket {
   std::uint64_t epoch = 0;
   std::map<claim_name, claim_record> records;
+  /** How often done records were moved into each shard of the archive; short means 0. */
+  std::vector<std::uint64_t> moves;
 
+  std::uint64_t Moves(std::uint32_t shard) const { return shard < moves.size() ? moves[shard] : 0; }
+  void RaiseMoves(std::uint32_t shard) {
+    if (shard >= moves.size()) moves.resize(shard + 1);
+    moves[shard] += 1;
+  }
   const claim_record* Find(const claim_name& name) const {
     const auto found = records.find(name);
     return found == records.end() ? nullptr : &found->second;
--- a/tests/claims/test_claim_fault_matrix.cpp
+++ b/tests/claims/test_claim_fault_matrix.cpp
@@ -98,7 +98,8 @@
  private:
   static claim_options Options(bool forward) {
     claim_options options;
-    options.buckets = 1;
+    options.layout = {1, 1};
+    options.commit.archive_above = 100;
     options.forward = forward;
     return options;
   }
--- a/tests/claims/test_claim_sequences.cpp
+++ b/tests/claims/test_claim_sequences.cpp
@@ -49,6 +49,10 @@
     step_kind::kDeliver,  step_kind::kAdvance,  step_kind::kRun,     step_kind::kDeliver,
     step_kind::kClaim,    step_kind::kTick};
 
+void showValue(const step& s, std::ostream& out) {
+  out << "{" << static_cast<int>(s.kind) << "," << s.a << "," << s.b << "}";
+}
+
 rc::Gen<step> AnyStep() {
   const auto last = static_cast<unsigned>(step_kind::kCount);
   const auto kinds = last + 3U * static_cast<unsigned>(kProgress.size());
@@ -228,7 +232,10 @@
 /** Plays one sequence, lets all faults end, and looks whether the daemons still work. */
 void CheckOne(int daemons, bool forward) {
   claim_options options;
-  options.buckets = 2;
+  options.layout = {2, 2};
+  // So small that every done record moves.
+  options.commit.archive_above = 100;
+  options.commit.move_retry = milliseconds(50);
   options.forward = forward;
   player p(daemons, options);
   const auto steps =
--- a/tests/claims/test_claims.cpp
+++ b/tests/claims/test_claims.cpp
@@ -272,7 +272,7 @@
 
 TEST(Claims, PausedDaemonDoesNotGrantAfterTheDeadline) {
   claim_options options;
-  options.buckets = 1;
+  options.layout.buckets = 1;
   claim_fleet fleet(1, options);
   Grant(fleet, 0, {"pay", "warm-up"});
   const request_id request = fleet.Claim(0, kPayment, 1, seconds(1));
@@ -299,11 +299,94 @@
   EXPECT_EQ(fleet.ledger().told.at(again).answer.status, 0);
 }
 
+TEST(Claims, ArchivedKeysKeepTheirAnswersForEveryDaemon) {
+  claim_options options;
+  options.layout = {1, 4};
+  options.commit.archive_above = 1000;
+  claim_fleet fleet(2, options);
+  constexpr int kKeys = 60;
+  std::vector<request_id> first;
+  for (int i = 0; i < kKeys; ++i) {
+    first.push_back(Grant(fleet, 0, {"pay", "k" + std::to_string(i)}));
+    fleet.Finish(0, first.back());
+    fleet.Settle(8);
+  }
+  fleet.Settle();
+  EXPECT_LE(fleet.store().objects().at(BucketKey(0)).value.size(), 1200u);
+  fleet.Kill(1);
+  for (int i = 0; i < kKeys; ++i) {
+    const claim_name name{"pay", "k" + std::to_string(i)};
+    const request_id again = fleet.Claim(i % 2, name);
+    const request_id other_body = fleet.Claim(i % 2, name, 2);
+    fleet.Settle(8);
+    ASSERT_EQ(Told(fleet, again), claim_verdict::kAnswered);
+    EXPECT_EQ(fleet.ledger().told.at(again).answer.body,
+              claim_fleet::AnswerOf(name, first[static_cast<std::size_t>(i)]));
+    EXPECT_EQ(Told(fleet, other_body), claim_verdict::kMismatch);
+  }
+  EXPECT_EQ(fleet.Broken(), "");
+}
+
+TEST(Claims, ExpiryRemovesOldAnswersAndNeverOpenClaims) {
+  claim_options options;
+  options.layout = {1, 1};
+  options.commit.bucket.done_epochs = 2;
+  claim_fleet fleet(2, options);
+  Grant(fleet, 0, {"pay", "open"});
+  const request_id unknown = Grant(fleet, 0, {"pay", "unknown"});
+  fleet.at(0).claims->ReportUnknown(unknown);
+  fleet.Finish(0, Grant(fleet, 0));
+  fleet.Settle();
+  const duration epoch = options.commit.epoch_length;
+  // Two whole epochs are kept; each is seen to begin before it is seen to end.
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_NE(fleet.Stored(kPayment), nullptr) << i;
+    fleet.Settle(20, epoch / 20);
+  }
+  fleet.Settle(200, epoch / 20);
+  EXPECT_EQ(fleet.Stored(kPayment), nullptr);
+  ASSERT_NE(fleet.Stored({"pay", "open"}), nullptr);
+  EXPECT_EQ(fleet.Stored({"pay", "open"})->state, claim_state::kClaimed);
+  ASSERT_NE(fleet.Stored({"pay", "unknown"}), nullptr);
+}
+
+TEST(Claims, RestartedDaemonsDoNotHurryExpiry) {
+  claim_options options;
+  options.layout = {1, 1};
+  options.commit.bucket.done_epochs = 0;
+  claim_fleet fleet(1, options);
+  fleet.Finish(0, Grant(fleet, 0));
+  fleet.Settle();
+  // Each run sees only a part of an epoch, so none may end it.
+  for (int i = 0; i < 20; ++i) {
+    fleet.Kill(0);
+    fleet.Settle(9, options.commit.epoch_length / 10);
+    ASSERT_NE(fleet.Stored(kPayment), nullptr) << i;
+  }
+}
+
+TEST(Claims, VanishedBucketRefusesRatherThanFreeingKeys) {
+  claim_options options;
+  options.layout = {1, 1};
+  claim_fleet fleet(1, options);
+  fleet.Finish(0, Grant(fleet, 0));
+  fleet.Settle();
+  store_call removal;
+  removal.operation = store_operation::kRemove;
+  removal.key = BucketKey(0);
+  removal.expected = fleet.store().objects().at(removal.key).version;
+  fleet.store().Apply(removal);
+  const request_id again = fleet.Claim(0, {"pay", "new"});
+  fleet.Settle();
+  EXPECT_EQ(Told(fleet, again), claim_verdict::kNotRun);
+  EXPECT_GT(fleet.at(0).metrics.Counter("claim_buckets_vanished").value(), 0u);
+}
+
 TEST(Claims, DaemonsWithOtherBucketCountsUseTheStoredOne) {
   claim_fleet fleet(1);
   Grant(fleet, 0, {"pay", "warm-up"});
   claim_options other;
-  other.buckets = 7;
+  other.layout.buckets = 7;
   fake_store_client raw(fleet.store(), 5);
   fleet_daemon& d = fleet.at(0);
   auto late = claim_system_builder(raw, d.peers, d.clock, d.random, d.metrics)
@@ -312,7 +395,7 @@
                   .Build();
   late->Run(d.clock.Now());
   fleet.store().RunAll();
-  EXPECT_EQ(late->committer().buckets(), claim_options().buckets);
+  EXPECT_EQ(late->committer().buckets(), claim_options().layout.buckets);
 }
 
 }  // namespace
