Add an experiment that sends load through a fleet under random faults

Cause: the tests force one fault at a time on processes; the promises have to hold when faults come together and twice. Change: benchmarks/chaos.py kills, stops and freezes daemons and engines, makes the store slow, silent, late and out, changes roles, while payments with resends and streams with resumption run; then checks every key and every token.

--- /dev/null
+++ b/benchmarks/chaos.py
@@ -0,0 +1,340 @@
+"""Sends payments and streams through a fleet while its parts are killed, frozen and cut, then checks
+what must always hold.
+
+  python3 benchmarks/chaos.py --seed 1 --seconds 60
+
+The faults follow the seed; their interleaving with the load is the machine's. Exit code 0 only when
+no promise was broken. Each breach is printed with its key or question.
+"""
+
+import argparse
+import collections
+import http.client
+import json
+import random
+import signal
+import sys
+import threading
+import time
+
+import fleet
+
+DAEMONS = 3
+ENGINES = 3
+WORKERS = 2
+QUESTIONS = ["route %d" % i for i in range(6)]
+STREAM_TOKENS = 60
+FAULT_PAUSE = 1.2
+
+
+class Payments:
+    """Sends payments, each key several times, and remembers every answer."""
+
+    def __init__(self, served, seed):
+        self.served = served
+        self.random = random.Random(seed)
+        self.answers = collections.defaultdict(list)
+
+    def send(self, key):
+        daemon = "daemon-%d" % self.random.randrange(DAEMONS)
+        headers = {"Idempotency-Key": key, "X-Request-Deadline-Ms": "4000"}
+        try:
+            status, text = fleet.call(self.served.address[daemon], "/services/payments/pay",
+                                      json.dumps({"order": key}), headers, timeout=15)
+        except (OSError, http.client.HTTPException):
+            self.answers[key].append(("lost", None))
+            return
+        if status == 200:
+            self.answers[key].append(("answered", text))
+            return
+        outcome = "unknown"
+        try:
+            outcome = json.loads(text).get("outcome", "unknown")
+        except ValueError:
+            pass
+        self.answers[key].append((outcome, text))
+
+    def run(self, name, stop):
+        number = 0
+        while not stop.is_set():
+            key = "%s-%d" % (name, number)
+            number += 1
+            for _ in range(self.random.choice([1, 2, 3])):
+                self.send(key)
+            time.sleep(0.02)
+
+
+class Streams:
+    """Asks questions and goes on at another daemon when a stream is cut."""
+
+    def __init__(self, served, expected, seed):
+        self.served = served
+        self.expected = expected
+        self.random = random.Random(seed)
+        self.whole = 0
+        self.refused = 0
+        self.cut = 0
+        self.breaches = []
+
+    def run(self, stop):
+        while not stop.is_set():
+            self.ask(self.random.choice(QUESTIONS))
+            time.sleep(0.02)
+
+    def ask(self, question):
+        tokens = []
+        last_id = None
+        for _ in range(6):
+            end, last_id = self.read_stream(question, tokens, last_id)
+            text = "".join(tokens)
+            if not self.expected[question].startswith(text):
+                self.breaches.append("%s: tokens that are not its own: %r" % (question, text))
+                return
+            if end == "done":
+                self.whole += 1
+                if text != self.expected[question]:
+                    self.breaches.append("%s: a clean end after %r" % (question, text))
+                return
+            if end == "refused":
+                self.refused += 1
+                return
+            if end == "clean end":
+                self.breaches.append("%s: a clean end without [DONE]" % question)
+                return
+            self.cut += 1
+
+    def read_stream(self, question, tokens, last_id):
+        host, port = self.served.address["daemon-%d" % self.random.randrange(DAEMONS)].split(":")
+        headers = {"Content-Type": "application/json"}
+        if last_id is not None:
+            headers["Last-Event-ID"] = last_id
+        connection = http.client.HTTPConnection(host, int(port), timeout=15)
+        try:
+            connection.request("POST", "/services/stream/v1/chat/completions",
+                               json.dumps(question_body(question, True)), headers)
+            answer = connection.getresponse()
+            if answer.status != 200:
+                answer.read()
+                return "refused", last_id
+            return self.read_events(answer, tokens, last_id)
+        except (OSError, http.client.HTTPException):
+            return "cut", last_id
+        finally:
+            connection.close()
+
+    def read_events(self, answer, tokens, last_id):
+        event_id = None
+        data = None
+        while True:
+            line = answer.readline()
+            if not line:
+                # Raises when the connection was cut in the middle of the chunked body.
+                answer.read()
+                return "clean end", last_id
+            line = line.decode().rstrip("\n")
+            if line.startswith("id: "):
+                event_id = line[4:]
+            elif line.startswith("data: "):
+                data = line[6:]
+            elif not line and data is not None:
+                if data == "[DONE]":
+                    return "done", last_id
+                text = json.loads(data)
+                if "choices" not in text:
+                    return "error event", last_id
+                tokens.append(text["choices"][0]["delta"].get("content", ""))
+                last_id = event_id or last_id
+                data = None
+
+
+def question_body(question, stream):
+    return {"model": "oak-7b", "stream": stream, "max_tokens": STREAM_TOKENS,
+            "messages": [{"role": "user", "content": question}]}
+
+
+def expected_answers(served):
+    answers = {}
+    for question in QUESTIONS:
+        text = fleet.call(served.address["engine-0"], "/v1/chat/completions",
+                          json.dumps(question_body(question, False)))[1]
+        answers[question] = json.loads(text)["choices"][0]["message"]["content"]
+    return answers
+
+
+class Faults:
+    """Draws one fault after another; every fault ends after a while."""
+
+    def __init__(self, served, seed):
+        self.served = served
+        self.random = random.Random(seed)
+        self.log = []
+        self.kept_runs = collections.Counter()
+        self.cut_streams = 0
+        self.conflicts = 0
+
+    def run(self, seconds):
+        end = time.monotonic() + seconds
+        kinds = [self.kill_daemon, self.freeze_daemon, self.stop_daemon, self.kill_engine,
+                 self.freeze_engine, self.store_down, self.store_slow, self.store_loses_answers,
+                 self.store_writes_late, self.worker_loses_answers, self.worker_slow,
+                 self.change_role]
+        while time.monotonic() < end:
+            kind = self.random.choice(kinds)
+            self.log.append(kind.__name__)
+            kind()
+            time.sleep(FAULT_PAUSE * self.random.random())
+
+    def one(self, kind, count):
+        return "%s-%d" % (kind, self.random.randrange(count))
+
+    def pause(self, longest):
+        time.sleep(longest * self.random.random())
+
+    def kill_daemon(self):
+        name = self.one("daemon", DAEMONS)
+        self.served.kill(name)
+        self.pause(2)
+        self.served.start(name)
+
+    def stop_daemon(self):
+        name = self.one("daemon", DAEMONS)
+        self.served.processes[name].send_signal(signal.SIGTERM)
+        self.served.processes[name].wait(timeout=90)
+        self.served.start(name)
+
+    def freeze_daemon(self):
+        name = self.one("daemon", DAEMONS)
+        self.served.processes[name].send_signal(signal.SIGSTOP)
+        self.pause(6)
+        self.served.processes[name].send_signal(signal.SIGCONT)
+
+    def note_engine(self, name):
+        stats = self.served.stats(name)
+        if stats:
+            self.cut_streams += stats["cut_streams"]
+            self.conflicts += stats["conflicting_orders"] + stats["stale_orders_taken"]
+
+    def kill_engine(self):
+        name = self.one("engine", ENGINES)
+        self.note_engine(name)
+        self.served.kill(name)
+        self.pause(2)
+        self.served.start(name)
+
+    def freeze_engine(self):
+        name = self.one("engine", ENGINES)
+        self.served.processes[name].send_signal(signal.SIGSTOP)
+        self.pause(3)
+        self.served.processes[name].send_signal(signal.SIGCONT)
+
+    def store_fault(self, longest, **switches):
+        self.served.fault("store", **switches)
+        self.pause(longest)
+        self.served.fault("store")
+
+    def store_down(self):
+        self.store_fault(5, down=True)
+
+    def store_slow(self):
+        self.store_fault(4, delay_ms=self.random.choice([300, 1500, 4000]))
+
+    def store_loses_answers(self):
+        self.store_fault(3, drop_after=True, match="/v1/objects/")
+
+    def store_writes_late(self):
+        self.store_fault(3, late_ms=self.random.choice([500, 3000]), match="/v1/objects/claims")
+
+    def worker_fault(self, longest, **switches):
+        name = self.one("worker", WORKERS)
+        self.served.fault(name, match="/pay", **switches)
+        self.pause(longest)
+        self.served.fault(name)
+
+    def worker_loses_answers(self):
+        self.worker_fault(2, drop_after=True)
+
+    def worker_slow(self):
+        self.worker_fault(3, delay_ms=2000)
+
+    def change_role(self):
+        engine = self.served.address[self.one("engine", ENGINES)]
+        role = self.random.choice(["prefill", "decode", "mixed"])
+        body = json.dumps({"engine": engine, "role": role})
+        for i in range(DAEMONS):
+            try:
+                fleet.call(self.served.address["daemon-%d-admin" % i], "/admin/orders/set_role",
+                           body, {"Authorization": "Bearer " + fleet.TOKEN}, timeout=2)
+            except (OSError, http.client.HTTPException):
+                pass
+
+
+def check_payments(served, payments):
+    runs = collections.Counter()
+    for i in range(WORKERS):
+        runs.update(served.stats("worker-%d" % i)["runs"])
+    breaches = []
+    for key, answers in payments.answers.items():
+        kinds = {kind for kind, _ in answers}
+        texts = {text for kind, text in answers if kind == "answered"}
+        if runs[key] > 1:
+            breaches.append("%s ran %d times: %s" % (key, runs[key], answers))
+        if texts and runs[key] != 1:
+            breaches.append("%s was answered and ran %d times" % (key, runs[key]))
+        if len(texts) > 1:
+            breaches.append("%s has answers that differ: %s" % (key, texts))
+        if any('\\"order\\": \\"%s\\"' % key not in text for text in texts):
+            breaches.append("%s got another's answer: %s" % (key, texts))
+        if kinds == {"not_run"} and runs[key] != 0:
+            breaches.append("%s was told not_run each time and ran" % key)
+    return breaches
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=60)
+    parser.add_argument("--ignores-fencing", action="store_true")
+    arguments = parser.parse_args()
+    with fleet.Fleet(arguments.build, daemons=DAEMONS, engines=ENGINES, workers=WORKERS,
+                     engine_arguments=["--order-ms", "500", "--decode-rate", "100"],
+                     worker_arguments=["--run-ms", "20"],
+                     checks_fencing=not arguments.ignores_fencing) as served:
+        served.wait_until_serving()
+        stop = threading.Event()
+        payments = Payments(served, arguments.seed)
+        streams = Streams(served, expected_answers(served), arguments.seed)
+        threads = [threading.Thread(target=payments.run, args=("key%d" % i, stop))
+                   for i in range(4)]
+        threads += [threading.Thread(target=streams.run, args=(stop,)) for _ in range(6)]
+        for thread in threads:
+            thread.start()
+        faults = Faults(served, arguments.seed)
+        try:
+            faults.run(arguments.seconds)
+        finally:
+            stop.set()
+            for thread in threads:
+                thread.join()
+        # Writes and calls that are late by design have landed after this.
+        time.sleep(6)
+        breaches = check_payments(served, payments) + streams.breaches
+        for i in range(ENGINES):
+            faults.note_engine("engine-%d" % i)
+        if faults.conflicts:
+            breaches.append("%d conflicting or stale orders at engines" % faults.conflicts)
+        if faults.cut_streams:
+            breaches.append("%d streams cut by role changes" % faults.cut_streams)
+        outcomes = collections.Counter(
+            kind for answers in payments.answers.values() for kind, _ in answers)
+        print(json.dumps({"seed": arguments.seed, "faults": collections.Counter(faults.log),
+                          "keys": len(payments.answers), "payments": outcomes,
+                          "streams": {"whole": streams.whole, "refused": streams.refused,
+                                      "cut": streams.cut}, "breaches": len(breaches)}, indent=1))
+        for breach in breaches:
+            print("BREACH: " + breach)
+        sys.exit(1 if breaches else 0)
+
+
+if __name__ == "__main__":
+    main()
