Let the longest idle connection give way when all places are taken

Cause: with 10,000 idle connections and a bound of 8,192 the daemon closed every new connection: 0 of 50 requests were answered. Out of file descriptors it would have spun in accept. Change: at the bound, and when accept fails, the longest idle connection is closed; an idle connection holds a buffer of 1 KiB in place of 16 KiB; the daemon raises its limit of open files; the default bound is 16,384. Conclusion: idle connections no longer keep others out.

--- a/src/hawthorndrumd/main.cpp
+++ b/src/hawthorndrumd/main.cpp
@@ -1,6 +1,7 @@
 /// hawthorndrumd: the daemon on every entry host.
 #include <getopt.h>
 #include <glog/logging.h>
+#include <sys/resource.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -98,7 +99,16 @@
   });
 }
 
+/** Connections are bounded by the settings, not by the soft limit of open files. */
+void RaiseFileLimit() {
+  rlimit files{};
+  if (getrlimit(RLIMIT_NOFILE, &files) != 0) return;
+  files.rlim_cur = files.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &files);
+}
+
 int Serve(const daemon_settings& settings) {
+  RaiseFileLimit();
   boost::asio::io_context io(1);
   daemon served(io, settings);
   const auto started = served.Start();
--- a/src/libhawthorndrum/tables/daemon_settings.h
+++ b/src/libhawthorndrum/tables/daemon_settings.h
@@ -30,7 +30,7 @@
 struct connection_limits {
   std::uint64_t body_bytes = 8ULL * 1024 * 1024;
   std::uint64_t header_bytes = 16ULL * 1024;
-  std::uint32_t connections = 8192;
+  std::uint32_t connections = 16384;
   std::uint32_t idle_upstream_connections = 64;
   duration idle_timeout = seconds(60);
 };
--- a/src/libtransport/http_server.cpp
+++ b/src/libtransport/http_server.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl/context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <list>
 #include <unordered_map>
 
 #include "base/counter.h"
@@ -19,6 +21,10 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
+namespace {
+constexpr duration kAcceptPause = milliseconds(20);
+}
+
 class http_server::impl : public http_session_owner,
                           public std::enable_shared_from_this<http_server::impl> {
  public:
@@ -26,12 +32,15 @@
        metrics_registry& metrics, std::string_view name, http_limits limits,
        std::shared_ptr<asio::ssl::context> tls)
       : acceptor_(io),
+        retry_timer_(io),
         handler_(handler),
         random_(random),
         limits_(limits),
         tls_(std::move(tls)),
         accepted_(metrics.Counter("http_connections_total", MetricLabel("server", name))),
         open_(metrics.Counter("http_connections_open", MetricLabel("server", name))),
+        evicted_(
+            metrics.Counter("http_idle_connections_closed_total", MetricLabel("server", name))),
         over_limit_(metrics.Counter("http_connections_refused_total", MetricLabel("server", name))),
         rejected_(metrics.Counter("http_requests_rejected_total", MetricLabel("server", name))) {}
 
@@ -51,25 +60,39 @@
   const http_limits& limits() const override { return limits_; }
   request_id OnSessionRequest(http_session& session, http_request request) override;
   void OnSessionDone(request_id request, bool gone) override;
+  void OnSessionIdle(http_session& session, bool idle) override;
   void OnSessionClosed(http_session& session) override;
   void OnSessionRejected(int) override { rejected_.Add(); }
 
  private:
+  struct kept_session {
+    std::shared_ptr<http_session> session;
+    bool idle = false;
+    /** Its place in idle_, while it is idle. */
+    std::list<http_session*>::iterator idle_place;
+  };
+
   void Accept();
+  void AcceptLater();
+  bool MakeRoom();
   void OnAccepted(tcp::socket socket);
   template <typename Stream>
   void Open(Stream stream);
 
   tcp::acceptor acceptor_;
+  asio::steady_timer retry_timer_;
   http_handler& handler_;
   random_source& random_;
   http_limits limits_;
   std::shared_ptr<asio::ssl::context> tls_;
   counter& accepted_;
   counter& open_;
+  counter& evicted_;
   counter& over_limit_;
   counter& rejected_;
-  std::unordered_map<http_session*, std::shared_ptr<http_session>> sessions_;
+  std::unordered_map<http_session*, kept_session> sessions_;
+  /** Idle connections, the longest idle first. */
+  std::list<http_session*> idle_;
   /** The connection of each request whose answer is not complete. */
   std::unordered_map<request_id, http_session*> requests_;
 };
@@ -93,6 +116,7 @@
 void http_server::impl::StopListening() {
   boost::system::error_code ignored;
   acceptor_.close(ignored);
+  retry_timer_.cancel();
   const auto sessions = sessions_;
   for (const auto& [session, kept] : sessions) session->CloseWhenIdle();
 }
@@ -108,9 +132,27 @@
       });
 }
 
+void http_server::impl::AcceptLater() {
+  // Out of file descriptors, as a rule: an idle connection gives way, and no turn is spent on
+  // trying again at once.
+  MakeRoom();
+  retry_timer_.expires_after(kAcceptPause);
+  retry_timer_.async_wait([self = weak_from_this()](boost::system::error_code failed) {
+    const auto server = self.lock();
+    if (!failed && server && server->acceptor_.is_open()) server->Accept();
+  });
+}
+
+bool http_server::impl::MakeRoom() {
+  if (idle_.empty()) return false;
+  evicted_.Add();
+  idle_.front()->CloseWhenIdle();
+  return true;
+}
+
 void http_server::impl::OnAccepted(tcp::socket socket) {
   accepted_.Add();
-  if (sessions_.size() >= limits_.connections) {
+  if (sessions_.size() >= limits_.connections && !MakeRoom()) {
     over_limit_.Add();
     return;
   }
@@ -125,7 +167,7 @@
 void http_server::impl::Open(Stream stream) {
   auto session =
       std::make_shared<http_stream_session<Stream>>(std::move(stream), weak_from_this(), limits_);
-  sessions_.emplace(session.get(), session);
+  sessions_[session.get()].session = session;
   open_.Set(sessions_.size());
   session->Start();
 }
@@ -142,7 +184,19 @@
   if (gone) handler_.OnCallerGone(request);
 }
 
+void http_server::impl::OnSessionIdle(http_session& session, bool idle) {
+  const auto found = sessions_.find(&session);
+  if (found == sessions_.end() || found->second.idle == idle) return;
+  found->second.idle = idle;
+  if (idle) {
+    found->second.idle_place = idle_.insert(idle_.end(), &session);
+  } else {
+    idle_.erase(found->second.idle_place);
+  }
+}
+
 void http_server::impl::OnSessionClosed(http_session& session) {
+  OnSessionIdle(session, false);
   sessions_.erase(&session);
   open_.Set(sessions_.size());
 }
--- a/src/libtransport/http_session_owner.h
+++ b/src/libtransport/http_session_owner.h
@@ -20,6 +20,8 @@
   virtual request_id OnSessionRequest(http_session& session, http_request request) = 0;
   /** The request's answer is complete, or its connection is closed (`gone`). */
   virtual void OnSessionDone(request_id request, bool gone) = 0;
+  /** Between two requests a connection is idle, and may be closed to make room. */
+  virtual void OnSessionIdle(http_session& session, bool idle) = 0;
   virtual void OnSessionClosed(http_session& session) = 0;
   /** A connection broke HTTP or a limit. */
   virtual void OnSessionRejected(int status) = 0;
--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -52,6 +52,8 @@
  private:
   using error_type = boost::beast::error_code;
   using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  /** Bytes made ready for a request's start; an idle connection holds no more. */
+  static constexpr std::size_t kFirstRead = 1024;
   static constexpr bool kTls = !std::is_same_v<Stream, boost::beast::tcp_stream>;
 
   auto Self() { return this->shared_from_this(); }
@@ -61,6 +63,7 @@
   }
 
   void ReadHeader();
+  void WaitForRequest();
   void OnHeader(error_type failed);
   void ReadBody();
   void OnBody(error_type failed);
@@ -111,17 +114,23 @@
   if (closing_ && buffer_.size() == 0) return Close();
   parser_->header_limit(limits_.header_bytes);
   parser_->body_limit(limits_.body_bytes);
+  if (buffer_.size() == 0) return WaitForRequest();
+  Expire(limits_.header_timeout);
+  boost::beast::http::async_read_header(
+      stream_, buffer_, *parser_,
+      [self = Self()](error_type failed, std::size_t) { self->OnHeader(failed); });
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::WaitForRequest() {
   // The wait for the first byte may be long; once a header has begun it must come quickly.
-  Expire(buffer_.size() == 0 ? limits_.idle_timeout : limits_.header_timeout);
-  if (buffer_.size() > 0) {
-    boost::beast::http::async_read_header(
-        stream_, buffer_, *parser_,
-        [self = Self()](error_type failed, std::size_t) { self->OnHeader(failed); });
-    return;
-  }
-  stream_.async_read_some(buffer_.prepare(limits_.header_bytes),
+  Expire(limits_.idle_timeout);
+  if (const auto owner = owner_.lock()) owner->OnSessionIdle(*this, true);
+  stream_.async_read_some(buffer_.prepare(kFirstRead),
                           [self = Self()](error_type failed, std::size_t size) {
                             if (failed) return self->Close();
+                            if (const auto owner = self->owner_.lock())
+                              owner->OnSessionIdle(*self, false);
                             self->buffer_.commit(size);
                             self->ReadHeader();
                           });
