--- a/src/libhawthorndrum/systems/role_planner.cpp
+++ b/src/libhawthorndrum/systems/role_planner.cpp
@@ -2,6 +2,7 @@
 #include "systems/role_planner.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hawthorndrum {
 namespace {
@@ -48,7 +49,9 @@
 void role_planner::Observe(const role_fleet& fleet, const role_demand& demand, duration elapsed) {
   const std::size_t movable = fleet.prefill + fleet.decode;
   Resize(movable + 1);
+  const double kept = std::exp(-ToSeconds(elapsed) / prices_.horizon_seconds);
   for (std::size_t prefill = 0; prefill <= movable; ++prefill) {
+    cost_[prefill] *= kept;
     cost_[prefill] +=
         ToSeconds(elapsed) * LostWork(fleet, prefill, movable - prefill, demand, prices_.headroom);
   }
--- a/src/libhawthorndrum/systems/role_planner.h
+++ b/src/libhawthorndrum/systems/role_planner.h
@@ -29,13 +29,16 @@
 /**
  * What a change costs, in engine-seconds of lost work: the time that the engine is away (drain and
  * change), and what operators add on top (`role_change_price`). `headroom` is the share of an
- * engine's rate that is planned with. `floor` is the least number of engines that can do each role.
+ * engine's rate that is planned with. `horizon_seconds`: what a split cost is forgotten at this
+ * rate, so that a change must pay back within about that time. `floor` is the least number of
+ * engines that can do each role.
  */
 struct role_prices {
   double away_seconds = 8;
   double role_change_price = 20;
-  double headroom = 0.95;
+  double headroom = 1.0;
   std::size_t floor = 1;
+  double horizon_seconds = 600;
 
   double per_change() const { return away_seconds + role_change_price; }
 };
