Check orders under random faults and in a fault matrix

And a copy written after a pause could reach a later run of an engine that ignores fencing numbers: the port must connect before it looks at the clock, and never again.

--- a/src/libhawthorndrum/ports/engine_order.h
+++ b/src/libhawthorndrum/ports/engine_order.h
@@ -14,8 +14,9 @@
 
 /**
  * One order. `role` belongs to kSetRole; `model`, `version` and `adapter` to the others. `term` is
- * its fencing number. The port looks at the clock right before it writes the order's bytes, and
- * answers kNotSent instead of writing at or after `send_by`.
+ * its fencing number. The port first connects, then looks at the clock, and then writes: at or
+ * after `send_by` it answers kNotSent instead. It never connects again for the same call, so that
+ * an order written after a pause can't reach a later run of the engine.
  */
 struct engine_order {
   order_id id;
--- a/src/libhawthorndrum/systems/engine_change.h
+++ b/src/libhawthorndrum/systems/engine_change.h
@@ -29,8 +29,10 @@
 struct engine_change {
   engine_order order;
   change_stage stage = change_stage::kDraining;
-  /** Whether an older holder journalled the order: then it is not given up. */
+  /** Whether an older holder journalled the order. */
   bool adopted = false;
+  /** Whether the journal holds the order, so that it can't be given up. */
+  bool journalled = false;
   time_point began;
   /** When the stage began, and the first announcement that showed it. */
   time_point stage_began;
--- a/src/libhawthorndrum/systems/order_system.cpp
+++ b/src/libhawthorndrum/systems/order_system.cpp
@@ -100,6 +100,11 @@
   return change.order.id;
 }
 
+void order_system::Prepare(engine_change& change) {
+  EnterStage(change,
+             NeedsDrain(change.order.kind) ? change_stage::kFirm : change_stage::kCommitting);
+}
+
 void order_system::EnterStage(engine_change& change, change_stage stage) {
   change.stage = stage;
   change.stage_began = clock_.Now();
@@ -115,8 +120,7 @@
   change.missing_since = row != nullptr || !change.missing ? now : change.missing_since;
   change.missing = row == nullptr;
   if (row == nullptr) return GiveUpMissing(change, now);
-  const bool journalled = change.adopted || change.stage >= change_stage::kReady;
-  if (journalled && change.stage != change_stage::kEnded && HasEnded(change, *row)) {
+  if (change.journalled && change.stage != change_stage::kEnded && HasEnded(change, *row)) {
     change.failed = row->report.last_order_progress == order_progress::kFailed;
     return EnterStage(change, change_stage::kEnded);
   }
@@ -139,8 +143,7 @@
   if (change.stage == change_stage::kCommitting || change.stage == change_stage::kEnded) return;
   given_up_.Add();
   change.failed = true;
-  const bool journalled = change.adopted || change.stage >= change_stage::kReady;
-  if (journalled) return EnterStage(change, change_stage::kEnded);
+  if (change.journalled) return EnterStage(change, change_stage::kEnded);
   changes_.erase(change.order.engine);
   next_announcement_ = now;
 }
@@ -179,7 +182,7 @@
 
 void order_system::RunDraining(engine_change& change, time_point now) {
   const upstream& row = *upstreams_.Find(change.order.engine);
-  const bool may_stop = !change.adopted;
+  const bool may_stop = !change.journalled;
   if (may_stop && (row.leaving.any() || now - change.began >= limits_.drain)) {
     given_up_.Add();
     next_announcement_ = now;
@@ -218,12 +221,12 @@
   sent_copies& copies = copies_[row.id];
   if (copies.outstanding > 0) return;
   const bool restarted = row.has_report && row.report.engine_incarnation != change.sent_to_run;
-  if (restarted && !copies.unanswered) return EnterStage(change, change_stage::kFirm);
+  if (restarted && !copies.unanswered) return Prepare(change);
   if (!copies.unanswered || now - change.sent_at < limits_.confirm) return;
   if (row.report.last_order == change.order.id) return;
   journal_row& journalled = journal_.rows[row.id];
   if (!row.checks_fencing) MarkUncertain(journalled);
-  EnterStage(change, change_stage::kFirm);
+  Prepare(change);
 }
 
 void order_system::OnOrderAnswer(const order_answer& answer) {
@@ -239,7 +242,7 @@
       lease_.NoteTerm(TermOfFencingNumber(answer.seen_term));
       if (!lease_.Holds()) return;
       // A later order of this same term was there: take a new number.
-      return EnterStage(change, change_stage::kFirm);
+      return Prepare(change);
     }
     const bool again =
         answer.outcome == order_outcome::kBusy || answer.outcome == order_outcome::kNotSent;
--- a/src/libhawthorndrum/systems/order_system.h
+++ b/src/libhawthorndrum/systems/order_system.h
@@ -92,6 +92,8 @@
   void RunReady(engine_change& change, time_point now);
   void RunSent(engine_change& change, time_point now);
   void SendCopy(engine_change& change, const upstream& row, time_point now);
+  /** Towards a commit with a new fencing number, by way of a drain where the order needs one. */
+  void Prepare(engine_change& change);
   void EnterStage(engine_change& change, change_stage stage);
   bool IsDrained(const engine_change& change, const upstream& row) const;
   bool HasEnded(const engine_change& change, const upstream& row) const;
--- a/src/libhawthorndrum/systems/order_system_journal.cpp
+++ b/src/libhawthorndrum/systems/order_system_journal.cpp
@@ -64,9 +64,10 @@
     engine_change change;
     change.order = row.order;
     change.adopted = true;
+    change.journalled = true;
     change.began = clock_.Now();
     engine_change& added = changes_[engine] = change;
-    EnterStage(added, NeedsDrain(row.order.kind) ? change_stage::kFirm : change_stage::kCommitting);
+    Prepare(added);
   }
 }
 
@@ -139,6 +140,7 @@
       it = changes_.erase(it);
       continue;
     }
+    change.journalled = true;
     change.stage = change_stage::kReady;
     change.next_send = clock_.Now();
     ++it;
--- a/tests/fakes/authority_bench.h
+++ b/tests/fakes/authority_bench.h
@@ -87,12 +87,15 @@
   /** The daemon that holds the lease by its own clock, or -1; counts all in `holders`. */
   int Holder(int* holders = nullptr);
   expected<order_id> Propose(int engine, engine_role role);
+  expected<order_id> Propose(const order_wish& wish);
 
   void Kill(int daemon);
   void Pause(int daemon, bool paused) { this->daemon(daemon).paused = paused; }
   void CutStore(int daemon, bool cut) { Set(no_store_, daemon, cut); }
   void CutEngines(int daemon, bool cut) { Set(no_engines_, daemon, cut); }
   void CutPeers(int daemon, bool cut) { Set(no_peers_, daemon, cut); }
+  /** The others no longer have it among their peers, nor on the host list. */
+  void Withdraw(int daemon) { withdrawn_.insert(daemon); }
   void Heal();
   void BeginRequest(int daemon, int engine);
   void EndRequests();
@@ -108,6 +111,13 @@
   /** Reports show the engines this many steps ago. */
   std::size_t report_lag = 0;
 
+  /** Whether a call for that object, written or read, is under way. */
+  bool HasStoreCall(const std::string& key, bool write) const;
+  /** Whether an order is at that place on its way. */
+  bool HasOrderInShell() const { return HasOrderAt(order_place::kInShell); }
+  bool HasOrderLookedAt() const { return HasOrderAt(order_place::kLooked); }
+  bool HasOrderAnswered() const { return HasOrderAt(order_place::kAnswered); }
+
   /** What is broken now; empty when every promise is kept. */
   std::string Broken();
 
@@ -133,6 +143,8 @@
     engine_order order;
     order_listener* listener = nullptr;
     order_place place = order_place::kInShell;
+    /** The engine's run that the connection leads to; it was made before the look at the clock. */
+    std::uint64_t run = 0;
     order_answer answer;
   };
   struct message_flight {
@@ -154,6 +166,12 @@
     int steps = 0;
   };
 
+  bool HasOrderAt(order_place place) const {
+    for (const order_flight& flight : order_flights_) {
+      if (flight.place == place) return true;
+    }
+    return false;
+  }
   static void Set(std::set<int>& set, int daemon, bool cut) {
     if (cut) {
       set.insert(daemon);
@@ -188,6 +206,7 @@
   std::set<int> no_store_;
   std::set<int> no_engines_;
   std::set<int> no_peers_;
+  std::set<int> withdrawn_;
   std::uint64_t last_call_ = 0;
   std::uint64_t last_life_ = 0;
   int steps_ = 0;
--- a/tests/fakes/authority_bench_moves.h
+++ b/tests/fakes/authority_bench_moves.h
@@ -143,6 +143,7 @@
       const bool in_time = sender.time.Now() < flight.order.send_by;
       flight.answer.outcome = order_outcome::kNotSent;
       flight.place = in_time ? order_place::kLooked : order_place::kAnswered;
+      flight.run = EngineAt(flight.address)->incarnation;
       order_flights_.push_back(std::move(flight));
       continue;
     }
@@ -150,11 +151,12 @@
     flight.place = order_place::kAnswered;
     if (no_engines_.count(flight.daemon) != 0) {
       flight.answer.outcome = order_outcome::kNotSent;
+    } else if (EngineAt(flight.address)->incarnation != flight.run) {
+      // The connection led to a run of the engine that is no more.
+      flight.answer.outcome = order_outcome::kUnknown;
     } else if (delay_orders > 0) {
       --delay_orders;
-      const fake_order_engine* engine = EngineAt(flight.address);
-      late_orders_.push_back(
-          {flight.order, flight.address, flight.daemon, 40, engine->incarnation});
+      late_orders_.push_back({flight.order, flight.address, flight.daemon, 40, flight.run});
       flight.answer.outcome = order_outcome::kUnknown;
     } else {
       flight.answer = Deliver(flight.order, flight.address, flight.daemon);
@@ -259,7 +261,7 @@
     daemon->peers.clear();
     for (const auto& other : daemons_) {
       const bool cut = no_peers_.count(daemon->number) != 0 || no_peers_.count(other->number) != 0;
-      if (other == daemon || cut) continue;
+      if (other == daemon || cut || withdrawn_.count(other->number) != 0) continue;
       daemon->peers.push_back({other->self(), other->incarnation, true, true});
     }
   }
@@ -268,6 +270,7 @@
 inline void authority_bench::GiveHostLists() {
   std::vector<host_entry> hosts;
   for (const auto& daemon : daemons_) {
+    if (withdrawn_.count(daemon->number) != 0) continue;
     host_entry entry;
     entry.address = bench_daemon::Address(daemon->number);
     entry.kind = host_kind::kDaemon;
@@ -279,6 +282,14 @@
   }
 }
 
+inline bool authority_bench::HasStoreCall(const std::string& key, bool write) const {
+  for (const store_flight& flight : store_flights_) {
+    const bool writes = flight.call.operation != store_operation::kGet;
+    if (flight.call.key == key && writes == write && !flight.applied) return true;
+  }
+  return false;
+}
+
 inline int authority_bench::Holder(int* holders) {
   int found = -1;
   int count = 0;
@@ -291,15 +302,19 @@
   return found;
 }
 
-inline expected<order_id> authority_bench::Propose(int engine, engine_role role) {
+inline expected<order_id> authority_bench::Propose(const order_wish& wish) {
   const int holder = Holder();
   if (holder < 0 || daemon(holder).paused) {
     return tl::unexpected(error{error_code::kUnavailable, "no holder"});
   }
+  return daemon(holder).core.orders->Propose(wish);
+}
+
+inline expected<order_id> authority_bench::Propose(int engine, engine_role role) {
   order_wish wish;
   wish.engine = this->engine(engine).id();
   wish.role = role;
-  return daemon(holder).core.orders->Propose(wish);
+  return Propose(wish);
 }
 
 inline void authority_bench::Kill(int number) {
@@ -318,6 +333,7 @@
   no_store_.clear();
   no_engines_.clear();
   no_peers_.clear();
+  withdrawn_.clear();
   lose_store_answers = delay_store_writes = lose_order_answers = 0;
   delay_orders = repeat_messages = lose_messages = 0;
   store_down = false;
--- a/tests/fakes/fake_order_engine.h
+++ b/tests/fakes/fake_order_engine.h
@@ -37,17 +37,21 @@
       answer.outcome = order_outcome::kAccepted;
       return answer;
     }
-    if (state_ == engine_state::kChanging) {
+    if (busy_) {
       answer.outcome = order_outcome::kBusy;
       return answer;
     }
     highest_ = std::max(highest_, order.term);
     effects.push_back({order, sender});
-    cut_requests += running;
-    running = 0;
+    // An adapter is loaded beside running requests; any other order takes the engine away.
+    if (order.kind != order_kind::kLoadAdapter) {
+      cut_requests += running;
+      running = 0;
+    }
     last_order_ = order.id;
     progress_ = order_progress::kRunning;
-    state_ = engine_state::kChanging;
+    state_ = order.kind == order_kind::kLoadAdapter ? state_ : engine_state::kChanging;
+    busy_ = true;
     current_ = order;
     left_ = change_time;
     answer.outcome = order_outcome::kAccepted;
@@ -55,10 +59,11 @@
   }
 
   void Advance(duration step) {
-    if (state_ != engine_state::kChanging) return;
+    if (!busy_) return;
     left_ -= step;
     if (left_ > duration(0)) return;
     state_ = engine_state::kReady;
+    busy_ = false;
     progress_ = fail_orders ? order_progress::kFailed : order_progress::kDone;
     if (fail_orders) return;
     if (current_.kind == order_kind::kSetRole) role = current_.role;
@@ -73,6 +78,7 @@
     last_order_ = order_id();
     progress_ = order_progress::kNone;
     state_ = engine_state::kReady;
+    busy_ = false;
   }
 
   bool Begin() {
@@ -114,6 +120,8 @@
   order_progress progress_ = order_progress::kNone;
   engine_state state_ = engine_state::kReady;
   engine_order current_;
+  /** Whether an order is being carried out. */
+  bool busy_ = false;
   duration left_{0};
 };
 
--- /dev/null
+++ b/tests/orders/fault_matrix.h
@@ -0,0 +1,34 @@
+/// The steps of leases and orders, and the faults that are put at each of them.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "authority_bench.h"
+
+namespace hawthorndrum {
+
+/** A moment in the life of a lease or an order: `reached` tells when the bench is there. */
+struct matrix_step {
+  std::string name;
+  std::function<bool(authority_bench&)> reached;
+  /** Whether the first holder is killed once the engine has the order, so that another adopts it.
+   */
+  bool after_adoption = false;
+};
+
+/** Something that goes wrong; `holder` is the daemon that holds, or last held, the lease. */
+struct matrix_fault {
+  std::string name;
+  std::function<void(authority_bench&, int holder)> strike;
+};
+
+std::vector<matrix_step> MatrixSteps();
+std::vector<matrix_fault> MatrixFaults();
+
+/** Runs one cell; returns what was broken, or an empty string. */
+std::string RunMatrixCell(const matrix_step& step, const std::vector<matrix_fault>& faults,
+                          bool checks_fencing);
+
+}  // namespace hawthorndrum
