--- a/src/hawthorndrumd/core.cpp
+++ b/src/hawthorndrumd/core.cpp
@@ -10,6 +10,7 @@
 #include "http_lookup_port.h"
 #include "ports/model_catalogue.h"
 #include "systems/authority.h"
+#include "systems/claim_admin.h"
 #include "systems/claim_system_builder.h"
 #include "systems/config_system_builder.h"
 #include "systems/demand_system.h"
@@ -118,6 +119,7 @@
   http_lookup_port lookups;
   lookup_answers lookup_turn;
   std::unique_ptr<claim_system> claims;
+  claim_admin claims_section;
   authority orders;
   std::unique_ptr<request_system> requests;
 };
@@ -154,6 +156,7 @@
                  .Incarnation(self)
                  .Lookup(lookups)
                  .Build()),
+      claims_section(*claims),
       orders(authority_builder(store, ports.engines, group->router(), upstreams, ports.time,
                                ports.random, ports.metrics, demand)
                  .DataCentre(settings.data_centre)
@@ -226,6 +229,7 @@
 void core::AddSections(admin_front& front) {
   for (admin_section* section : parts_->group->sections()) front.Add(*section);
   front.Add(*parts_->config);
+  front.Add(parts_->claims_section);
   front.Add(*parts_->orders.lease);
   front.Add(*parts_->orders.orders);
   front.Add(*parts_->orders.roles);
