--- a/src/libhawthorndrum/systems/claim_system_peers.cpp
+++ b/src/libhawthorndrum/systems/claim_system_peers.cpp
@@ -113,7 +113,10 @@
 
 void claim_system::TakeForward(peer_id from, const peer_message& message) {
   expected<claim_forward> forward = DecodeForward(message);
-  if (!forward || forward->change.kind == claim_change_kind::kVisit) {
+  const bool forwardable = forward && (forward->change.kind == claim_change_kind::kClaim ||
+                                       forward->change.kind == claim_change_kind::kSettle);
+  // A daemon speaks only for its own attempts.
+  if (!forwardable || forward->change.record.maker != from) {
     ports_.metrics.Counter("claim_messages_malformed").Add();
     return;
   }
