Test that every hop has a span of the caller's trace; keep a share of traces

Cause: nothing showed that spans reach a collector, and the setting trace_share was read but had no effect. Change: the exporter keeps a trace by its id, so that all daemons keep the same ones; an end-to-end test with a collector in the test. Measured: the test passes: a request span under the caller's span, an attempt under it. Conclusion: traces can be followed from caller to upstream.

--- a/src/hawthorndrumd/daemon.cpp
+++ b/src/hawthorndrumd/daemon.cpp
@@ -50,7 +50,8 @@
       engine_port_(calls_, ticks_),
       raw_store_(calls_, ticks_, settings_.object_api),
       host_list_(io, calls_, ticks_, random_, settings_.host_list),
-      traces_(io, calls_, clock_, metrics_, settings_.trace_exporter, settings_.peers_address),
+      traces_(io, calls_, clock_, metrics_, settings_.trace_exporter, settings_.peers_address,
+              settings_.trace_share),
       peer_links_(io),
       stop_timer_(io) {
   caller_front_.SetAnswers(caller_server_);
--- a/src/hawthorndrumd/otlp_exporter.cpp
+++ b/src/hawthorndrumd/otlp_exporter.cpp
@@ -39,25 +39,31 @@
 }  // namespace
 
 otlp_exporter::otlp_exporter(boost::asio::io_context& io, whole_calls& calls, const clock& time,
-                             metrics_registry& metrics, std::string address, std::string instance)
+                             metrics_registry& metrics, std::string address, std::string instance,
+                             double share)
     : timer_(io),
       calls_(calls),
       clock_(time),
       dropped_(metrics.Counter("trace_spans_dropped_total")),
       sent_(metrics.Counter("trace_spans_sent_total")),
       address_(std::move(address)),
-      instance_(std::move(instance)) {}
+      instance_(std::move(instance)),
+      share_(share) {}
 
 void otlp_exporter::Start() {
   if (!address_.empty()) Wait();
 }
 
 void otlp_exporter::Record(trace_span span) {
-  if (address_.empty()) return;
+  if (address_.empty() || !IsKept(span)) return;
   if (spans_.size() >= kSpansKept) return dropped_.Add();
   spans_.push_back(std::move(span));
 }
 
+bool otlp_exporter::IsKept(const trace_span& span) const {
+  return static_cast<double>(span.trace_low) * 0x1.0p-64 < share_;
+}
+
 void otlp_exporter::Wait() {
   timer_.expires_after(kInterval);
   timer_.async_wait([this](boost::system::error_code failed) {
--- a/src/hawthorndrumd/otlp_exporter.h
+++ b/src/hawthorndrumd/otlp_exporter.h
@@ -16,13 +16,14 @@
 class whole_calls;
 
 /**
- * Collects spans and sends them together. Spans over the bound are dropped and counted; without a
+ * Collects the spans of a share of all traces and sends them together. The trace's id decides, so
+ * that every daemon keeps the same traces. Spans over the bound are dropped and counted; without a
  * collector's address all are dropped.
  */
 class otlp_exporter : public trace_sink {
  public:
   otlp_exporter(boost::asio::io_context& io, whole_calls& calls, const clock& time,
-                metrics_registry& metrics, std::string address, std::string instance);
+                metrics_registry& metrics, std::string address, std::string instance, double share);
 
   void Start();
   void Record(trace_span span) override;
@@ -32,6 +33,7 @@
 
  private:
   void Wait();
+  bool IsKept(const trace_span& span) const;
   std::string Body() const;
   std::uint64_t UnixNanoseconds(time_point time) const;
 
@@ -42,6 +44,7 @@
   counter& sent_;
   std::string address_;
   std::string instance_;
+  double share_;
   std::vector<trace_span> spans_;
   bool sending_ = false;
 };
--- a/tests/end_to_end/fleet.cpp
+++ b/tests/end_to_end/fleet.cpp
@@ -80,6 +80,8 @@
        << "lease_duration: 3s\n"
        << "stop_grace: 200ms\n"
        << "seed_peers: [" << Peers(0) << "]\n";
+  if (options_.trace_exporter.empty()) return;
+  file << "trace_exporter: " << options_.trace_exporter << "\ntrace_share: 1\n";
 }
 
 void fleet::WriteHosts() {
--- a/tests/end_to_end/fleet.h
+++ b/tests/end_to_end/fleet.h
@@ -21,6 +21,8 @@
   std::vector<std::string> engine_arguments;
   std::vector<std::string> worker_arguments;
   bool engines_check_fencing = true;
+  /** Where daemons send their spans; empty for none. */
+  std::string trace_exporter;
 };
 
 /**
--- a/tests/end_to_end/test_end_to_end.cpp
+++ b/tests/end_to_end/test_end_to_end.cpp
@@ -2,6 +2,11 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "collector.h"
 #include "fleet.h"
 
 namespace hawthorndrum {
@@ -232,6 +237,33 @@
   EXPECT_GE(lost, 1);
 }
 
+TEST(EndToEnd, EveryHopHasASpanOfTheCallersTrace) {
+  web collecting;
+  collector spans(collecting.io());
+  fleet_options options;
+  options.trace_exporter = spans.address();
+  fleet served(options);
+  ASSERT_TRUE(served.WaitUntilServing());
+  const std::string trace = "0af7651916cd43dd8448eb211c80319c";
+  http_request request = fleet::Completion("traced", 2);
+  request.headers.push_back({"traceparent", "00-" + trace + "-b7ad6b7169203331-01"});
+  EXPECT_TRUE(served.http().Call(served.Callers(0), request).HasDone());
+  std::vector<collected_span> own;
+  EXPECT_TRUE(collecting.WaitUntil([&] {
+    own.clear();
+    for (const collected_span& span : spans.spans()) {
+      if (span.trace == trace) own.push_back(span);
+    }
+    return own.size() >= 2;
+  }));
+  const auto root = std::find_if(own.begin(), own.end(), [](const collected_span& span) {
+    return span.parent == "b7ad6b7169203331";
+  });
+  ASSERT_NE(root, own.end());
+  EXPECT_TRUE(std::any_of(own.begin(), own.end(),
+                          [&](const collected_span& span) { return span.parent == root->span; }));
+}
+
 TEST(EndToEnd, DaemonThatStartsInAnOutageTakesItsConfigurationFromAPeer) {
   fleet served;
   ASSERT_TRUE(served.WaitUntilServing());
--- a/tests/end_to_end/web.h
+++ b/tests/end_to_end/web.h
@@ -41,6 +41,7 @@
   web_exchange Call(const std::string& address, http_request request);
   nlohmann::json GetJson(const std::string& address, const std::string& target);
   bool WaitUntil(const std::function<bool()>& done);
+  boost::asio::io_context& io() { return io_; }
 
   void OnHead(http_call_id id, int status, std::vector<http_header> headers) override;
   void OnBody(http_call_id id, std::string bytes) override;
