--- a/tests/roles/test_roles.cpp
+++ b/tests/roles/test_roles.cpp
@@ -16,8 +16,16 @@
   role_prices prices;
 };
 
-price_case Hearthwell() { return {"Hearthwell", {kAwaySeconds, 240}}; }
-price_case Kurssivaraus() { return {"Kurssivaraus", {kAwaySeconds, 12}}; }
+/** `role_change_price` of the example settings is in units of the preset one. */
+price_case PriceOf(const char* name, double setting) {
+  role_prices prices;
+  prices.away_seconds = kAwaySeconds;
+  prices.role_change_price *= setting;
+  return {name, prices};
+}
+
+price_case Hearthwell() { return PriceOf("Hearthwell", 5); }
+price_case Kurssivaraus() { return PriceOf("Kurssivaraus", 0.5); }
 
 struct mix_row {
   mix_result planner;
