Look at the clock again right before an order's bytes leave

Cause: orders carry the time until which their lease is trusted, but the HTTP port sent them whenever the connection came up: a daemon frozen between its check and the connection would have sent an order after another had taken over. Change: a call may be given a question that is asked once connected, right before the first byte; orders ask the clock. An order held back is reported as not sent.

--- a/src/hawthorndrumd/daemon.cpp
+++ b/src/hawthorndrumd/daemon.cpp
@@ -47,7 +47,7 @@
       caller_server_(io, caller_front_, random_, metrics_, "callers", LimitsOf(settings_.limits)),
       admin_server_(io, admin_front_, random_, metrics_, "admin", AdminLimits()),
       upstream_port_(client_, ticks_),
-      engine_port_(calls_, ticks_),
+      engine_port_(calls_, ticks_, clock_),
       raw_store_(calls_, ticks_, settings_.object_api),
       host_list_(io, calls_, ticks_, random_, settings_.host_list),
       traces_(io, calls_, clock_, metrics_, settings_.trace_exporter, settings_.peers_address,
--- a/src/hawthorndrumd/http_engine_port.cpp
+++ b/src/hawthorndrumd/http_engine_port.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/role_names.h"
+#include "ports/clock.h"
 #include "ports/event_sink.h"
 #include "whole_calls.h"
 
@@ -129,6 +130,7 @@
   call.request.headers.push_back({"Content-Type", "application/json"});
   call.request.body = ToJson(order).dump();
   call.reuse = false;
+  call.may_send = [this, send_by = order.send_by] { return clock_.Now() < send_by; };
   call.total_timeout = kOrderTimeout;
   calls_.Start(std::move(call), [this, id = order.id, target = &listener](whole_answer ended) {
     events_.Post(order_answered{ToOrderAnswer(id, ended), target});
--- a/src/hawthorndrumd/http_engine_port.h
+++ b/src/hawthorndrumd/http_engine_port.h
@@ -5,12 +5,14 @@
 
 namespace hawthorndrum {
 
+class clock;
 class event_sink;
 class whole_calls;
 
 class http_engine_port : public engine_port {
  public:
-  http_engine_port(whole_calls& calls, event_sink& events) : calls_(calls), events_(events) {}
+  http_engine_port(whole_calls& calls, event_sink& events, const clock& time)
+      : calls_(calls), events_(events), clock_(time) {}
 
   void Order(std::string_view address, const engine_order& order,
              order_listener& listener) override;
@@ -19,6 +21,7 @@
  private:
   whole_calls& calls_;
   event_sink& events_;
+  const clock& clock_;
 };
 
 }  // namespace hawthorndrum
--- a/src/libtransport/http_call.h
+++ b/src/libtransport/http_call.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include "base/http_message.h"
@@ -28,6 +29,8 @@
   /** The longest time for the whole call; zero for no bound. */
   duration total_timeout{0};
   std::uint64_t answer_bytes = 64 * 1024 * 1024;
+  /** Asked once connected, right before the first byte; when false the call ends unsent. */
+  std::function<bool()> may_send;
 };
 
 }  // namespace hawthorndrum
--- a/src/libtransport/http_client.cpp
+++ b/src/libtransport/http_client.cpp
@@ -149,6 +149,7 @@
 
 void http_client::impl::running_call::Send() {
   if (over_) return;
+  if (call_.may_send && !call_.may_send()) return Fail(attempt_failure::kTimeout);
   bytes_sent_ = true;
   connection_->stream.expires_after(call_.idle_timeout);
   http::async_write(connection_->stream, *message_,
