Judge a report's age by how often its owner can poll

Cause: with few daemons and many engines, polls are up to 25 s apart, and reports older than 6 s made every daemon stand in for the others.

Change: a report is stale after two poll intervals and 2 s, between 6 and 20 s.

--- a/src/libhawthorndrum/systems/load_digest_system.cpp
+++ b/src/libhawthorndrum/systems/load_digest_system.cpp
@@ -26,8 +26,10 @@
 /** Ownership waits for the peers to be the same for this long, but not longer than the latter. */
 constexpr duration kSettleTime = seconds(1);
 constexpr duration kLongestSettle = seconds(5);
-/** A report this old makes the others poll one after another by rank, until one's word arrives. */
-constexpr duration kStale = seconds(6);
+/** A report this old, and older than two polls take, makes the others poll one after another by
+ * rank, until one's word arrives. */
+constexpr duration kShortestStale = seconds(6);
+constexpr duration kLongestStale = seconds(20);
 constexpr duration kStandInStep = milliseconds(500);
 constexpr duration kLongestStandInWait = seconds(5);
 constexpr duration kFreshWord = seconds(3);
@@ -100,12 +102,13 @@
     place = row == nullptr ? owned_.erase(place) : std::next(place);
   }
   std::size_t stale = 0;
+  const duration stale_after = StaleAfter();
   for (const upstream& row : upstreams_) {
     if (row.kind != host_kind::kEngine) continue;
     const std::size_t rank = RankFor(row.id);
     const auto present = owned_.find(row.id);
     const duration age = now - row.report_time;
-    const bool is_stale = row.has_report && age > kStale;
+    const bool is_stale = row.has_report && age > stale_after;
     if (is_stale) ++stale;
     if (rank == 0) {
       if (present == owned_.end()) {
@@ -119,8 +122,8 @@
       const duration wait =
           std::min<duration>(kStandInStep * static_cast<int>(rank), kLongestStandInWait);
       // An owner that came lately is given time for its first word.
-      const bool had_time = now - peers_changed_ > kStale + wait;
-      if (row.has_report && had_time && age > kStale + wait) Own(row.id, now, true);
+      const bool had_time = now - peers_changed_ > stale_after + wait;
+      if (row.has_report && had_time && age > stale_after + wait) Own(row.id, now, true);
       continue;
     }
     // Another owns it: let go, but stand in until one of better rank is heard to tell of it.
@@ -164,6 +167,12 @@
   return std::clamp<duration>(interval, kShortestPollInterval, kLongestPollInterval);
 }
 
+duration load_digest_system::StaleAfter() const {
+  // The others own about as many engines, and poll them about as often.
+  const duration two_polls = 2 * PollInterval() + seconds(2);
+  return std::clamp<duration>(two_polls, kShortestStale, kLongestStale);
+}
+
 void load_digest_system::PollDue(time_point now) {
   const duration interval = PollInterval();
   poll_tokens_ = std::min(kMostPollsAtOnce,
--- a/src/libhawthorndrum/systems/load_digest_system.h
+++ b/src/libhawthorndrum/systems/load_digest_system.h
@@ -99,6 +99,8 @@
   void PollDue(time_point now);
   double PollsPerSecond() const;
   duration PollInterval() const;
+  /** The age from which on a report's owner is taken to be unheard. */
+  duration StaleAfter() const;
   /**
    * Takes a report that `source` made or passed on. What one source says comes in order and
    * replaces what it said before; between sources the newer report wins.
