--- a/src/libhawthorndrum/systems/load_digest_system.cpp
+++ b/src/libhawthorndrum/systems/load_digest_system.cpp
@@ -30,6 +30,8 @@
  * rank, until one's word arrives. */
 constexpr duration kShortestStale = seconds(6);
 constexpr duration kLongestStale = seconds(20);
+/** An owner that came lately is not stood in for until then. */
+constexpr duration kFirstWordTime = seconds(5);
 constexpr duration kStandInStep = milliseconds(500);
 constexpr duration kLongestStandInWait = seconds(5);
 constexpr duration kFreshWord = seconds(3);
@@ -121,8 +123,7 @@
     if (present == owned_.end()) {
       const duration wait =
           std::min<duration>(kStandInStep * static_cast<int>(rank), kLongestStandInWait);
-      // An owner that came lately is given time for its first word.
-      const bool had_time = now - peers_changed_ > stale_after + wait;
+      const bool had_time = now - peers_changed_ > kFirstWordTime;
       if (row.has_report && had_time && age > stale_after + wait) Own(row.id, now, true);
       continue;
     }
@@ -200,7 +201,7 @@
   upstream* row = upstreams_.Find(report.upstream);
   if (row == nullptr) return;
   peer_id& held_source = sources_[report.upstream];
-  // Ages pass over the wait for a frame, so times of one source may seem to stand still.
+  // Ages pass over the way of a message, so times of one source may seem to stand still.
   const bool in_order = held_source == source;
   if (row->has_report && made <= row->report_time && !in_order) return;
   held_source = source;
--- a/src/libhawthorndrum/systems/membership_system.cpp
+++ b/src/libhawthorndrum/systems/membership_system.cpp
@@ -271,8 +271,10 @@
   const bool is_silent = now - row.heard > kProbeAfter;
   if ((is_silent || !linked) && IsOwnDataCentre(row)) ProbeIndirectly(row, now);
   if (row.state == peer_state::kAlive) {
+    // A link that was silent before it went down says nothing new by going down.
+    const bool was_heard = row.unlinked_at - row.heard < kProbeAfter;
     const bool reset =
-        !linked && now - row.unlinked_at > kResetGrace && last_sign <= row.unlinked_at;
+        !linked && was_heard && now - row.unlinked_at > kResetGrace && last_sign <= row.unlinked_at;
     if (reset || now - last_sign > kSuspectAfter) SetState(row, peer_state::kSuspect);
   } else if (row.vouched > row.state_since) {
     SetState(row, peer_state::kAlive);
--- a/src/libhawthorndrum/systems/peer_router.cpp
+++ b/src/libhawthorndrum/systems/peer_router.cpp
@@ -24,7 +24,6 @@
 bool MayWait(peer_topic topic) {
   switch (topic) {
     case peer_topic::kHeartbeat:
-    case peer_topic::kLoadDelta:
     case peer_topic::kCacheHint:
     case peer_topic::kStatus:
       return true;
