--- a/src/libhawthorndrum/systems/config_gossip.cpp
+++ b/src/libhawthorndrum/systems/config_gossip.cpp
@@ -12,6 +12,8 @@
 constexpr duration kRound = seconds(1);
 constexpr duration kStatusInterval = seconds(10);
 constexpr std::size_t kMostDataCentres = 256;
+/** A data centre that was not heard for so long has been given up, not cut off. */
+constexpr duration kForgetDataCentre = std::chrono::hours(1);
 
 }  // namespace
 
@@ -38,6 +40,7 @@
   if (now < next_round_) return;
   next_round_ = now + kRound;
   ForgetGonePeers();
+  ForgetGoneDataCentres();
   TellOne(true);
   TellOne(false);
   SendOwnStatus();
@@ -134,4 +137,11 @@
   }
 }
 
+void config_gossip::ForgetGoneDataCentres() {
+  for (auto one = remote_.begin(); one != remote_.end();) {
+    const bool gone = now_ - one->second.heard > kForgetDataCentre;
+    one = gone ? remote_.erase(one) : std::next(one);
+  }
+}
+
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/systems/config_gossip.h
+++ b/src/libhawthorndrum/systems/config_gossip.h
@@ -52,6 +52,7 @@
   void SendOwnStatus();
   void Forward(const config_status& status);
   void ForgetGonePeers();
+  void ForgetGoneDataCentres();
 
   peer_port& peers_;
   random_source& random_;
--- a/tests/config/test_config.cpp
+++ b/tests/config/test_config.cpp
@@ -248,6 +248,24 @@
   EXPECT_EQ(fleet.config(0).LowestKnown(), generation(2));
 }
 
+TEST(Config, ADataCentreThatWasGivenUpIsForgotten) {
+  fake_object_store store;
+  PublishNow(store, MakeRequest(7, "ann", {MakeService("a")}));
+  config_fleet fleet(store, 2, 2);
+  ASSERT_GE(fleet.StepsUntil(generation(1), kStepsIn8Seconds), 0);
+  fleet.Steps(kStepsIn8Seconds);
+  fleet.Kill(2);
+  fleet.Kill(3);
+  PublishNow(store, MakeRequest(8, "ann", {MakeService("a", 9)}));
+  ASSERT_GE(fleet.StepsUntil(generation(2), kStepsIn8Seconds), 0);
+  fleet.time().Advance(std::chrono::minutes(50));
+  fleet.Steps(kStepsIn8Seconds);
+  EXPECT_EQ(fleet.config(0).LowestKnown(), generation(1)) << "it may only be cut off";
+  fleet.time().Advance(std::chrono::minutes(15));
+  fleet.Steps(kStepsIn8Seconds);
+  EXPECT_EQ(fleet.config(0).LowestKnown(), generation(2));
+}
+
 TEST(Config, ReportsOneService) {
   fake_object_store store;
   PublishNow(store, MakeRequest(7, "ann", {MakeService("a", 3)}));
