Let the claims' random sequences run more requests

Change: progress is drawn more often against faults, and sequences are longer; the check stays. Conclusion: the sequences get further into a claim's life.

--- a/tests/claims/test_claim_sequences.cpp
+++ b/tests/claims/test_claim_sequences.cpp
@@ -56,7 +56,7 @@
 
 rc::Gen<step> AnyStep() {
   const auto last = static_cast<unsigned>(step_kind::kCount);
-  const auto kinds = last + 3U * static_cast<unsigned>(kProgress.size());
+  const auto kinds = last + 5U * static_cast<unsigned>(kProgress.size());
   return rc::gen::map(rc::gen::tuple(rc::gen::inRange(0U, kinds), rc::gen::inRange(0U, 1000U),
                                      rc::gen::inRange(0U, 1000U)),
                       [last](const std::tuple<unsigned, unsigned, unsigned>& drawn) {
@@ -240,7 +240,7 @@
   options.forward = forward;
   player p(daemons, options);
   const auto steps =
-      *rc::gen::resize(400, rc::gen::container<std::vector<step>>(AnyStep())).as("steps");
+      *rc::gen::resize(600, rc::gen::container<std::vector<step>>(AnyStep())).as("steps");
   RC_ASSERT(PlayAll(p, steps) == "");
   for (int i = 0; i < daemons; ++i) {
     // Whatever is still open waits for its own request to end, and for nothing else.
