Be ready only with a configuration in force; log changes of state

Cause: a daemon alone with nothing called itself ready and refused every service; and operators saw no line when the lease, the store or the configuration changed. Change: /readyz follows the configuration; a system logs changes of generation, lease, breaker and peers alive. Conclusion: the balancer sends callers only to daemons that can serve.

--- a/src/hawthorndrumd/caller_front.cpp
+++ b/src/hawthorndrumd/caller_front.cpp
@@ -7,6 +7,7 @@
 
 #include "ports/caller_port.h"
 #include "ports/event_sink.h"
+#include "readiness.h"
 
 namespace hawthorndrum {
 
@@ -23,8 +24,8 @@
     return answers_->Answer(request, PlainAnswer(200, "alive\n"));
   }
   if (message.target == "/readyz") {
-    return answers_->Answer(request,
-                            ready_ ? PlainAnswer(200, "ready\n") : PlainAnswer(503, "not ready\n"));
+    return answers_->Answer(
+        request, ready_.IsReady() ? PlainAnswer(200, "ready\n") : PlainAnswer(503, "not ready\n"));
   }
   events_.Post(request_arrived{request, std::move(message)});
 }
--- a/src/hawthorndrumd/caller_front.h
+++ b/src/hawthorndrumd/caller_front.h
@@ -7,27 +7,25 @@
 
 class caller_port;
 class event_sink;
+class readiness;
 
 /**
- * Readiness is what the platform's balancer goes by; a daemon that is stopping is not ready but
- * still answers.
+ * A daemon that is not ready still answers; the platform's balancer keeps callers away from it.
  */
 class caller_front : public http_handler {
  public:
-  explicit caller_front(event_sink& events) : events_(events) {}
+  caller_front(event_sink& events, const readiness& ready) : events_(events), ready_(ready) {}
 
   /** The port that answers health checks; set once, before requests come. */
   void SetAnswers(caller_port& answers) { answers_ = &answers; }
-  void SetReady(bool ready) { ready_ = ready; }
-  bool ready() const { return ready_; }
 
   void OnRequest(request_id request, http_request message) override;
   void OnCallerGone(request_id request) override;
 
  private:
   event_sink& events_;
+  const readiness& ready_;
   caller_port* answers_ = nullptr;
-  bool ready_ = false;
 };
 
 }  // namespace hawthorndrum
--- a/src/hawthorndrumd/core.cpp
+++ b/src/hawthorndrumd/core.cpp
@@ -9,6 +9,7 @@
 #include "base/hash.h"
 #include "http_lookup_port.h"
 #include "ports/model_catalogue.h"
+#include "state_log.h"
 #include "systems/authority.h"
 #include "systems/claim_admin.h"
 #include "systems/claim_system_builder.h"
@@ -122,6 +123,7 @@
   claim_admin claims_section;
   authority orders;
   std::unique_ptr<request_system> requests;
+  state_log log;
 };
 
 core::parts::parts(const daemon_settings& settings, incarnation_id self, const core_ports& ports)
@@ -178,7 +180,8 @@
                    .Demand(demand)
                    .DataCentre(settings.data_centre)
                    .Incarnation(self)
-                   .Build()) {
+                   .Build()),
+      log(*config, *orders.lease, store, group->router()) {
   Register();
 }
 
@@ -224,6 +227,7 @@
   loop.Add(parts_->lookup_turn);
   loop.Add(*parts_->claims);
   loop.Add(*parts_->requests);
+  loop.Add(parts_->log);
 }
 
 void core::AddSections(admin_front& front) {
@@ -248,6 +252,8 @@
   parts_->orders.lease->Stop();
 }
 
+bool core::configured() const { return parts_->config->current() != generation(); }
+
 std::size_t core::in_flight() const { return parts_->requests->in_flight(); }
 
 }  // namespace hawthorndrum
--- a/src/hawthorndrumd/daemon.cpp
+++ b/src/hawthorndrumd/daemon.cpp
@@ -42,7 +42,7 @@
       ticks_(io, *this, clock_, metrics_),
       client_(io),
       calls_(client_),
-      caller_front_(ticks_),
+      caller_front_(ticks_, *this),
       admin_front_(settings_.admin_token, metrics_),
       caller_server_(io, caller_front_, random_, metrics_, "callers", LimitsOf(settings_.limits)),
       admin_server_(io, admin_front_, random_, metrics_, "admin", AdminLimits()),
@@ -78,7 +78,6 @@
   host_list_.Start();
   traces_.Start();
   ticks_.Start();
-  caller_front_.SetReady(true);
   LOG(INFO) << "started data_centre=" << settings_.data_centre
             << " callers=" << settings_.callers_address << " peers=" << settings_.peers_address
             << " admin=" << settings_.admin_address << " incarnation=" << incarnation_.value();
@@ -111,8 +110,8 @@
 }
 
 void daemon::BeginStop() {
-  if (!caller_front_.ready()) return;
-  caller_front_.SetReady(false);
+  if (stopping_) return;
+  stopping_ = true;
   LOG(INFO) << "stopping: not ready, in_flight=" << core_->in_flight();
   stop_timer_.expires_after(settings_.stop_grace);
   stop_timer_.async_wait([this](boost::system::error_code failed) {
@@ -146,6 +145,8 @@
   });
 }
 
+bool daemon::IsReady() const { return !stopping_ && core_->configured(); }
+
 void daemon::Receive(event happened) { core_->Receive(std::move(happened)); }
 
 }  // namespace hawthorndrum
--- a/src/hawthorndrumd/daemon.h
+++ b/src/hawthorndrumd/daemon.h
@@ -20,6 +20,7 @@
 #include "http_upstream_port.h"
 #include "otlp_exporter.h"
 #include "peer_link_server.h"
+#include "readiness.h"
 #include "system_random_source.h"
 #include "systems/event_receiver.h"
 #include "tables/daemon_settings.h"
@@ -34,7 +35,7 @@
 /**
  * Owns the sockets and the core. All of it runs on the thread that runs the io_context.
  */
-class daemon : public event_receiver {
+class daemon : public event_receiver, public readiness {
  public:
   daemon(boost::asio::io_context& io, daemon_settings settings);
   ~daemon() override;
@@ -50,6 +51,8 @@
   expected<void> RereadTls();
 
   void Receive(event happened) override;
+  /** Once a configuration is in force, until a stop begins. */
+  bool IsReady() const override;
 
  private:
   expected<void> StartServer(http_server& server, const tls_settings& tls,
@@ -78,6 +81,7 @@
   otlp_exporter traces_;
   peer_link_server peer_links_;
   boost::asio::steady_timer stop_timer_;
+  bool stopping_ = false;
   std::unique_ptr<core> core_;
 };
 
