Mend poison requests that took down four engines as real processes

Two reasons: bytes that were still on their way when an engine was lost counted as proof that it lives and cleared the suspects; and a kept connection that breaks is tried again by the transport, whose failure is then reported as not connected with bytes sent, which made no suspect. Change: bytes prove life only a second after the loss; bytes sent and not connected is a loss too. The fake engine now does both. Conclusion: the fakes had been too kind.

--- a/src/libhawthorndrum/systems/poison_system.cpp
+++ b/src/libhawthorndrum/systems/poison_system.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t kMostStrikes = 4;
 /** A report that old may still show the run that ended. */
 constexpr duration kReportMargin = seconds(6);
+/** Bytes that were on their way when the upstream was lost have come by then. */
+constexpr duration kBytesMargin = seconds(1);
 constexpr duration kReadReportsPeriod = seconds(1);
 constexpr duration kGossipPeriod = seconds(2);
 constexpr std::size_t kGossipRows = 16;
@@ -103,11 +105,12 @@
   unsent_.news.push_back({fingerprint, {}, duration::zero(), true});
 }
 
-void poison_system::Alive(const crash_event& event, time_point sent) {
+void poison_system::Alive(const crash_event& event, time_point sent, time_point now) {
   if (rows_.empty() || !IsOpen(event)) return;
   for (const fingerprint_row& row : rows_) {
     for (const strike& one : row.strikes) {
       if (!(one.event == event) || sent >= one.seen) continue;
+      if (now - one.seen < kBytesMargin) continue;
       unsent_.alive.push_back(event);
       return Withdraw(event);
     }
--- a/src/libhawthorndrum/systems/poison_system.h
+++ b/src/libhawthorndrum/systems/poison_system.h
@@ -46,8 +46,8 @@
   void Lost(std::uint64_t fingerprint, const crash_event& event, bool alone, time_point now);
   /** The request was answered whole. */
   void Answered(std::uint64_t fingerprint, time_point now);
-  /** An attempt that was sent before `event` was seen still brings bytes. */
-  void Alive(const crash_event& event, time_point sent);
+  /** An attempt that was sent before `event` was seen still brings bytes, long after it. */
+  void Alive(const crash_event& event, time_point sent, time_point now);
 
   void Hear(const suspect_message& message, time_point now);
   /** What is held against the fingerprint, to pass on. */
--- a/src/libhawthorndrum/systems/request_attempts.cpp
+++ b/src/libhawthorndrum/systems/request_attempts.cpp
@@ -92,7 +92,8 @@
     routing_.FirstToken(*request, attempt->upstream, now);
     if (!request->began) answers_.RecordFirstToken(*request, now);
   }
-  poison_.Alive({attempt->upstream, attempt->upstream_incarnation}, attempt->sent);
+  poison_.Alive({attempt->upstream, attempt->upstream_incarnation}, attempt->sent,
+                ports_.time->Now());
   if (attempt->relays) return Relay(*attempt, *request, bytes.bytes);
   Collect(*attempt, *request, bytes.bytes);
 }
@@ -215,7 +216,9 @@
   problem.why = UpstreamFailed(what, FailureText(lost.failure));
   problem.may_have_run = lost.bytes_sent;
   problem.upstream_failed = lost.failure != attempt_failure::kMalformed;
-  problem.crashed = lost.bytes_sent && lost.failure == attempt_failure::kConnectionLost;
+  // A kept connection that broke and could not be made again is reported as not connected.
+  problem.crashed = lost.bytes_sent && (lost.failure == attempt_failure::kConnectionLost ||
+                                        lost.failure == attempt_failure::kNotConnected);
   Recover(*attempt, problem, false);
 }
 
--- a/tests/fakes/fake_engine.h
+++ b/tests/fakes/fake_engine.h
@@ -70,8 +70,15 @@
     incarnation += 1;
     std::list<job> lost;
     lost.swap(jobs_);
-    for (const job& one : lost) {
-      one.listener.lost({one.attempt, attempt_failure::kConnectionLost, true});
+    lost.sort([](const job& a, const job& b) { return a.crashes > b.crashes; });
+    for (job& one : lost) {
+      // Bytes that were on their way still come, and a kept connection may have been tried again.
+      if (one.has_head) MakeToken(one);
+      one.listener.lost({one.attempt,
+                         one.has_head || one.attempt.value() % 2 == 0
+                             ? attempt_failure::kConnectionLost
+                             : attempt_failure::kNotConnected,
+                         true});
     }
     events_.After(kDownFor, [this] { is_down = false; });
   }
--- a/tests/poison/test_poison.cpp
+++ b/tests/poison/test_poison.cpp
@@ -68,6 +68,44 @@
   EXPECT_NE(fleet.daemons[0]->Caller(id).status, 422);
 }
 
+/// Bytes that were on their way when an engine was lost are no proof that it lives.
+TEST(Poison, LateBytesOfALostEngineClearNobody) {
+  request_path path;
+  path.AddEngine("e:1");
+  path.Chat("innocent");
+  const sent_attempt innocent = path.Last();
+  path.Chat("CRASH");
+  const sent_attempt poison = path.Last();
+  path.AddEngine("e:2");
+  path.Tick(milliseconds(100));
+  path.Head(innocent.attempt);
+  path.Lose(poison.attempt);
+  path.Bytes(innocent.attempt, request_path::Tokens(0, 1));
+  path.Lose(innocent.attempt);
+  path.Tick(milliseconds(200));
+  // They run one after the other: the other waits while one is alone at the engine that is left.
+  EXPECT_EQ(path.port.sent.size(), 3U);
+  const auto standing = path.system->poison().Report("");
+  ASSERT_TRUE(standing.has_value());
+  EXPECT_EQ((*standing)["fingerprints"].size(), 2U);
+}
+
+TEST(Poison, BytesLongAfterALossShowThatOnlyAConnectionWasCut) {
+  request_path path;
+  path.AddEngine("e:1");
+  path.Chat("streams on");
+  const sent_attempt streams = path.Last();
+  path.Chat("cut");
+  const sent_attempt cut = path.Last();
+  path.AddEngine("e:2");
+  path.Tick(milliseconds(100));
+  path.Head(streams.attempt);
+  path.Lose(cut.attempt);
+  path.Tick(seconds(2));
+  path.Bytes(streams.attempt, request_path::Tokens(0, 1));
+  EXPECT_EQ((*path.system->poison().Report(""))["fingerprints"].size(), 0U);
+}
+
 RC_GTEST_PROP(Poison, InnocentsAreAnsweredWhateverTheOrder, ()) {
   const auto daemons = *rc::gen::inRange(1, 5);
   const auto engines = *rc::gen::inRange(4, 7);
