Let a starting daemon wait for its engines' first reports

Cause: as real processes two daemons drew different candidates for the same poison request in their first seconds, because each had reports of other engines only: 3 and 4 of 4 engines were lost in the end-to-end test. Change: until each engine of the data centre has reported, for at most 6 s after the start, requests whose like was never answered wait; is_settled() tells. Conclusion: the two fixed candidates need equal views; a daemon that is not settled should not be called ready.

--- a/src/libhawthorndrum/systems/request_system.h
+++ b/src/libhawthorndrum/systems/request_system.h
@@ -60,6 +60,12 @@
   /** Requests that are not over, those without a caller included. */
   std::size_t in_flight() const { return requests_.size(); }
 
+  /**
+   * Whether this daemon knows its engines well enough to route like its peers. Before, requests
+   * whose like was never answered wait: it should not be called ready.
+   */
+  bool is_settled() const { return routing_.is_settled(); }
+
   /** The admin section `why`. */
   admin_section& why() { return decisions_; }
   /** The admin section `poison`. */
--- a/src/libhawthorndrum/systems/routing_system.cpp
+++ b/src/libhawthorndrum/systems/routing_system.cpp
@@ -34,6 +34,9 @@
 std::optional<routing_choice> routing_system::Choose(const request_row& request,
                                                      time_point now) const {
   const std::uint64_t key = upstream_index::KeyOf(*request.service);
+  // Its two upstreams must be the same at all daemons.
+  const bool must_settle = !index_.is_settled() && !IsProven(request.fingerprint);
+  if (must_settle && request.service->kind == service_kind::kModel) return std::nullopt;
   if (const upstream_group* own = index_.Find(key, true)) {
     if (auto choice = ChooseIn(*own, request, now)) return choice;
   }
--- a/src/libhawthorndrum/systems/routing_system.h
+++ b/src/libhawthorndrum/systems/routing_system.h
@@ -75,6 +75,8 @@
   /** Whether a request of that fingerprint was answered whole lately. */
   bool IsProven(std::uint64_t fingerprint) const;
 
+  bool is_settled() const { return index_.is_settled(); }
+
   own_work& work() { return work_; }
   prefix_index& prefixes() { return prefixes_; }
 
--- a/src/libhawthorndrum/systems/upstream_index.cpp
+++ b/src/libhawthorndrum/systems/upstream_index.cpp
@@ -46,6 +46,8 @@
 void upstream_index::Refresh(time_point now) {
   if (built_ && now - refreshed_ < kRefreshPeriod) return;
   refreshed_ = now;
+  if (!built_) started_ = now;
+  is_settled_ = is_settled_ || now - started_ >= kLongestSettling || HasAllReports();
   const std::uint64_t signature = Signature();
   if (built_ && signature == signature_) return;
   signature_ = signature;
@@ -76,6 +78,14 @@
   return sum;
 }
 
+bool upstream_index::HasAllReports() const {
+  return !upstreams_.empty() &&
+         std::all_of(upstreams_.begin(), upstreams_.end(), [&](const upstream& row) {
+           return row.kind != host_kind::kEngine || row.has_report ||
+                  row.data_centre != own_data_centre_;
+         });
+}
+
 void upstream_index::Rebuild() {
   own_.clear();
   others_.clear();
--- a/src/libhawthorndrum/systems/upstream_index.h
+++ b/src/libhawthorndrum/systems/upstream_index.h
@@ -34,11 +34,19 @@
  public:
   static constexpr int kPointsPerUpstream = 8;
   static constexpr duration kRefreshPeriod = milliseconds(100);
+  /** How long after its start a daemon waits for the first report of each engine. */
+  static constexpr duration kLongestSettling = seconds(6);
 
   upstream_index(const upstream_table& upstreams, std::string own_data_centre);
 
   void Refresh(time_point now);
 
+  /**
+   * Whether this daemon has, since its start, seen a report of each engine of its data centre, or
+   * has waited long enough. Until then its groups may differ from those of other daemons.
+   */
+  bool is_settled() const { return is_settled_; }
+
   /** Returns the group, or nullptr when no upstream belongs to it. */
   const upstream_group* Find(std::uint64_t key, bool own_data_centre) const;
 
@@ -50,6 +58,7 @@
 
  private:
   std::uint64_t Signature() const;
+  bool HasAllReports() const;
   void Rebuild();
   void Add(std::uint64_t key, const upstream& row);
 
@@ -60,6 +69,8 @@
   std::uint64_t signature_ = 0;
   time_point refreshed_;
   bool built_ = false;
+  time_point started_;
+  bool is_settled_ = false;
 };
 
 }  // namespace hawthorndrum
--- a/tests/routing/test_routing.cpp
+++ b/tests/routing/test_routing.cpp
@@ -33,6 +33,8 @@
     if (drawn == 7) row.avoid_until = path.time.Now() + seconds(100);
     if (drawn == 0) fit.insert(address);
   }
+  path.Tick();
+  path.Tick(upstream_index::kLongestSettling);
   for (int i = 0; i < 10; ++i) path.Chat("x" + std::to_string(i));
   for (const sent_attempt& one : path.port.sent) RC_ASSERT(fit.count(one.address) == 1U);
   RC_ASSERT(path.port.sent.empty() == fit.empty());
@@ -105,6 +107,21 @@
   EXPECT_LE(met.size(), 2U);
 }
 
+TEST(Routing, AStartingDaemonWaitsForTheFirstReports) {
+  request_path path;
+  path.AddEngine("e:1");
+  path.AddEngine("e:2").has_report = false;
+  path.Chat("x");
+  path.Tick(milliseconds(200));
+  EXPECT_TRUE(path.port.sent.empty());
+  path.At("e:2").has_report = true;
+  path.Tick(milliseconds(200));
+  EXPECT_EQ(path.port.sent.size(), 1U);
+  path.AddEngine("e:3").has_report = false;
+  path.Chat("y");
+  EXPECT_EQ(path.port.sent.size(), 2U);
+}
+
 TEST(Routing, AProvenRequestSpreads) {
   request_path path;
   for (int i = 0; i < 20; ++i) path.AddEngine("e:" + std::to_string(i));
