Learn an engine's rate from engines that have work waiting

A fleet slower than the preset rates was planned as faster than it is: its engines never got more of a role than the presets asked for. Reports of engines with work waiting now move the estimate, others only raise it.

--- a/src/libhawthorndrum/systems/role_system.cpp
+++ b/src/libhawthorndrum/systems/role_system.cpp
@@ -11,13 +11,23 @@
 namespace hawthorndrum {
 namespace {
 
-/** What is left of a peak rate after one planning step without a new one. */
-constexpr double kPeakKept = 0.9995;
+/** How much of a busy engine's rate goes into the estimate each time. */
+constexpr double kRateShare = 0.02;
 /** How long an engine whose last order failed is left alone. */
 constexpr duration kFailureRest = seconds(600);
 
 std::string KeyOf(const model_use& model) { return model.name + "@" + model.version; }
 
+/** An engine with work waiting shows what it can do; one without shows the least that it can. */
+void NoteRate(double& estimate, double shown, bool busy) {
+  if (shown <= 0) return;
+  if (busy) {
+    estimate += kRateShare * (shown - estimate);
+  } else {
+    estimate = std::max(estimate, shown);
+  }
+}
+
 bool HasModel(const upstream& engine, const model_use& wanted) {
   for (const loaded_model& model : engine.report.models) {
     if (model.name == wanted.name && model.version == wanted.version) return true;
@@ -108,20 +118,25 @@
     }
   }
   for (auto& [key, pool] : pools) {
-    peak_rates& peak = rates_[key];
-    NoteRates(pool, peak);
-    pool.fleet.prefill_rate = std::max(peak.prefill, settings_.placement.prefill_rate);
-    pool.fleet.decode_rate = std::max(peak.decode, settings_.placement.decode_rate);
+    engine_rates& rates = rates_[key];
+    NoteRates(pool, rates);
+    pool.fleet.prefill_rate = rates.prefill;
+    pool.fleet.decode_rate = rates.decode;
   }
   return pools;
 }
 
-void role_system::NoteRates(const pool& pool, peak_rates& peak) const {
-  peak.prefill *= kPeakKept;
-  peak.decode *= kPeakKept;
+void role_system::NoteRates(const pool& pool, engine_rates& rates) const {
+  if (rates.prefill <= 0) rates.prefill = settings_.placement.prefill_rate;
+  if (rates.decode <= 0) rates.decode = settings_.placement.decode_rate;
   for (const upstream* engine : pool.engines) {
-    peak.prefill = std::max(peak.prefill, engine->report.prefill_tokens_per_second);
-    peak.decode = std::max(peak.decode, engine->report.decode_tokens_per_second);
+    const load_report& report = engine->report;
+    const bool busy = report.queued > 0;
+    if (report.role == engine_role::kPrefill) {
+      NoteRate(rates.prefill, report.prefill_tokens_per_second, busy);
+    } else if (report.role == engine_role::kDecode) {
+      NoteRate(rates.decode, report.decode_tokens_per_second, busy);
+    }
   }
 }
 
--- a/src/libhawthorndrum/systems/role_system.h
+++ b/src/libhawthorndrum/systems/role_system.h
@@ -49,8 +49,8 @@
     std::uint32_t floor = 1;
   };
 
-  /** What an engine of a role was seen to do at its best; falls slowly. */
-  struct peak_rates {
+  /** What one engine of a role does in a second, in tokens; the preset until one was seen busy. */
+  struct engine_rates {
     double prefill = 0;
     double decode = 0;
   };
@@ -64,7 +64,7 @@
   std::map<std::string, pool> Pools(const std::vector<model_demand>& demand);
   void AddToPool(pool& pool, const upstream& engine) const;
   engine_role RoleOf(const upstream& engine) const;
-  void NoteRates(const pool& pool, peak_rates& peak) const;
+  void NoteRates(const pool& pool, engine_rates& rates) const;
   void PlanRoles(const std::vector<model_demand>& demand, duration elapsed, time_point now);
   void ChangeOne(const pool& pool, std::size_t wanted, time_point now);
   const upstream* Choose(const pool& pool, engine_role from, time_point now) const;
@@ -81,7 +81,7 @@
   placement_planner placement_;
   weight_budget budget_;
   std::map<std::string, role_planner> planners_;
-  std::map<std::string, peak_rates> rates_;
+  std::map<std::string, engine_rates> rates_;
   std::map<upstream_id, role_target> targets_;
   std::map<upstream_id, time_point> changed_at_;
   time_point planned_at_;
--- a/tests/fakes/fake_order_engine.h
+++ b/tests/fakes/fake_order_engine.h
@@ -95,6 +95,9 @@
     report.state = state_;
     report.models = models;
     report.running = running;
+    report.queued = queued;
+    report.prefill_tokens_per_second = role == engine_role::kPrefill ? shown_rate : 0;
+    report.decode_tokens_per_second = role == engine_role::kDecode ? shown_rate : 0;
     report.term = highest_;
     report.last_order = last_order_;
     report.last_order_progress = progress_;
@@ -110,6 +113,9 @@
   std::uint64_t incarnation = 1;
   std::uint32_t running = 0;
   std::uint32_t cut_requests = 0;
+  std::uint32_t queued = 0;
+  /** Tokens a second that its reports show for its role. */
+  double shown_rate = 0;
   engine_role role = engine_role::kPrefill;
   std::vector<loaded_model> models = {{"m", "1", {}}};
   std::vector<effect> effects;
--- a/tests/roles/test_role_system.cpp
+++ b/tests/roles/test_role_system.cpp
@@ -70,6 +70,21 @@
   EXPECT_GE(CountRole(bench, engine_role::kDecode), 1);
 }
 
+TEST(RoleSystem, BusyEnginesShowThatTheyAreSlowerThanPreset) {
+  authority_bench bench(2, std::vector<bool>(8, true));
+  bench.Run(kTakeover);
+  // By the preset rates two engines would do for the prefill; these do a quarter of them.
+  const placement_prices rates;
+  for (int i = 0; i < 8; ++i) {
+    if (bench.engine(i).role != engine_role::kPrefill) continue;
+    bench.engine(i).queued = 5;
+    bench.engine(i).shown_rate = rates.prefill_rate / 4;
+  }
+  SetDemand(bench, {Demand("m", 1.5, 1.5)});
+  bench.Run(seconds(400));
+  EXPECT_EQ(CountRole(bench, engine_role::kPrefill), 6);
+}
+
 TEST(RoleSystem, DemandThatFlapsChangesNothing) {
   authority_bench bench(2, std::vector<bool>(8, true));
   bench.Run(kTakeover);
