Tell an engine that has not reported yet from one that is unknown

A role ordered by hand right after a start was refused with "no such engine" (404) when the holder had no report of the engine yet; seen in two end-to-end tests on a busy machine, which pass alone. The answer is now that it has not reported yet, which says that asking again helps.

--- a/src/libhawthorndrum/systems/order_system.cpp
+++ b/src/libhawthorndrum/systems/order_system.cpp
@@ -68,8 +68,9 @@
   if (!lease_.Holds()) return Refuse(error_code::kConflict, "the lease is not held here");
   if (!sealed_) return Refuse(error_code::kUnavailable, "the journal is not sealed yet");
   const upstream* row = upstreams_.Find(engine);
-  const bool known = row != nullptr && row->kind == host_kind::kEngine && row->has_report;
+  const bool known = row != nullptr && row->kind == host_kind::kEngine;
   if (!known) return Refuse(error_code::kNotFound, "no such engine");
+  if (!row->has_report) return Refuse(error_code::kUnavailable, "the engine has not reported yet");
   if (row->leaving.any()) return Refuse(error_code::kConflict, "the engine is leaving");
   if (IsChanging(engine)) return Refuse(error_code::kConflict, "an order is open");
   if (changes_.size() >= limits_.open_changes) {
--- a/tests/orders/test_orders.cpp
+++ b/tests/orders/test_orders.cpp
@@ -130,6 +130,17 @@
   EXPECT_EQ(bench.Broken(), "");
 }
 
+TEST(Orders, RefusalTellsAnUnknownEngineFromOneThatHasNotReported) {
+  authority_bench bench(1, {true});
+  bench.Run(kTakeover);
+  ASSERT_EQ(bench.Holder(), 0);
+  order_wish unknown;
+  unknown.engine = upstream_id(1);
+  EXPECT_EQ(bench.Propose(unknown).error().code, error_code::kNotFound);
+  bench.daemon(0).upstreams.Find(bench.engine(0).id())->has_report = false;
+  EXPECT_EQ(bench.Propose(0, engine_role::kDecode).error().code, error_code::kUnavailable);
+}
+
 TEST(Orders, JournalOfALargeDataCentreFitsAnObject) {
   // 4,700 engines in 21 data centres make 224; four times that must still fit.
   constexpr std::size_t kEngines = 224;
