Let small groups tell each other all engines at once

Cause: one full entry a message while daemons come together made two daemons with a few engines differ in what they route by for seconds.

Change: the bound is 24 full entries in all links together, one a message at least.

--- a/src/libhawthorndrum/systems/load_digest_spread.cpp
+++ b/src/libhawthorndrum/systems/load_digest_spread.cpp
@@ -18,9 +18,10 @@
 constexpr double kTokenFloor = 2000;
 constexpr double kRateStep = 0.3;
 constexpr std::uint32_t kKvStepPerMille = 30;
-/** Full entries in one message, and while daemons come together; the others wait for the next. */
+/** Full entries in one message; the others wait for the next. */
 constexpr std::size_t kMostFulls = 6;
-constexpr std::size_t kMostFullsAtFirst = 1;
+/** Full entries sent to all peers in a second while daemons come together, one a peer at least. */
+constexpr std::size_t kMostFullsAtFirst = 24;
 constexpr duration kComingTogether = seconds(6);
 /** Snapshots go to one peer after another, so that many new links cost no burst. */
 constexpr duration kSnapshotPause = milliseconds(500);
@@ -76,7 +77,9 @@
 load_message load_digest_system::CollectNews(time_point now) {
   load_message message;
   const bool coming_together = now - peers_changed_ < kComingTogether;
-  const std::size_t most_fulls = coming_together ? kMostFullsAtFirst : kMostFulls;
+  const std::size_t peers = std::max<std::size_t>(1, last_peers_.size());
+  const std::size_t most_fulls =
+      coming_together ? std::max<std::size_t>(1, kMostFullsAtFirst / peers) : kMostFulls;
   for (auto& [id, engine] : owned_) {
     const upstream* row = upstreams_.Find(id);
     if (row == nullptr || !engine.has_news) continue;
