Ask engines of which no daemon has told yet

Cause: after a start each daemon knew only the engines that it owns until the others' first messages, so daemons routed by different sets.

Change: a daemon asks unknown engines itself, out of the same bucket as its other polls.

--- a/src/libhawthorndrum/systems/load_digest_system.cpp
+++ b/src/libhawthorndrum/systems/load_digest_system.cpp
@@ -197,6 +197,20 @@
   }
 }
 
+void load_digest_system::PollUnknown(time_point now) {
+  for (const upstream& row : upstreams_) {
+    if (poll_tokens_ < 1) return;
+    if (row.kind != host_kind::kEngine || row.has_report || owned_.count(row.id) != 0) continue;
+    time_point& asked = first_asked_[row.id];
+    if (asked != time_point() && now - asked < kPollTimeout) continue;
+    asked = now;
+    poll_tokens_ -= 1;
+    counters_.polls.Add();
+    counters_.poll_bytes.Add(WireBytesOfHttpCall(kPollRequestBytes, kPollAnswerBytes));
+    engines_.PollLoad(row.id, row.address);
+  }
+}
+
 void load_digest_system::Write(const load_report& report, time_point made, peer_id source) {
   upstream* row = upstreams_.Find(report.upstream);
   if (row == nullptr) return;
@@ -235,6 +249,7 @@
   NoticeChangeOfPeers(now);
   if (IsSettled(now)) ReassignOwners(now);
   PollDue(now);
+  PollUnknown(now);
   SendSnapshots(now);
   SpreadNews(now);
 }
--- a/src/libhawthorndrum/systems/load_digest_system.h
+++ b/src/libhawthorndrum/systems/load_digest_system.h
@@ -97,6 +97,8 @@
   /** Whether the daemons' views have come to rest, so that ownership is not passed on and on. */
   bool IsSettled(time_point now) const;
   void PollDue(time_point now);
+  /** Asks engines of which nobody has told yet, so that a start waits for no other daemon. */
+  void PollUnknown(time_point now);
   double PollsPerSecond() const;
   duration PollInterval() const;
   /** The age from which on a report's owner is taken to be unheard. */
@@ -126,6 +128,8 @@
   std::unordered_map<upstream_id, peer_id> sources_;
   /** Which incarnation of each linked peer has had a snapshot. */
   std::unordered_map<peer_id, incarnation_id> synced_;
+  /** When engines without any report were asked by a daemon that does not own them. */
+  std::unordered_map<upstream_id, time_point> first_asked_;
   std::uint64_t sequence_ = 0;
   std::vector<peer_id> last_peers_;
   /** When a peer last came, and when the first of those came that came one upon another. */
