Flush what was written before an abort; never resend what may not be repeated

Cause: an aborted answer closed its connection at once, so that the error event of a failed stream could be lost with it. The transport chose by the method whether a request may ride on a kept connection, on which a broken one means a second sending: a GET of a service that may not be repeated could have been sent twice. Change: what was written goes out before the close, without a last chunk; a request says itself whether it may be repeated; readiness also waits until the engines are known. The end-to-end order tests ask again when the holder has no report of the engine yet.

--- a/src/hawthorndrumd/core.cpp
+++ b/src/hawthorndrumd/core.cpp
@@ -252,7 +252,9 @@
   parts_->orders.lease->Stop();
 }
 
-bool core::configured() const { return parts_->config->current() != generation(); }
+bool core::is_ready() const {
+  return parts_->config->current() != generation() && parts_->requests->is_settled();
+}
 
 std::size_t core::in_flight() const { return parts_->requests->in_flight(); }
 
--- a/src/hawthorndrumd/core.h
+++ b/src/hawthorndrumd/core.h
@@ -51,8 +51,8 @@
 
   /** New requests are refused from now on, and the lease is given back. */
   void BeginStop();
-  /** Whether a configuration is in force. */
-  bool configured() const;
+  /** Whether a configuration is in force and the engines are known well enough to route. */
+  bool is_ready() const;
   /** Requests that are not over. */
   std::size_t in_flight() const;
 
--- a/src/hawthorndrumd/daemon.cpp
+++ b/src/hawthorndrumd/daemon.cpp
@@ -145,7 +145,7 @@
   });
 }
 
-bool daemon::IsReady() const { return !stopping_ && core_->configured(); }
+bool daemon::IsReady() const { return !stopping_ && core_->is_ready(); }
 
 void daemon::Receive(event happened) { core_->Receive(std::move(happened)); }
 
--- a/src/hawthorndrumd/daemon.h
+++ b/src/hawthorndrumd/daemon.h
@@ -51,7 +51,7 @@
   expected<void> RereadTls();
 
   void Receive(event happened) override;
-  /** Once a configuration is in force, until a stop begins. */
+  /** Once the core is ready, until a stop begins. */
   bool IsReady() const override;
 
  private:
--- a/src/hawthorndrumd/http_upstream_port.cpp
+++ b/src/hawthorndrumd/http_upstream_port.cpp
@@ -11,20 +11,14 @@
 constexpr duration kConnectTimeout = milliseconds(500);
 /** An upstream that sends nothing for so long is taken for lost. */
 constexpr duration kSilenceTimeout = seconds(120);
-constexpr std::string_view kCompletions = "/v1/chat/completions";
-
-/** Whether a request does no harm when a kept connection makes it arrive twice. */
-bool MayReuseConnection(const http_request& request) {
-  if (!FindHeader(request.headers, "Idempotency-Key").empty()) return false;
-  return request.method == "GET" || request.method == "HEAD" || request.target == kCompletions;
-}
 
 }  // namespace
 
 void http_upstream_port::Send(attempt_id attempt, std::string_view address, http_request request) {
   http_call call;
   call.address = std::string(address);
-  call.reuse = MayReuseConnection(request);
+  // A kept connection may prove closed after the request was written on it.
+  call.reuse = request.repeatable;
   call.request = std::move(request);
   call.connect_timeout = kConnectTimeout;
   call.idle_timeout = kSilenceTimeout;
--- a/src/libhawthorndrum/base/http_message.h
+++ b/src/libhawthorndrum/base/http_message.h
@@ -18,11 +18,13 @@
 /** Replaces the header of that name, ignoring case, or adds it. */
 void SetHeader(std::vector<http_header>& headers, std::string_view name, std::string value);
 
+/** `repeatable` tells whether it does no harm when the request arrives twice. */
 struct http_request {
   std::string method;
   std::string target;
   std::vector<http_header> headers;
   std::string body;
+  bool repeatable = true;
 };
 
 struct http_answer {
--- a/src/libhawthorndrum/systems/upstream_request.cpp
+++ b/src/libhawthorndrum/systems/upstream_request.cpp
@@ -57,6 +57,7 @@
   out.method = request.method;
   out.target = request.path;
   out.body = request.body;
+  out.repeatable = request.service->repeatable && request.idempotency_key.empty();
   if (request.service->kind == service_kind::kPlain) {
     out.headers = EndToEndHeaders(request.headers);
   } else {
--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -43,7 +43,7 @@
   void Begin(int status, std::vector<http_header> headers) override;
   void Write(std::string_view bytes) override;
   void End() override;
-  void Abort() override { Close(); }
+  void Abort() override;
   bool busy() const override {
     return request_ || writing_ || (parser_ && (parser_->got_some() || buffer_.size() > 0));
   }
@@ -87,6 +87,8 @@
   bool head_only_ = false;
   bool chunked_ = false;
   bool answer_ended_ = false;
+  /** The answer was given up: what was written goes out, then the connection is closed. */
+  bool aborted_ = false;
   bool writing_ = false;
   bool closing_ = false;
   bool closed_ = false;
@@ -235,6 +237,13 @@
   if (!writing_) FinishAnswer();
 }
 
+template <typename Stream>
+void http_stream_session<Stream>::Abort() {
+  aborted_ = true;
+  answer_ended_ = true;
+  if (!writing_) Close();
+}
+
 template <typename Stream>
 void http_stream_session<Stream>::CloseWhenIdle() {
   closing_ = true;
@@ -270,6 +279,7 @@
   unsent_bytes_ -= unsent_.front().size();
   unsent_.pop_front();
   if (!unsent_.empty()) return WriteNext();
+  if (aborted_) return Close();
   if (request_) boost::beast::get_lowest_layer(stream_).expires_never();
   if (answer_ended_) FinishAnswer();
 }
--- a/tests/end_to_end/test_end_to_end.cpp
+++ b/tests/end_to_end/test_end_to_end.cpp
@@ -299,8 +299,14 @@
 
   web_exchange SetRole(fleet& served, int holder, int engine, const std::string& role) {
     const std::string address = served.AddressOf("engine-" + std::to_string(engine));
-    return served.AdminPost(holder, "/admin/orders/set_role",
-                            {{"engine", address}, {"role", role}});
+    web_exchange answer;
+    // 503: the holder has no report of the engine yet, and says to ask again.
+    served.http().WaitUntil([&] {
+      answer =
+          served.AdminPost(holder, "/admin/orders/set_role", {{"engine", address}, {"role", role}});
+      return answer.status != 503;
+    });
+    return answer;
   }
 
   bool WaitForRole(fleet& served, int engine, const std::string& role) {
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -288,6 +288,25 @@
   EXPECT_TRUE(listener.bytes_sent);
 }
 
+TEST_F(HttpTest, AbortedStreamStillBringsWhatWasWritten) {
+  Listen();
+  http_client client(io);
+  recording_listener listener;
+  http_call call;
+  call.address = address;
+  call.request.method = "GET";
+  call.request.target = "/";
+  client.Start(call, listener);
+  ASSERT_TRUE(RunUntil([&] { return handler.ids.size() == 1; }));
+  server->Begin(handler.ids[0], 200, {});
+  server->Write(handler.ids[0], "a token, ");
+  server->Write(handler.ids[0], "then the error");
+  server->Abort(handler.ids[0]);
+  ASSERT_TRUE(RunUntil([&] { return listener.over(); }));
+  EXPECT_EQ(listener.body, "a token, then the error");
+  EXPECT_EQ(listener.lost, attempt_failure::kConnectionLost);
+}
+
 TEST_F(HttpTest, ClientTellsWhenNoByteWasSent) {
   Listen();
   server->StopListening();
