--- a/tests/end_to_end/web.cpp
+++ b/tests/end_to_end/web.cpp
@@ -77,11 +77,12 @@
 
 bool web::WaitUntil(const std::function<bool()>& done) {
   const auto end = std::chrono::steady_clock::now() + kPatience;
-  while (!done() && std::chrono::steady_clock::now() < end) {
+  while (!done()) {
+    if (std::chrono::steady_clock::now() >= end) return false;
     io_.restart();
     io_.run_for(kTurn);
   }
-  return done();
+  return true;
 }
 
 void web::OnHead(http_call_id id, int status, std::vector<http_header> headers) {
