Say with not_run what is known of earlier requests with the key

Cause: with the store out, a resend was told not_run although its first try may have run at a daemon that could not be asked; a caller may read that as the payment's fate. At its deadline, or with too many claims open, a resend was told not_run even where this daemon knew of an attempt.

Change: a not_run of a keyed request carries earlier_requests_with_this_key, "none" only under a claim that was known to be stored, else "unknown", and says in words to ask again with the same key; the 504 of a keyed request has Retry-After. Forget returns what is known of the key, so a request that expires while it waits for another attempt gets that attempt's fate. The bound on open claims looks at this daemon's rows first, and an owner that can't ask the store adds its own rows to what it saw of the bucket.

Conclusion: not_run no longer stands for a key's fate where that is known or may be otherwise.

--- a/src/libhawthorndrum/base/outcome.h
+++ b/src/libhawthorndrum/base/outcome.h
@@ -11,6 +11,13 @@
  */
 enum class outcome { kAnswered, kNotRun, kUnknown, kFailed };
 
+/**
+ * What is known of earlier requests with the same idempotency key, beside a kNotRun. kNone: this
+ * daemon held the key's claim, and none had run. kUnknown: it can't tell here. kNotSaid: the
+ * request has no key.
+ */
+enum class earlier_requests { kNotSaid, kNone, kUnknown };
+
 constexpr std::string_view ToText(outcome value) {
   switch (value) {
     case outcome::kAnswered:
--- a/src/libhawthorndrum/systems/answer_writer.cpp
+++ b/src/libhawthorndrum/systems/answer_writer.cpp
@@ -22,6 +22,15 @@
   return row ? row->address : "gone";
 }
 
+/** What the refusal may say of earlier requests with the key. */
+earlier_requests EarlierOf(const request_row& request, const refusal& why) {
+  // A key that belongs to another request must be given up, so nothing is said of it.
+  const bool says = why.what == outcome::kNotRun && why.status != 422;
+  if (!says || request.idempotency_key.empty()) return earlier_requests::kNotSaid;
+  if (request.claim_held) return earlier_requests::kNone;
+  return why.earlier == earlier_requests::kNone ? why.earlier : earlier_requests::kUnknown;
+}
+
 }  // namespace
 
 answer_writer::answer_writer(const request_ports& ports, decision_log& decisions)
@@ -33,7 +42,8 @@
   ports_.callers->Answer(request, ProblemAnswer(why, request));
 }
 
-void answer_writer::Fail(const request_row& request, const refusal& why) {
+void answer_writer::Fail(const request_row& request, refusal why) {
+  why.earlier = EarlierOf(request, why);
   decisions_.Refused(request.id, ports_.time->Now(), why);
   RecordEnd(request, why.what, why.code);
   if (!request.began) {
--- a/src/libhawthorndrum/systems/answer_writer.h
+++ b/src/libhawthorndrum/systems/answer_writer.h
@@ -27,7 +27,7 @@
   /** Refuses a request that has no row yet. */
   void RefuseUnread(request_id request, const refusal& why);
   /** Tells the caller that there is no whole answer, in the form that what it has got allows. */
-  void Fail(const request_row& request, const refusal& why);
+  void Fail(const request_row& request, refusal why);
   void Whole(const request_row& request, http_answer answer);
 
   /** Starts a stream of tokens, once. */
--- a/src/libhawthorndrum/systems/claim_bucket_writer.cpp
+++ b/src/libhawthorndrum/systems/claim_bucket_writer.cpp
@@ -335,7 +335,8 @@
   result.attempt = waiting.change.record.attempt;
   result.origin = waiting.change.origin;
   result.may_be_written = waiting.may_be_written;
-  const claim_record* seen = LastSeen(waiting.change.record.name);
+  result.name = waiting.change.record.name;
+  const claim_record* seen = LastSeen(result.name);
   if (seen != nullptr) result.present = *seen;
   return result;
 }
--- a/src/libhawthorndrum/systems/claim_change.h
+++ b/src/libhawthorndrum/systems/claim_change.h
@@ -48,6 +48,8 @@
   /** The attempt that the change was for. */
   attempt_id attempt;
   peer_id origin;
+  /** With kRefused: what the change was about; not sent to other daemons. */
+  claim_name name;
   /** The record that is there; for kRefused the one that was last seen there, if any. */
   claim_record present;
   /** With kRefused: whether a record may have been written, or may yet land. */
--- a/src/libhawthorndrum/systems/claim_committer.cpp
+++ b/src/libhawthorndrum/systems/claim_committer.cpp
@@ -159,6 +159,7 @@
     claim_result result;
     result.attempt = place->change.record.attempt;
     result.origin = place->change.origin;
+    result.name = place->change.record.name;
     refused.push_back(std::move(result));
     place = early_.erase(place);
   }
--- a/src/libhawthorndrum/systems/claim_gate.h
+++ b/src/libhawthorndrum/systems/claim_gate.h
@@ -36,6 +36,8 @@
   claim_verdict verdict = claim_verdict::kNotRun;
   http_answer answer;
   std::string reason;
+  /** With kNotRun: whether an earlier request with the key may have run. */
+  earlier_requests earlier = earlier_requests::kUnknown;
 };
 
 /** Gets one decision for each wish. */
@@ -52,8 +54,11 @@
  public:
   virtual ~claim_gate() = default;
   virtual void Claim(claim_wish wish, claim_listener& listener) = 0;
-  /** The caller went away, or the deadline passed, before a decision. */
-  virtual void Forget(request_id request) = 0;
+  /**
+   * The caller went away, or the deadline passed, before a decision. Returns what is known of the
+   * key by then: kAnswered, kUnknown, kMismatch, or kNotRun when no other attempt is known here.
+   */
+  virtual claim_decision Forget(request_id request) = 0;
   /** It ran and this is the whole answer. */
   virtual void ReportDone(request_id request, const http_answer& answer) = 0;
   /** It provably did not run; the key may be claimed again. */
--- a/src/libhawthorndrum/systems/claim_system.cpp
+++ b/src/libhawthorndrum/systems/claim_system.cpp
@@ -52,9 +52,13 @@
   if (attempts_.size() >= options_.most_attempts) DropReleased();
   const bool too_large = wish.key.size() + wish.service.size() > options_.largest_key;
   if (too_large || attempts_.size() >= options_.most_attempts) {
-    claim_decision decision;
-    decision.request = request;
-    decision.reason = too_large ? "the key is too long" : "too many claims are open here";
+    // A caller may take "not run" for the key's fate, so what is known of the key goes first.
+    claim_attempt unheld;
+    unheld.wish = std::move(wish);
+    claim_decision decision = DecisionFor(unheld);
+    if (decision.verdict == claim_verdict::kNotRun) {
+      decision.reason = too_large ? "the key is too long" : "too many claims are open here";
+    }
     refusals_.push_back({std::move(decision), &listener});
     return;
   }
@@ -74,15 +78,19 @@
   if (found != attempts_.end()) attempts_.Erase(found->id);
 }
 
-void claim_system::Forget(request_id request) {
+claim_decision claim_system::Forget(request_id request) {
+  claim_decision known;
+  known.request = request;
   refusals_.erase(std::remove_if(refusals_.begin(), refusals_.end(),
                                  [&](const refusal& r) { return r.decision.request == request; }),
                   refusals_.end());
   const auto found = by_request_.find(request);
-  if (found == by_request_.end()) return;
+  if (found == by_request_.end()) return known;
   const claim_attempt* attempt = attempts_.Find(found->second);
-  if (attempt->phase == claim_phase::kGranted) return;
+  if (attempt->phase == claim_phase::kGranted) return known;
+  known = DecisionFor(*attempt);
   GiveUp(attempt->id, ports_.time.Now());
+  return known;
 }
 
 claim_attempt* claim_system::FindGranted(request_id request) {
@@ -185,6 +193,9 @@
   attempt.decision.verdict = verdict;
   attempt.decision.reason = std::move(reason);
   attempt.decision.answer = answer;
+  // Only a claim that is known to be stored shows that no other attempt had the key.
+  const bool held = verdict == claim_verdict::kGranted;
+  attempt.decision.earlier = held ? earlier_requests::kNone : earlier_requests::kUnknown;
 }
 
 void claim_system::GiveUp(attempt_id id, time_point now) {
--- a/src/libhawthorndrum/systems/claim_system.h
+++ b/src/libhawthorndrum/systems/claim_system.h
@@ -70,7 +70,7 @@
   claim_system(claim_ports ports, incarnation_id incarnation, claim_options options);
 
   void Claim(claim_wish wish, claim_listener& listener) override;
-  void Forget(request_id request) override;
+  claim_decision Forget(request_id request) override;
   void ReportDone(request_id request, const http_answer& answer) override;
   void ReportNotRun(request_id request) override;
   void ReportUnknown(request_id request) override;
@@ -111,6 +111,10 @@
   void DecideUnasked(claim_attempt& attempt, std::string reason, time_point now);
   /** Another attempt that may run, or may have run, as far as is known without the store. */
   std::optional<claim_record> KnownOther(const claim_attempt& attempt) const;
+  /** An attempt of this daemon, other than `apart`, that may run or may have run. */
+  std::optional<claim_record> OwnOther(const claim_name& name, attempt_id apart) const;
+  /** What can be said of a request when nothing more will be asked. */
+  claim_decision DecisionFor(const claim_attempt& attempt) const;
   void GiveUp(attempt_id id, time_point now);
   void Settle(claim_attempt& attempt, claim_state last_word, time_point now);
 
--- a/src/libhawthorndrum/systems/claim_system_results.cpp
+++ b/src/libhawthorndrum/systems/claim_system_results.cpp
@@ -14,7 +14,12 @@
 void claim_system::OnClaimResult(const claim_result& result) {
   if (result.origin) {
     if (forwarded_in_ > 0) forwarded_in_ -= 1;
-    ports_.peers.Send(result.origin, Encode(claim_forward_result{result}));
+    claim_forward_result reply{result};
+    const bool refused = result.kind == claim_result_kind::kRefused;
+    // What this daemon runs itself it knows without the store.
+    const auto own = refused ? OwnOther(result.name, result.attempt) : std::nullopt;
+    if (own) reply.result.present = *own;
+    ports_.peers.Send(result.origin, Encode(reply));
     return;
   }
   TakeResult(result);
@@ -116,21 +121,51 @@
            record.state != claim_state::kNotRun;
   };
   const claim_name name{attempt.wish.service, attempt.wish.key};
+  std::optional<claim_record> own = OwnOther(name, attempt.id);
+  if (own) return own;
+  const claim_record* seen = committer_.LastSeen(name);
+  if (seen != nullptr && tells(*seen)) return *seen;
+  if (tells(attempt.known)) return attempt.known;
+  return std::nullopt;
+}
+
+std::optional<claim_record> claim_system::OwnOther(const claim_name& name, attempt_id apart) const {
   for (const claim_attempt& held : attempts_) {
-    if (held.id == attempt.id || held.wish.key != name.key) continue;
+    if (held.id == apart || held.wish.key != name.key) continue;
     if (held.wish.service != name.service) continue;
     const bool settles = held.phase == claim_phase::kSettling;
     const bool may_run = settles && held.last_word != claim_state::kNotRun;
-    if (may_run || held.phase == claim_phase::kGranted) {
+    if (may_run) return ChangeFor(held, claim_change_kind::kSettle).record;
+    if (held.phase == claim_phase::kGranted) {
       return ChangeFor(held, claim_change_kind::kClaim).record;
     }
   }
-  const claim_record* seen = committer_.LastSeen(name);
-  if (seen != nullptr && tells(*seen)) return *seen;
-  if (tells(attempt.known)) return attempt.known;
   return std::nullopt;
 }
 
+claim_decision claim_system::DecisionFor(const claim_attempt& attempt) const {
+  claim_decision decision;
+  decision.request = attempt.wish.request;
+  if (attempt.phase == claim_phase::kDecided) {
+    decision = attempt.decision;
+    if (decision.verdict == claim_verdict::kGranted) decision.verdict = claim_verdict::kNotRun;
+    return decision;
+  }
+  const bool met = attempt.phase == claim_phase::kWaiting || attempt.phase == claim_phase::kLooking;
+  const std::optional<claim_record> other = met ? attempt.other : KnownOther(attempt);
+  if (!other) return decision;
+  if (other->digest != attempt.wish.digest) {
+    decision.verdict = claim_verdict::kMismatch;
+  } else if (other->state == claim_state::kDone) {
+    decision.verdict = claim_verdict::kAnswered;
+    decision.answer = other->answer;
+  } else {
+    decision.verdict = claim_verdict::kUnknown;
+    decision.reason = "an earlier attempt with the key may have run, or may yet";
+  }
+  return decision;
+}
+
 void claim_system::TakeSettleResult(const claim_attempt& attempt, const claim_result& result) {
   if (attempt.phase != claim_phase::kSettling) return;
   const bool stored = result.kind == claim_result_kind::kSettled;
--- a/src/libhawthorndrum/systems/problem_answer.cpp
+++ b/src/libhawthorndrum/systems/problem_answer.cpp
@@ -7,6 +7,17 @@
 
 namespace hawthorndrum {
 
+namespace {
+
+constexpr const char* kNoEarlierRan =
+    "; this request was not run, and no earlier one with this key has run: send it again with the "
+    "same key, not with another one";
+constexpr const char* kEarlierMayHaveRun =
+    "; this request was not run, but an earlier one with this key may have run: to learn it, send "
+    "the request again with the same key, never with another one";
+
+}  // namespace
+
 std::string ToHex(std::uint64_t value) {
   static constexpr char kDigits[] = "0123456789abcdef";
   std::string text(16, '0');
@@ -28,6 +39,11 @@
   if (why.retry_after > duration::zero()) {
     problem["retry_after_ms"] = ToMilliseconds(why.retry_after);
   }
+  if (why.earlier != earlier_requests::kNotSaid) {
+    const bool none = why.earlier == earlier_requests::kNone;
+    problem["earlier_requests_with_this_key"] = none ? "none" : "unknown";
+    problem["detail"] = why.detail + (none ? kNoEarlierRan : kEarlierMayHaveRun);
+  }
   return problem.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/src/libhawthorndrum/systems/problem_answer.h
+++ b/src/libhawthorndrum/systems/problem_answer.h
@@ -21,6 +21,8 @@
   std::string code;
   std::string detail;
   duration retry_after{0};
+  /** For a request with an idempotency key that was not run. */
+  earlier_requests earlier = earlier_requests::kNotSaid;
 };
 
 /** The whole answer for a refusal. */
--- a/src/libhawthorndrum/systems/request_system.cpp
+++ b/src/libhawthorndrum/systems/request_system.cpp
@@ -27,8 +27,11 @@
 /** How long an attempt without a caller may go on. */
 constexpr duration kDetachedFor = seconds(60);
 
-refusal Stopping() {
-  return {503, outcome::kNotRun, "stopping", "this daemon is stopping; try again", seconds(1)};
+refusal Stopping(const http_request& request) {
+  refusal why{503, outcome::kNotRun, "stopping", "this daemon is stopping; try again", seconds(1)};
+  const bool keyed = !FindHeader(request.headers, "Idempotency-Key").empty();
+  if (keyed) why.earlier = earlier_requests::kUnknown;
+  return why;
 }
 
 }  // namespace
@@ -51,7 +54,7 @@
 
 void request_system::OnRequest(request_id id, http_request request) {
   const time_point now = ports_.time->Now();
-  if (stopping_) return answers_.RefuseUnread(id, Stopping());
+  if (stopping_) return answers_.RefuseUnread(id, Stopping(request));
   auto read = ReadRequest(id, std::move(request), *ports_.config, now);
   if (!read) return answers_.RefuseUnread(id, read.error());
   read->trace = ReadTraceparent(FindHeader(read->headers, "traceparent"), *ports_.random);
@@ -99,7 +102,8 @@
     case claim_verdict::kUnknown:
       return Fail(*row, {409, outcome::kUnknown, "outcome_unknown", decision.reason, {}});
     case claim_verdict::kNotRun:
-      return Fail(*row, {503, outcome::kNotRun, "no_claim", decision.reason, seconds(1)});
+      return Fail(
+          *row, {503, outcome::kNotRun, "no_claim", decision.reason, seconds(1), decision.earlier});
     case claim_verdict::kMismatch:
       return Fail(*row, {422,
                          outcome::kNotRun,
@@ -190,7 +194,13 @@
 
 void request_system::Expire(request_row& request) {
   refusal why{504, outcome::kNotRun, "deadline", "the deadline has passed", {}};
-  if (request.state == request_state::kClaiming) ports_.claims->Forget(request.id);
+  if (!request.idempotency_key.empty()) why.retry_after = seconds(1);
+  if (request.state == request_state::kClaiming) {
+    const claim_decision known = ports_.claims->Forget(request.id);
+    // Another attempt with the key has its own fate, which "not run" must not hide.
+    if (known.verdict != claim_verdict::kNotRun) return OnClaimDecision(known);
+    why.earlier = known.earlier;
+  }
   if (request.state != request_state::kInFlight) return Fail(request, why);
   why.what = outcome::kUnknown;
   if (!request.repeatable) {
--- a/tests/dispatch/test_dispatch.cpp
+++ b/tests/dispatch/test_dispatch.cpp
@@ -123,6 +123,51 @@
   }
 }
 
+std::string EarlierText(const char* what) {
+  return std::string("\"earlier_requests_with_this_key\":\"") + what + "\"";
+}
+
+TEST(Dispatch, NotRunOfAKeyedRequestSaysWhatIsKnownOfEarlierOnes) {
+  request_path path;
+  path.AddWorker("w:1", "pay");
+  path.claims.grants_at_once = false;
+  const request_id id = path.Post("/services/pay/charge", "{}", {{"Idempotency-Key", "k"}});
+  path.claims.Decide(id, claim_verdict::kNotRun);
+  const std::string body = path.Caller(id).body;
+  EXPECT_NE(body.find("\"outcome\":\"not_run\""), std::string::npos);
+  EXPECT_NE(body.find(EarlierText("unknown")), std::string::npos) << body;
+  EXPECT_NE(body.find("again with the same key, never with another one"), std::string::npos);
+  EXPECT_NE(body.find("retry_after_ms"), std::string::npos);
+}
+
+TEST(Dispatch, NotRunUnderAHeldClaimSaysThatNoEarlierOneRan) {
+  request_path path;
+  path.AddWorker("w:1", "pay");
+  const request_id id = path.Post("/services/pay/charge", "{}", {{"Idempotency-Key", "k"}});
+  path.Lose(path.Last().attempt, false, attempt_failure::kNotConnected);
+  path.Tick(seconds(61));
+  const std::string body = path.Caller(id).body;
+  EXPECT_NE(body.find("\"outcome\":\"not_run\""), std::string::npos);
+  EXPECT_NE(body.find(EarlierText("none")), std::string::npos) << body;
+  EXPECT_NE(body.find("retry_after_ms"), std::string::npos);
+}
+
+TEST(Dispatch, DeadlineWhileAnotherAttemptHoldsTheKeyGivesThatAttemptsFate) {
+  for (const claim_verdict known : {claim_verdict::kUnknown, claim_verdict::kAnswered}) {
+    request_path path;
+    path.AddWorker("w:1", "pay");
+    path.claims.grants_at_once = false;
+    path.claims.known_on_forget.verdict = known;
+    path.claims.known_on_forget.answer = {200, {}, "paid before"};
+    const request_id id = path.Post("/services/pay/charge", "{}", {{"Idempotency-Key", "k"}});
+    path.Tick(seconds(61));
+    EXPECT_TRUE(path.claims.records[id].forgotten);
+    EXPECT_EQ(path.Caller(id).answers, 1);
+    EXPECT_EQ(path.Caller(id).body.find("not_run"), std::string::npos) << path.Caller(id).body;
+    EXPECT_EQ(path.Caller(id).status, known == claim_verdict::kUnknown ? 409 : 200);
+  }
+}
+
 TEST(Dispatch, AClaimGrantedTooLateIsGivenBack) {
   request_path path;
   path.AddWorker("w:1", "pay");
--- a/tests/fakes/fake_claim_gate.h
+++ b/tests/fakes/fake_claim_gate.h
@@ -32,7 +32,12 @@
     record.listener = &listener;
     if (grants_at_once) Decide(id, claim_verdict::kGranted);
   }
-  void Forget(request_id request) override { records[request].forgotten = true; }
+  claim_decision Forget(request_id request) override {
+    records[request].forgotten = true;
+    claim_decision decision = known_on_forget;
+    decision.request = request;
+    return decision;
+  }
   void ReportDone(request_id request, const http_answer& answer) override {
     records[request].done += 1;
     records[request].answer = answer;
@@ -48,6 +53,7 @@
   }
 
   bool grants_at_once = true;
+  claim_decision known_on_forget;
   std::map<request_id, claim_record> records;
 };
 
