Let store calls wait for the end of the breaker's probe

Cause: while the half-open breaker's one probe was out, all other calls were refused, so claims were told not_run although the store was back.

Change: calls made during the probe wait unsent for its end, within their own timeouts and at most as many as may be outstanding; if it fails, they are refused unsent. Watches don't wait. Counted as store_awaited_probe.

Conclusion: the end of an outage no longer refuses the claims that come with the probe. A probe that hangs holds claims up to the call's timeout of 2 s, within their budget of 3 s.

--- a/src/libhawthorndrum/systems/circuit_breaker.h
+++ b/src/libhawthorndrum/systems/circuit_breaker.h
@@ -35,6 +35,8 @@
   bool Admit(time_point now);
   void Succeeded();
   void Failed(time_point now);
+  /** Whether the half-open breaker's one probe is out. */
+  bool probing() const { return probing_; }
   breaker_state state() const { return state_; }
 
  private:
--- a/src/libhawthorndrum/systems/store_client.cpp
+++ b/src/libhawthorndrum/systems/store_client.cpp
@@ -59,6 +59,11 @@
   if (IsWatch(call.operation)) pending.deadline += limits_.watch_grace;
   pending.call = std::move(call);
   const store_call_id id = pending.id;
+  if (AwaitsProbe(pending.call.operation, now)) {
+    metrics_.Counter("store_awaited_probe").Add();
+    waiting_.push_back(std::move(pending));
+    return id;
+  }
   if (Send(pending, now)) return id;
   pending.refused_unsent = true;
   waiting_.push_back(std::move(pending));
@@ -70,6 +75,11 @@
   return sent_.size() - watches_out_ < limits_.outstanding;
 }
 
+bool store_client::AwaitsProbe(store_operation operation, time_point now) {
+  const bool probing = breaker_.StateAt(now) == breaker_state::kHalfOpen && breaker_.probing();
+  return probing && !IsWatch(operation) && waiting_.size() < limits_.outstanding;
+}
+
 bool store_client::Send(pending_call call, time_point now) {
   const store_operation operation = call.call.operation;
   if (!HasRoom(operation)) {
@@ -175,7 +185,7 @@
       Deliver(call, Ended(store_outcome::kRefused));
       continue;
     }
-    if (now < call.retry_at) {
+    if (now < call.retry_at || AwaitsProbe(call.call.operation, now)) {
       waiting_.push_back(std::move(call));
       continue;
     }
--- a/src/libhawthorndrum/systems/store_client.h
+++ b/src/libhawthorndrum/systems/store_client.h
@@ -33,7 +33,8 @@
  * answer, at the latest when its timeout is over: a write is then kUnknown, a read or watch, which
  * has no effect, kRefused. Answers that come later are dropped and counted. Refused reads are tried
  * again until their timeout; writes never are. While the breaker is open, or too many calls are
- * out, a call is refused without being sent.
+ * out, a call is refused without being sent. While the breaker's one probe is out, calls wait
+ * unsent for its end, within their timeouts and up to the bound of outstanding calls.
  */
 class store_client : public object_store, public store_listener, public system {
  public:
@@ -64,6 +65,8 @@
 
   bool Send(pending_call call, time_point now);
   bool HasRoom(store_operation operation) const;
+  /** Whether the probe that is out decides on the call. */
+  bool AwaitsProbe(store_operation operation, time_point now);
   void Judge(const pending_call& call, store_outcome outcome, time_point now);
   bool RetryLater(pending_call& call, store_outcome outcome, time_point now);
   void Deliver(const pending_call& call, const store_answer& answer);
--- a/tests/claims/test_claims.cpp
+++ b/tests/claims/test_claims.cpp
@@ -1,6 +1,8 @@
 /// Tests of claims: single faults, each as a short story.
 #include <gtest/gtest.h>
 
+#include <iostream>
+
 #include "claim_fleet.h"
 
 namespace hawthorndrum {
@@ -159,11 +161,41 @@
   ASSERT_TRUE(IsTold(fleet, refused));
   EXPECT_EQ(Told(fleet, refused), claim_verdict::kNotRun);
   fleet.Advance(std::chrono::hours(1));
-  // One probe goes first; while it is out, the breaker refuses the others.
+  // One probe goes first; while it is out, the others wait for it.
   fleet.Settle();
   Grant(fleet, 0);
 }
 
+/** Claims at one moment in an outage's last breaker time, over as many buckets; how many are
+ * refused. */
+int RefusedAtTheEndOfAnOutage(int claims) {
+  claim_fleet fleet(1);
+  Grant(fleet, 0, {"pay", "warm-up"});
+  const request_id refused = fleet.Claim(0, kPayment);
+  for (int i = 0; i < 100 && !IsTold(fleet, refused); ++i) {
+    fleet.TickAll();
+    while (!fleet.store().waiting().empty()) fleet.store().FailAt(0, store_outcome::kRefused);
+    fleet.Advance(milliseconds(25));
+  }
+  fleet.Advance(std::chrono::hours(1));
+  std::vector<request_id> requests;
+  for (int i = 0; i < claims; ++i) {
+    requests.push_back(fleet.Claim(0, {"pay", "after" + std::to_string(i)}));
+  }
+  fleet.Settle(100);
+  int count = 0;
+  for (const request_id request : requests) {
+    count += Told(fleet, request) == claim_verdict::kGranted ? 0 : 1;
+  }
+  return count;
+}
+
+TEST(Claims, ClaimsAtTheOutagesEndWaitForTheProbe) {
+  const int refused = RefusedAtTheEndOfAnOutage(100);
+  std::cout << "refused of 100 claims at the outage's end: " << refused << "\n";
+  EXPECT_EQ(refused, 0);
+}
+
 TEST(Claims, OutageAfterDoneStillGivesWhatIsKnownHere) {
   claim_fleet fleet(1);
   const request_id first = Grant(fleet, 0);
--- a/tests/store/test_store.cpp
+++ b/tests/store/test_store.cpp
@@ -169,6 +169,53 @@
   EXPECT_EQ(client.state(), breaker_state::kClosed);
 }
 
+TEST_F(storing, CallsThatAwaitTheProbeAreSentAfterItsSuccess) {
+  OpenBreaker();
+  Pass(milliseconds(500));
+  listener.answers.clear();
+  Submit(store_operation::kGet);
+  const std::uint64_t calls = store.calls();
+  Submit(store_operation::kCreate);
+  Pass(milliseconds(100));
+  EXPECT_EQ(store.calls(), calls);
+  EXPECT_TRUE(listener.answers.empty());
+  store.RunAll();
+  Pass(milliseconds(1));
+  store.RunAll();
+  ASSERT_EQ(listener.answers.size(), 2u);
+  EXPECT_EQ(listener.last(), store_outcome::kDone);
+}
+
+TEST_F(storing, CallsThatAwaitTheProbeAreRefusedUnsentWhenItFails) {
+  OpenBreaker();
+  Pass(milliseconds(500));
+  Submit(store_operation::kCreate);
+  const std::uint64_t calls = store.calls();
+  listener.answers.clear();
+  Submit(store_operation::kCreate);
+  RefuseAll();
+  Pass(milliseconds(1));
+  EXPECT_EQ(store.calls(), calls);
+  ASSERT_EQ(listener.answers.size(), 2u);
+  EXPECT_EQ(listener.last(), store_outcome::kRefused);
+}
+
+TEST_F(storing, CallsAwaitTheProbeNoLongerThanTheirTimeoutAndInBoundedNumber) {
+  OpenBreaker();
+  Pass(milliseconds(500));
+  Submit(store_operation::kCreate);
+  const std::uint64_t calls = store.calls();
+  listener.answers.clear();
+  const std::size_t bound = store_client_limits().outstanding;
+  for (std::size_t i = 0; i < bound + 5; ++i) Submit(store_operation::kCreate, milliseconds(300));
+  Pass(milliseconds(1));
+  EXPECT_EQ(listener.answers.size(), 5u);
+  Pass(milliseconds(299));
+  EXPECT_EQ(listener.answers.size(), bound + 5);
+  EXPECT_EQ(listener.last(), store_outcome::kRefused);
+  EXPECT_EQ(store.calls(), calls);
+}
+
 TEST_F(storing, FailedProbeOpensForLonger) {
   OpenBreaker();
   Pass(milliseconds(500));
