Let requests spill to other data centres, within limits

Cause: routing knew of other data centres' upstreams, but the table holds none, so nothing ever spilled.

Change: a request that no own upstream can take is handed to a daemon of another data centre, named by the host list, if its service says `spill: true` and it may be repeated. It is marked by an HMAC under the peers' key and never goes on. `not_run` answers of daemons carry X-Not-Started, so that a refusal comes back truthfully.

--- a/src/hawthorndrumd/core.cpp
+++ b/src/hawthorndrumd/core.cpp
@@ -49,6 +49,13 @@
   return roles;
 }
 
+/** Daemons hand requests to each other over plain HTTP only. */
+spill_settings SpillSettings(const daemon_settings& settings) {
+  if (settings.callers_tls.enabled()) return {};
+  const std::string& address = settings.callers_address;
+  return {settings.peer_key, address.substr(address.rfind(':') + 1)};
+}
+
 /** The models of the configuration in force. */
 class config_catalogue : public model_catalogue {
  public:
@@ -180,6 +187,7 @@
                    .Demand(demand)
                    .DataCentre(settings.data_centre)
                    .Incarnation(self)
+                   .Spill(SpillSettings(settings))
                    .Build()),
       log(*config, *orders.lease, store, group->router()) {
   Register();
@@ -207,6 +215,7 @@
 
 void core::parts::Take(hosts_listed& listed) {
   group->OnHostList(listed.hosts);
+  requests->OnHostList(listed.hosts);
   orders.orders->OnHostList(listed.hosts, time.Now());
 }
 
--- a/src/libhawthorndrum/systems/admission_system.cpp
+++ b/src/libhawthorndrum/systems/admission_system.cpp
@@ -165,7 +165,7 @@
   for (std::size_t i = 0; i < queue_.size(); ++i) {
     const request_row* row = requests_.Find(queue_[i]);
     const double waited = ToSeconds(now - row->arrived) / ToSeconds(row->useful_by - row->arrived);
-    if (row->attempts > 0 || waited < most) continue;
+    if (row->attempts > 0 || row->spilled || waited < most) continue;
     most = waited;
     at = i;
     aged_ = queue_[i];
@@ -200,6 +200,7 @@
 }
 
 int admission_system::EffectivePriority(const request_row& request, time_point now) {
+  if (request.spilled) return request.priority;
   const duration whole = request.useful_by - request.arrived;
   if (whole <= duration::zero()) return kHighestPriority;
   const duration waited = now - request.arrived;
--- a/src/libhawthorndrum/systems/problem_answer.cpp
+++ b/src/libhawthorndrum/systems/problem_answer.cpp
@@ -52,6 +52,7 @@
   answer.status = why.status;
   answer.headers = {{"Content-Type", "application/problem+json"},
                     {"X-Request-Id", ToHex(request.value())}};
+  if (why.what == outcome::kNotRun) answer.headers.push_back({"X-Not-Started", "1"});
   if (why.retry_after > duration::zero()) {
     const auto whole = std::chrono::ceil<seconds>(why.retry_after).count();
     answer.headers.push_back({"Retry-After", std::to_string(whole)});
--- a/src/libhawthorndrum/systems/request_attempts.cpp
+++ b/src/libhawthorndrum/systems/request_attempts.cpp
@@ -10,6 +10,7 @@
 #include "ports/upstream_port.h"
 #include "systems/request_reader.h"
 #include "systems/request_system.h"
+#include "systems/resume_token.h"
 
 namespace hawthorndrum {
 
@@ -53,6 +54,19 @@
          text.substr(text.size() - kStreamEnd.size()) == kStreamEnd;
 }
 
+/** The number of a token in an engine's stream, or in that of a daemon. */
+std::optional<std::uint64_t> TokenNumber(std::string_view id, bool from_daemon) {
+  if (from_daemon) {
+    const auto token = ParseResumeToken(id);
+    return token ? std::optional<std::uint64_t>(token->offset) : std::nullopt;
+  }
+  std::uint64_t number = 0;
+  const char* end = id.data() + id.size();
+  const auto parsed = std::from_chars(id.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
+  return number;
+}
+
 refusal UpstreamFailed(outcome what, std::string detail) {
   return {502, what, "upstream_failed", std::move(detail), seconds(1)};
 }
@@ -89,11 +103,13 @@
     attempt->has_bytes = true;
     routing_.work().Started(attempt->upstream, attempt->id,
                             now - attempt->sent - attempt->estimated_first_token, now);
-    routing_.FirstToken(*request, attempt->upstream, now);
+    if (attempt->spilled_to.empty()) routing_.FirstToken(*request, attempt->upstream, now);
     if (!request->began) answers_.RecordFirstToken(*request, now);
   }
-  poison_.Alive({attempt->upstream, attempt->upstream_incarnation}, attempt->sent,
-                ports_.time->Now());
+  if (attempt->spilled_to.empty()) {
+    poison_.Alive({attempt->upstream, attempt->upstream_incarnation}, attempt->sent,
+                  ports_.time->Now());
+  }
   if (attempt->relays) return Relay(*attempt, *request, bytes.bytes);
   Collect(*attempt, *request, bytes.bytes);
 }
@@ -116,10 +132,9 @@
 bool request_system::RelayEvent(attempt_row& attempt, request_row& request, sse_event event) {
   if (event.type == "error") return false;
   if (!event.id.empty()) {
-    std::uint64_t number = 0;
-    const char* end = event.id.data() + event.id.size();
-    const auto parsed = std::from_chars(event.id.data(), end, number);
-    if (parsed.ec != std::errc() || parsed.ptr != end) return false;
+    const auto read = TokenNumber(event.id, !attempt.spilled_to.empty());
+    if (!read) return false;
+    const std::uint64_t number = *read;
     if (number <= request.offset) {
       dropped_events_.Add();
       return true;
@@ -171,8 +186,9 @@
   if (is_model && request.repeatable && (status >= 500 || status == 429)) {
     return Recover(
         attempt,
-        {UpstreamFailed(outcome::kFailed, "the engine answered " + std::to_string(status)), true,
-         status >= 500},
+        {UpstreamFailed(attempt.spilled_to.empty() ? outcome::kFailed : outcome::kUnknown,
+                        "the engine answered " + std::to_string(status)),
+         true, status >= 500},
         false);
   }
   if (is_model && request.stream && status == 200 && !EndsWithDone(attempt.answer.body)) {
@@ -227,11 +243,13 @@
   request_row& request = *requests_.Find(attempt.request);
   if (cancel) ports_.upstream->Cancel(attempt.id);
   if (problem.upstream_failed) MarkUpstream(attempt.upstream, true, now);
-  if (problem.crashed && !routing_.IsProven(request.fingerprint)) {
+  const std::string spilled_to = attempt.spilled_to;
+  const bool crashed = problem.crashed && spilled_to.empty();
+  if (crashed && !routing_.IsProven(request.fingerprint)) {
     poison_.Lost(request.fingerprint, {attempt.upstream, attempt.upstream_incarnation},
                  request.alone, now);
   }
-  if (problem.crashed) routing_.prefixes().Forget(attempt.upstream);
+  if (crashed) routing_.prefixes().Forget(attempt.upstream);
   const fingerprint_standing standing = poison_.StandingOf(request.fingerprint, now);
   const bool is_raw = request.began && !attempt.relays && !request.stream;
   CloseAttempt(attempt, problem.why.code);
@@ -242,6 +260,10 @@
     return Fail(request, problem.why);
   }
   if (standing == fingerprint_standing::kConvicted) return Fail(request, Convicted(request, now));
+  if (!spilled_to.empty()) {
+    spill_.Refused(*request.service, spilled_to, now);
+    return ComeBack(request, problem, now);
+  }
   const bool is_suspect = standing == fingerprint_standing::kSuspect;
   if (is_raw || !MayRetry(request, is_suspect, now)) return Fail(request, problem.why);
   retries_total_.Add();
@@ -254,6 +276,7 @@
 
 bool request_system::MayRetry(const request_row& request, bool is_suspect, time_point now) {
   if (!request.repeatable && request.may_have_run) return false;
+  if (request.spilled) return false;
   if (request.attempts >= kMostAttempts || now >= request.deadline) return false;
   if (!routing_.HasUntried(request)) return false;
   // Suspects run one at a time in the data centre: they need no budget to be kept from a storm.
@@ -264,6 +287,7 @@
   if (request_row* request = requests_.Find(attempt.request)) {
     answers_.RecordAttempt(*request, attempt, std::move(result));
     admission_.Closed(*request);
+    if (!attempt.spilled_to.empty()) spill_.Ended(*request->service, attempt.spilled_to);
     if (request->alone) turns_.Release(request->fingerprint, ports_.time->Now());
     request->alone = false;
   }
--- a/src/libhawthorndrum/systems/request_ports.h
+++ b/src/libhawthorndrum/systems/request_ports.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "base/ids.h"
+#include "systems/spill_system.h"
 #include "tables/upstream_table.h"
 
 namespace hawthorndrum {
@@ -36,6 +37,7 @@
   peer_port* peers = nullptr;
   demand_observer* demand = nullptr;
   std::string data_centre;
+  spill_settings spill;
   incarnation_id incarnation;
 };
 
--- a/src/libhawthorndrum/systems/request_system.cpp
+++ b/src/libhawthorndrum/systems/request_system.cpp
@@ -27,6 +27,10 @@
 /** How long an attempt without a caller may go on. */
 constexpr duration kDetachedFor = seconds(60);
 
+refusal ForgedSpill() {
+  return {403, outcome::kNotRun, "forged_spill", "X-Spilled-From is for daemons only", {}};
+}
+
 refusal Stopping(const http_request& request) {
   refusal why{503, outcome::kNotRun, "stopping", "this daemon is stopping; try again", seconds(1)};
   const bool keyed = !FindHeader(request.headers, "Idempotency-Key").empty();
@@ -44,6 +48,7 @@
       answers_(ports, decisions_),
       poison_(ports),
       turns_(ports, requests_, poison_),
+      spill_(ports.spill, ports.data_centre, *ports.random, *ports.metrics),
       dropped_events_(ports.metrics->Counter("hawthorndrum_dropped_upstream_events_total")),
       attempts_total_(ports.metrics->Counter("hawthorndrum_attempts_total")),
       retries_total_(ports.metrics->Counter("hawthorndrum_retries_total")),
@@ -55,9 +60,13 @@
 void request_system::OnRequest(request_id id, http_request request) {
   const time_point now = ports_.time->Now();
   if (stopping_) return answers_.RefuseUnread(id, Stopping(request));
+  const spill_origin origin = spill_.TakeMark(request);
+  if (origin == spill_origin::kForged) return answers_.RefuseUnread(id, ForgedSpill());
   auto read = ReadRequest(id, std::move(request), *ports_.config, now);
   if (!read) return answers_.RefuseUnread(id, read.error());
   read->trace = ReadTraceparent(FindHeader(read->headers, "traceparent"), *ports_.random);
+  read->spilled = origin == spill_origin::kOtherDataCentre;
+  if (read->spilled) read->priority = 0;
   decisions_.Arrived(*read);
   if (ports_.demand != nullptr && read->service->kind == service_kind::kModel) {
     ports_.demand->OnModelRequest(read->service->model, read->prompt_tokens, read->max_tokens);
@@ -66,10 +75,16 @@
     return answers_.Fail(*read, Convicted(*read, now));
   }
   routing_.Run(now);
-  if (const auto why = admission_.Admit(*read, now)) return answers_.Fail(*read, *why);
+  std::optional<spill_target> elsewhere;
+  if (const auto why = Admit(*read, now)) {
+    elsewhere = GoesElsewhere(*read, *why, now);
+    if (!elsewhere) return answers_.Fail(*read, *why);
+    read->refused_here = true;
+  }
   admission_.Hold(*read);
   timers_.Add(read->deadline, id);
   request_row& row = requests_.Insert(std::move(*read));
+  if (elsewhere) return SpillOver(row, *elsewhere, now);
   if (row.idempotency_key.empty()) return Queue(row, now);
   row.state = request_state::kClaiming;
   ports_.claims->Claim({id, row.service->name, row.idempotency_key, row.fingerprint, row.deadline,
@@ -146,6 +161,7 @@
   routing_.Run(now);
   admission_.Run(now);
   turns_.Run(now);
+  spill_.Run(now);
   FireTimers(now);
   DispatchQueue(now);
   poison_.Run(now);
@@ -245,6 +261,10 @@
       Dispatch(*row, *choice, now);
       continue;
     }
+    if (const auto elsewhere = choice ? std::nullopt : spill_.Choose(*row, now)) {
+      SpillOver(*row, *elsewhere, now);
+      continue;
+    }
     if (!choice && row->attempts > 0 && !routing_.HasUntried(*row)) {
       Fail(*row, {503, outcome::kNotRun, "no_other_upstream",
                   "every upstream of the service was tried", seconds(1)});
@@ -305,6 +325,7 @@
   if (!row) return;
   admission_.Dequeue(id);
   admission_.Release(*row);
+  if (row->spilled) spill_.Left(*row->service);
   requests_.Erase(id);
 }
 
--- a/src/libhawthorndrum/systems/request_system.h
+++ b/src/libhawthorndrum/systems/request_system.h
@@ -17,6 +17,7 @@
 #include "systems/request_ports.h"
 #include "systems/retry_budget.h"
 #include "systems/routing_system.h"
+#include "systems/spill_system.h"
 #include "systems/suspect_turn.h"
 #include "systems/system.h"
 #include "systems/timer_queue.h"
@@ -52,6 +53,9 @@
   /** Takes the topics kSuspect and kSuspectTurn. */
   void OnPeerMessage(peer_id from, const peer_message& message) override;
 
+  /** The daemons of other data centres, to which requests may spill. */
+  void OnHostList(boost::span<const host_entry> hosts) { spill_.OnHostList(hosts); }
+
   void Run(time_point now) override;
 
   /** The daemon is going to stop: new requests are refused, those in flight finish. */
@@ -85,6 +89,15 @@
   };
 
   void Refuse(const request_row& request, const refusal& why);
+  std::optional<refusal> Admit(const request_row& request, time_point now);
+  /** Takes in what another data centre handed over, if it can start here at once. */
+  std::optional<refusal> AdmitSpilled(const request_row& request, time_point now);
+  /** Where a request that was refused here may go instead. */
+  std::optional<spill_target> GoesElsewhere(const request_row& request, const refusal& why,
+                                            time_point now);
+  void SpillOver(request_row& request, const spill_target& to, time_point now);
+  /** What was handed over ended badly: it goes on here, or fails. */
+  void ComeBack(request_row& request, const attempt_problem& problem, time_point now);
   void Queue(request_row& request, time_point now);
   void FireTimers(time_point now);
   void FireTimer(request_row& request, time_point now);
@@ -126,6 +139,7 @@
   answer_writer answers_;
   poison_system poison_;
   suspect_turn turns_;
+  spill_system spill_;
   timer_queue timers_;
   bool stopping_ = false;
   /** Whether something happened that may let a queued request go. */
--- a/src/libhawthorndrum/systems/request_system_builder.h
+++ b/src/libhawthorndrum/systems/request_system_builder.h
@@ -64,6 +64,11 @@
     ports_.data_centre = std::move(name);
     return *this;
   }
+  /** Without it nothing spills to or from other data centres. */
+  request_system_builder& Spill(spill_settings settings) {
+    ports_.spill = std::move(settings);
+    return *this;
+  }
   request_system_builder& Incarnation(incarnation_id incarnation) {
     ports_.incarnation = incarnation;
     return *this;
--- a/src/libhawthorndrum/systems/routing_system.cpp
+++ b/src/libhawthorndrum/systems/routing_system.cpp
@@ -40,7 +40,7 @@
   if (const upstream_group* own = index_.Find(key, true)) {
     if (auto choice = ChooseIn(*own, request, now)) return choice;
   }
-  if (!request.service->spill) return std::nullopt;
+  if (!request.service->spill || request.spilled) return std::nullopt;
   const upstream_group* others = index_.Find(key, false);
   return others ? ChooseIn(*others, request, now) : std::nullopt;
 }
--- a/src/libhawthorndrum/tables/attempt_row.h
+++ b/src/libhawthorndrum/tables/attempt_row.h
@@ -19,6 +19,8 @@
   attempt_id id;
   request_id request;
   upstream_id upstream;
+  /** The data centre that it was handed to; empty when it runs at an upstream of our own. */
+  std::string spilled_to;
   std::uint64_t upstream_incarnation = 0;
   time_point sent;
   /** Tokens that the upstream must prefill, as it was estimated. */
--- a/src/libhawthorndrum/tables/request_row.h
+++ b/src/libhawthorndrum/tables/request_row.h
@@ -68,6 +68,12 @@
   /** Whether an upstream may have started it. */
   bool may_have_run = false;
   bool claim_held = false;
+  /** Whether another data centre handed it over. */
+  bool spilled = false;
+  /** Whether it was handed to another data centre once. */
+  bool spill_tried = false;
+  /** Whether no upstream of this data centre could take it when it came. */
+  bool refused_here = false;
   /** Whether its attempt is a suspect's, which shares the upstream with no other request. */
   bool alone = false;
   bool caller_gone = false;
--- a/tests/fakes/request_path.h
+++ b/tests/fakes/request_path.h
@@ -24,8 +24,11 @@
  */
 class request_path {
  public:
-  explicit request_path(std::uint64_t seed = 1, peer_port* peers = nullptr)
-      : random(seed), last_request(seed << 32) {
+  static constexpr const char* kPeerKey = "a key of the tests";
+
+  explicit request_path(std::uint64_t seed = 1, peer_port* peers = nullptr,
+                        std::string own_data_centre = "here")
+      : data_centre(std::move(own_data_centre)), random(seed), last_request(seed << 32) {
     service_config chat;
     chat.name = "chat";
     chat.model = {"m", "1", ""};
@@ -42,7 +45,8 @@
     config.Put(pay);
     request_system_builder builder;
     builder.Upstreams(upstreams).Config(config).Claims(claims).Upstream(port).Callers(callers);
-    builder.Clock(time).Random(random).Traces(traces).Metrics(metrics).DataCentre("here");
+    builder.Clock(time).Random(random).Traces(traces).Metrics(metrics).DataCentre(data_centre);
+    builder.Spill({kPeerKey, "8001"});
     if (peers) builder.Peers(*peers);
     system = builder.Build();
   }
@@ -51,7 +55,7 @@
     upstream row;
     row.id = UpstreamIdOf(address);
     row.address = address;
-    row.data_centre = "here";
+    row.data_centre = data_centre;
     row.report.upstream = row.id;
     row.report.models = {{"m", "1", {}}};
     row.report.prefill_tokens_per_second = 10000;
@@ -68,7 +72,7 @@
     row.address = address;
     row.kind = host_kind::kService;
     row.pool = pool;
-    row.data_centre = "here";
+    row.data_centre = data_centre;
     return upstreams.Insert(row);
   }
 
@@ -139,6 +143,7 @@
     return data;
   }
 
+  std::string data_centre;
   upstream_table upstreams;
   fake_config_view config;
   fake_claim_gate claims;
