--- a/tests/claims/test_claims.cpp
+++ b/tests/claims/test_claims.cpp
@@ -179,6 +179,7 @@
   }
   fleet.Advance(std::chrono::hours(1));
   std::vector<request_id> requests;
+  requests.reserve(static_cast<std::size_t>(claims));
   for (int i = 0; i < claims; ++i) {
     requests.push_back(fleet.Claim(0, {"pay", "after" + std::to_string(i)}));
   }
