Let unproven requests wait for word of a fresh failure

A daemon that found an engine gone, before its peer's word of the crash had come, sent its own copy of the request on to a third engine. Ruled out: spilling, since the fleet has one data centre. Change: a request whose like was never answered waits 250 ms when an upstream that it would have gone to failed just now; then the suspicion is known and it runs alone, or is refused. The test of avoidance waits as long before it sends; what it asks is unchanged. Conclusion: the bound now rests on a word arriving within 250 ms; daemons cut from each other keep it each for itself.

--- a/src/libhawthorndrum/systems/request_attempts.cpp
+++ b/src/libhawthorndrum/systems/request_attempts.cpp
@@ -305,6 +305,7 @@
   }
   const int doublings = std::min(static_cast<int>(row->failures_in_a_row), kMostAvoidanceDoublings);
   row->failures_in_a_row += 1;
+  row->last_failure = now;
   const double jitter = 0.5 + ports_.random->Fraction();
   const double wait = ToSeconds(kFirstAvoidance * (1 << doublings)) * jitter;
   row->avoid_until =
--- a/src/libhawthorndrum/systems/routing_system.cpp
+++ b/src/libhawthorndrum/systems/routing_system.cpp
@@ -17,8 +17,18 @@
 constexpr double kStretchWeight = 0.1;
 constexpr double kLongestStretch = 4;
 constexpr double kShortestEstimateSeconds = 0.02;
+/** By then the word of a crash has come from the daemon that saw it. */
+constexpr duration kNewsMargin = milliseconds(250);
 constexpr std::uint64_t kSecondPlace = 0x9E3779B97F4A7C15;
 
+/** Where on the ring the place's first owner stands. */
+std::size_t RingStart(const upstream_group& group, std::uint64_t place) {
+  const auto start = std::lower_bound(
+      group.ring.begin(), group.ring.end(), place,
+      [](const ring_point& point, std::uint64_t wanted) { return point.place < wanted; });
+  return static_cast<std::size_t>(start - group.ring.begin());
+}
+
 }  // namespace
 
 routing_system::routing_system(upstream_table& upstreams, random_source& random,
@@ -86,6 +96,10 @@
   }
   const bool proven = IsProven(request.fingerprint);
   const auto [first_place, second_place] = Places(request, proven);
+  if (!proven && (AwaitsNews(group, first_place, request, now) ||
+                  AwaitsNews(group, second_place, request, now))) {
+    return std::nullopt;
+  }
   const upstream* first = AtRing(group, first_place, request, upstream_id(), now);
   if (!first) return std::nullopt;
   Weigh(first, request, now, choice);
@@ -124,10 +138,7 @@
                                        const request_row& request, upstream_id other,
                                        time_point now) const {
   const auto& ring = group.ring;
-  const auto start = std::lower_bound(
-      ring.begin(), ring.end(), place,
-      [](const ring_point& point, std::uint64_t wanted) { return point.place < wanted; });
-  std::size_t at = static_cast<std::size_t>(start - ring.begin());
+  std::size_t at = RingStart(group, place);
   for (std::size_t step = 0; step < ring.size(); ++step, ++at) {
     const upstream_id id = ring[at % ring.size()].id;
     if (id == other) continue;
@@ -137,6 +148,26 @@
   return nullptr;
 }
 
+bool routing_system::AwaitsNews(const upstream_group& group, std::uint64_t place,
+                                const request_row& request, time_point now) const {
+  const auto& ring = group.ring;
+  std::size_t at = RingStart(group, place);
+  std::size_t usable = 0;
+  upstream_id first;
+  for (std::size_t step = 0; step < ring.size(); ++step, ++at) {
+    const upstream* row = upstreams_.Find(ring[at % ring.size()].id);
+    if (!row || row->id == first) continue;
+    const bool failed_now =
+        row->last_failure != time_point() && now - row->last_failure < kNewsMargin;
+    if (failed_now && !row->leaving.any()) return true;
+    if (!IsUsable(*row, request, now)) continue;
+    // The second candidate is the next one when both places meet the same upstream.
+    if (++usable == 2) return false;
+    first = row->id;
+  }
+  return false;
+}
+
 void routing_system::Weigh(const upstream* row, const request_row& request, time_point now,
                            routing_choice& choice) const {
   if (!row) return;
--- a/src/libhawthorndrum/systems/routing_system.h
+++ b/src/libhawthorndrum/systems/routing_system.h
@@ -86,6 +86,12 @@
   bool IsUsable(const upstream& row, const request_row& request, time_point now) const;
   const upstream* AtRing(const upstream_group& group, std::uint64_t place,
                          const request_row& request, upstream_id other, time_point now) const;
+  /**
+   * Whether an upstream that the request would have gone to failed just now: its like may have
+   * crashed it at another daemon, whose word of it is still on the way.
+   */
+  bool AwaitsNews(const upstream_group& group, std::uint64_t place, const request_row& request,
+                  time_point now) const;
   void Weigh(const upstream* row, const request_row& request, time_point now,
              routing_choice& choice) const;
   std::optional<routing_choice> ChooseIn(const upstream_group& group, const request_row& request,
--- a/src/libhawthorndrum/tables/upstream.h
+++ b/src/libhawthorndrum/tables/upstream.h
@@ -52,6 +52,8 @@
   std::uint64_t sent_since_report = 0;
   std::uint32_t failures_in_a_row = 0;
   time_point avoid_until;
+  /** When an attempt of this daemon last failed here. */
+  time_point last_failure;
 
   /** Whether new work may be sent here at all. */
   bool TakesWork() const {
--- a/tests/retry/test_retry.cpp
+++ b/tests/retry/test_retry.cpp
@@ -51,6 +51,8 @@
   path.Post("/services/stock/a", "");
   const std::string failed = path.Last().address;
   path.Lose(path.Last().attempt, false, attempt_failure::kNotConnected);
+  // Requests whose like was never answered wait for the peers' word of the failure first.
+  path.Tick(milliseconds(260));
   for (int i = 0; i < 20; ++i) {
     path.Post("/services/stock/" + std::to_string(i), "");
     EXPECT_NE(path.Last().address, failed);
@@ -64,6 +66,22 @@
   EXPECT_TRUE(used_again);
 }
 
+/// The engine may have been crashed by the request's like at another daemon a moment before.
+TEST(Retry, AnUnprovenRequestWaitsForWordOfAFreshFailure) {
+  request_path path;
+  path.AddEngine("e:1");
+  path.AddEngine("e:2");
+  path.AddEngine("e:3");
+  path.Chat("never answered");
+  path.Lose(path.Last().attempt, false, attempt_failure::kNotConnected);
+  path.Tick(milliseconds(100));
+  path.Tick(milliseconds(100));
+  EXPECT_EQ(path.port.sent.size(), 1U);
+  path.Tick(milliseconds(100));
+  path.Tick(milliseconds(100));
+  EXPECT_EQ(path.port.sent.size(), 2U);
+}
+
 TEST(Retry, AnEngineThatIsFullProvesThatItDidNotStart) {
   request_path path;
   path.AddEngine("e:1");
