--- a/src/libhawthorndrum/systems/order_journal.cpp
+++ b/src/libhawthorndrum/systems/order_journal.cpp
@@ -1,7 +1,6 @@
 /// The journal's text form.
 #include "systems/order_journal.h"
 
-#include <array>
 #include <nlohmann/json.hpp>
 
 #include "systems/json_fields.h"
@@ -10,9 +9,8 @@
 namespace hawthorndrum {
 namespace {
 
-constexpr std::array<std::string_view, 4> kKinds = {"set_role", "load_model", "unload_model",
-                                                    "load_adapter"};
-constexpr std::array<std::string_view, 3> kRoles = {"mixed", "prefill", "decode"};
+constexpr std::uint64_t kLastKind = static_cast<std::uint64_t>(order_kind::kLoadAdapter);
+constexpr std::uint64_t kLastRole = static_cast<std::uint64_t>(engine_role::kDecode);
 constexpr std::uint64_t kLastProgress = static_cast<std::uint64_t>(order_progress::kFailed);
 
 nlohmann::json OrderToJson(const engine_order& order) {
@@ -46,8 +44,8 @@
   json_fields fields(object);
   order.id = order_id(fields.Unsigned("id"));
   order.term = lease_term(fields.Unsigned("fencing"));
-  order.kind = static_cast<order_kind>(fields.Unsigned("kind", kKinds.size() - 1));
-  order.role = static_cast<engine_role>(fields.Unsigned("role", kRoles.size() - 1));
+  order.kind = static_cast<order_kind>(fields.Unsigned("kind", kLastKind));
+  order.role = static_cast<engine_role>(fields.Unsigned("role", kLastRole));
   order.model = fields.Text("model");
   order.version = fields.Text("version");
   order.adapter = fields.Text("adapter");
@@ -84,10 +82,6 @@
 
 }  // namespace
 
-std::string_view ToText(order_kind kind) { return kKinds.at(static_cast<std::size_t>(kind)); }
-
-std::string_view ToText(engine_role role) { return kRoles.at(static_cast<std::size_t>(role)); }
-
 std::string EncodeJournal(const order_journal& journal) {
   nlohmann::json rows = nlohmann::json::array();
   for (const auto& [engine, row] : journal.rows) rows.push_back(RowToJson(row));
--- a/src/libhawthorndrum/systems/order_journal.h
+++ b/src/libhawthorndrum/systems/order_journal.h
@@ -58,9 +58,6 @@
 std::string EncodeJournal(const order_journal& journal);
 expected<order_journal> DecodeJournal(std::string_view text);
 
-std::string_view ToText(order_kind kind);
-std::string_view ToText(engine_role role);
-
 /** The largest number of an order within a term. */
 constexpr std::uint64_t kLargestOrderNumber = (std::uint64_t{1} << 20) - 1;
 
--- a/src/libhawthorndrum/systems/order_system_admin.cpp
+++ b/src/libhawthorndrum/systems/order_system_admin.cpp
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/hash.h"
+#include "base/role_names.h"
 #include "ports/clock.h"
 #include "systems/order_system.h"
 
@@ -27,10 +28,11 @@
 }
 
 nlohmann::json OrderReport(const engine_order& order) {
-  nlohmann::json report = {
-      {"order", order.id.value()}, {"fencing", order.term.value()}, {"kind", ToText(order.kind)}};
+  nlohmann::json report = {{"order", order.id.value()},
+                           {"fencing", order.term.value()},
+                           {"kind", OrderKindName(order.kind)}};
   if (order.kind == order_kind::kSetRole) {
-    report["role"] = ToText(order.role);
+    report["role"] = RoleName(order.role);
   } else {
     report["model"] = order.model;
     report["version"] = order.version;
@@ -42,7 +44,7 @@
 expected<engine_role> ParseRole(const std::string& text) {
   for (const engine_role role :
        {engine_role::kMixed, engine_role::kPrefill, engine_role::kDecode}) {
-    if (ToText(role) == text) return role;
+    if (RoleName(role) == text) return role;
   }
   return tl::unexpected(error{error_code::kInvalid, "role must be mixed, prefill or decode"});
 }
--- a/src/libhawthorndrum/systems/role_system.cpp
+++ b/src/libhawthorndrum/systems/role_system.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/metrics_registry.h"
+#include "base/role_names.h"
 #include "systems/order_journal.h"
 
 namespace hawthorndrum {
@@ -229,8 +230,8 @@
   for (const upstream& engine : upstreams_) {
     if (engine.kind != host_kind::kEngine || engine.data_centre != data_centre_) continue;
     engines.push_back({{"engine", engine.address},
-                       {"role", ToText(engine.report.role)},
-                       {"wanted", ToText(RoleOf(engine))},
+                       {"role", RoleName(engine.report.role)},
+                       {"wanted", RoleName(RoleOf(engine))},
                        {"planned_change", engine.planned_change}});
   }
   return nlohmann::json{{"plans_here", planning_},
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -83,6 +83,15 @@
     return socket;
   }
 
+  /** A call of `GET /` at the server. */
+  http_call GetCall() const {
+    http_call call;
+    call.address = address;
+    call.request.method = "GET";
+    call.request.target = "/";
+    return call;
+  }
+
   /** Reads until the other side closes. */
   std::string ReadAll(tcp::socket& socket) {
     std::string text;
@@ -273,11 +282,7 @@
   Listen();
   http_client client(io);
   recording_listener listener;
-  http_call call;
-  call.address = address;
-  call.request.method = "GET";
-  call.request.target = "/";
-  client.Start(call, listener);
+  client.Start(GetCall(), listener);
   ASSERT_TRUE(RunUntil([&] { return handler.ids.size() == 1; }));
   server->Begin(handler.ids[0], 200, {});
   server->Write(handler.ids[0], "part");
@@ -292,11 +297,7 @@
   Listen();
   http_client client(io);
   recording_listener listener;
-  http_call call;
-  call.address = address;
-  call.request.method = "GET";
-  call.request.target = "/";
-  client.Start(call, listener);
+  client.Start(GetCall(), listener);
   ASSERT_TRUE(RunUntil([&] { return handler.ids.size() == 1; }));
   server->Begin(handler.ids[0], 200, {});
   server->Write(handler.ids[0], "a token, ");
@@ -312,11 +313,7 @@
   server->StopListening();
   http_client client(io);
   recording_listener listener;
-  http_call call;
-  call.address = address;
-  call.request.method = "GET";
-  call.request.target = "/";
-  client.Start(call, listener);
+  client.Start(GetCall(), listener);
   ASSERT_TRUE(RunUntil([&] { return listener.over(); }));
   EXPECT_EQ(listener.lost, attempt_failure::kNotConnected);
   EXPECT_FALSE(listener.bytes_sent);
@@ -348,11 +345,7 @@
   Listen();
   http_client client(io);
   recording_listener listener;
-  http_call call;
-  call.address = address;
-  call.request.method = "GET";
-  call.request.target = "/";
-  const http_call_id id = client.Start(call, listener);
+  const http_call_id id = client.Start(GetCall(), listener);
   ASSERT_TRUE(RunUntil([&] { return handler.ids.size() == 1; }));
   client.Cancel(id);
   ASSERT_TRUE(RunUntil([&] { return !handler.gone.empty(); }));
