Take only a silent upstream for a stalled one

Change: a call stalls only while its upstream sends nothing to this daemon at all; readings that overtake each other are no slowness; fetched prompts run first.

--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -112,6 +112,8 @@
     std::uint64_t held = each.row->cache.HeldTokens(*query.asked, now);
     if (each.row == home) held = tokens - query.asked->parts.back().tokens;
     each.unread = tokens - held;
+    each.wait_ms =
+        static_cast<double>(each.row->all_work().unread_tokens) / speeds_.Of(*each.row, now);
     const double waits = static_cast<double>(each.row->all_work().unread_tokens + each.unread);
     each.read_ms = waits / speeds_.Of(*each.row, now);
   }
@@ -131,14 +133,14 @@
       best_ms = cost;
       best = {each.row->id, {}, each.unread, Milliseconds(cost)};
     }
-    if (runner == nullptr || each.run_ms < runner->run_ms) runner = &each;
+    if (runner == nullptr || RunnerCost(each) < RunnerCost(*runner)) runner = &each;
   }
   if (runner == nullptr) return tl::make_unexpected(no_place{"no_engine", seconds(1)});
   for (const candidate& each : found) {
     if (each.row->entry.stage != engine_stage::kPrefill) continue;
     const double avoided = now < each.row->avoid_until ? kAvoidedMs : 0;
     const double cost =
-        each.read_ms + avoided + runner->run_ms + TransferCost(*each.row, *runner->row, query);
+        each.read_ms + avoided + RunnerCost(*runner) + TransferCost(*each.row, *runner->row, query);
     if (cost >= best_ms) continue;
     best_ms = cost;
     best = {runner->row->id, each.row->id, each.unread, Milliseconds(cost)};
--- a/src/libhawthorndrum/gateway/engine_placement.h
+++ b/src/libhawthorndrum/gateway/engine_placement.h
@@ -34,12 +34,16 @@
   struct candidate {
     const fleet_upstream* row = nullptr;
     std::uint64_t unread = 0;
+    /** Milliseconds until what waits there would be read. */
+    double wait_ms = 0;
     /** Milliseconds until the prompt would be read there. */
     double read_ms = 0;
     /** Milliseconds that running there costs besides. */
     double run_ms = 0;
   };
 
+  /** What it costs to generate there a prompt that was read elsewhere. */
+  static double RunnerCost(const candidate& each) { return each.run_ms + each.wait_ms; }
   std::vector<candidate> Candidates(const placement_query& query, time_point now) const;
   const fleet_upstream* HomeOf(std::uint64_t key, const std::vector<candidate>& among) const;
   double RunCost(const fleet_upstream& row, const placement_query& query) const;
--- a/src/libhawthorndrum/gateway/engine_speeds.cpp
+++ b/src/libhawthorndrum/gateway/engine_speeds.cpp
@@ -20,12 +20,15 @@
 constexpr double kFastest = 2000;
 /** One slow reading must not close an engine for good. */
 constexpr double kMostSlowness = 20;
+/** Readings overtake each other, so that much is usual. */
+constexpr double kTolerated = 2.5;
 /** Slowness fades by half in this time, so that an engine that recovered is tried again. */
 constexpr double kFadeSeconds = 3;
 
 }  // namespace
 
 double engine_speeds::SlownessOf(const fleet_upstream& row, time_point now) {
+  if (row.slowness < kTolerated) return 1;
   const double age = ToSeconds(now - row.slowness_at);
   return 1 + (row.slowness - 1) * std::exp2(-std::max(0.0, age) / kFadeSeconds);
 }
@@ -44,7 +47,8 @@
   // What waits is counted whole although some of it was read already, so an engine at its usual
   // speed seems fast at times; only a reading that took longer says that it is slow.
   const double ratio = std::clamp(took / std::max(20.0, expected), 1.0, kMostSlowness);
-  const double before = SlownessOf(row, now);
+  const double age = ToSeconds(now - row.slowness_at);
+  const double before = 1 + (row.slowness - 1) * std::exp2(-std::max(0.0, age) / kFadeSeconds);
   row.slowness = before + kSlownessWeight * (ratio - before);
   row.slowness_at = now;
   if (tokens < kFewestTokens || ratio > 2) return;
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -87,7 +87,7 @@
   void SendRun(exchange& each, upstream_id at, std::uint64_t unread, duration expected,
                time_point now);
   void Open(exchange& each, fleet_upstream& row, const run_terms& terms, time_point now);
-  int UpstreamPriority(const exchange& each) const;
+  int UpstreamPriority(const exchange& each, bool fetches) const;
 
   // From the upstream to the caller.
   void NoteFirstByte(exchange& each, time_point now);
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -23,6 +23,8 @@
 constexpr duration kLongestAvoidance = seconds(3);
 /** A full upstream has room again soon. */
 constexpr duration kFullAvoidance = milliseconds(60);
+/** A busy engine sends something far more often. */
+constexpr duration kSilenceOfStalled = milliseconds(700);
 constexpr duration kRetryAfterFailure = milliseconds(300);
 
 }  // namespace
@@ -62,7 +64,6 @@
     const int doublings = std::min(row.failures, 4);
     avoid_for = std::min<duration>(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
     row.failures += 1;
-    row.cache.Clear();
   } else if (problem.may_have_run) {
     return;
   }
@@ -162,6 +163,14 @@
 }
 
 void gateway::Stall(exchange& each, time_point now) {
+  // An upstream that sends anything to anyone here is at work; its silence on one request is not.
+  const fleet_upstream* row = fleet_.Find(each.call.upstream);
+  const time_point sign =
+      row == nullptr ? each.call.sent_at : std::max(row->alive_at, each.call.sent_at);
+  if (now - sign < kSilenceOfStalled) {
+    each.call.stalls_at = sign + kSilenceOfStalled;
+    return;
+  }
   if (each.state == exchange_state::kReading) {
     ports_.upstreams->Cancel(each.call.attempt);
     return Recover(each, {"reader_stalled", true, true, false}, now);
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -32,8 +32,10 @@
 
 }  // namespace
 
-int gateway::UpstreamPriority(const exchange& each) const {
-  return std::min(kMostUrgent + 2 * each.matched->priority, kLeastUrgent);
+int gateway::UpstreamPriority(const exchange& each, bool fetches) const {
+  // A prompt that was read elsewhere takes no reading here, so it holds nobody up.
+  if (fetches) return kMostUrgent;
+  return std::min(kMostUrgent + 1 + each.matched->priority, kLeastUrgent);
 }
 
 void gateway::SendRead(exchange& each, const placement& place, time_point now) {
@@ -82,7 +84,7 @@
   run_terms terms = partial;
   terms.upstream = row.entry.id;
   terms.time_left = each.TimeLeft(now);
-  terms.priority = UpstreamPriority(each);
+  terms.priority = UpstreamPriority(each, terms.fetch_from.has_value());
   each.call.attempt = attempt_id(ports_.random->Draw());
   each.call.upstream = row.id;
   each.call.sent_at = now;
