Let engines that generate read only what fits into their streams' pauses

Cause: an event holds several tokens and each waits for a piece of whatever prompt the engine reads, so engines that read all the time made every stream late. Change: reading beyond half of the longest pause costs as much as a late answer, so long prompts go to the engines that only read; each stage has its own home for shared parts.

--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -2,7 +2,6 @@
 #include "gateway/engine_placement.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -29,8 +28,13 @@
 constexpr double kNoMemoryMs = 600;
 /** Engines that failed just now come last. */
 constexpr double kAvoidedMs = 4000;
-/** An engine that reads twice as fast is home to twice as many prompts. */
-constexpr double kPrefillWeight = 2;
+/**
+ * The share of the longest pause between events that reading may fill at an engine that generates.
+ * An event holds several tokens, and each of them waits for a piece of the prompt being read.
+ */
+constexpr double kReadShareOfPause = 0.5;
+/** Reading more than that makes the running streams late. */
+constexpr double kLatePausesMs = 700;
 /** The estimate is not so good that the last part of the time left should be refused. */
 constexpr double kRefuseBeyond = 1.0;
 constexpr duration kShortestRetry = milliseconds(250);
@@ -41,14 +45,6 @@
 
 duration Milliseconds(double ms) { return duration(static_cast<std::int64_t>(ms * 1000)); }
 
-/** Weighted rendezvous: an engine of twice the weight wins twice as many keys. */
-double HomeScore(std::uint64_t key, const fleet_upstream& row) {
-  const double unit =
-      (static_cast<double>(RendezvousScore(key, row.id.value()) >> 11) + 0.5) * 0x1.0p-53;
-  const double weight = row.entry.stage == engine_stage::kPrefill ? kPrefillWeight : 1;
-  return -weight / std::log(unit);
-}
-
 }  // namespace
 
 engine_placement::engine_placement(fleet_table& fleet, const engine_speeds& speeds,
@@ -80,13 +76,14 @@
   return cost;
 }
 
-const fleet_upstream* engine_placement::HomeOf(std::uint64_t key,
-                                               const std::vector<candidate>& among) const {
+const fleet_upstream* engine_placement::HomeOf(std::uint64_t key, engine_stage stage,
+                                               const std::vector<candidate>& among) {
   const fleet_upstream* home = nullptr;
-  double best = -1;
+  std::uint64_t best = 0;
   for (const candidate& each : among) {
-    const double score = HomeScore(key, *each.row);
-    if (score <= best) continue;
+    if (each.row->entry.stage != stage) continue;
+    const std::uint64_t score = RendezvousScore(key, each.row->id.value());
+    if (home != nullptr && score <= best) continue;
     best = score;
     home = each.row;
   }
@@ -106,16 +103,24 @@
     found.push_back(each);
   }
   const std::uint64_t key = query.asked->shared_key();
-  const fleet_upstream* home = key == 0 ? nullptr : HomeOf(key, found);
+  const fleet_upstream* reader = HomeOf(key, engine_stage::kPrefill, found);
+  const fleet_upstream* runner = HomeOf(key, engine_stage::kDecode, found);
   const std::uint64_t tokens = query.asked->tokens();
   for (candidate& each : found) {
     std::uint64_t held = each.row->cache.HeldTokens(*query.asked, now);
-    if (each.row == home) held = tokens - query.asked->parts.back().tokens;
+    const bool is_home = each.row == reader || each.row == runner;
+    if (key != 0 && is_home) held = tokens - query.asked->parts.back().tokens;
     each.unread = tokens - held;
     each.wait_ms =
         static_cast<double>(each.row->all_work().unread_tokens) / speeds_.Of(*each.row, now);
     const double waits = static_cast<double>(each.row->all_work().unread_tokens + each.unread);
-    each.read_ms = waits / speeds_.Of(*each.row, now);
+    const double speed = speeds_.Of(*each.row, now);
+    each.read_ms = waits / speed;
+    const double pause_ms = ToSeconds(query.longest_pause) * 1000;
+    const bool generates = each.row->entry.stage != engine_stage::kPrefill;
+    if (generates && pause_ms > 0 && each.read_ms > pause_ms * kReadShareOfPause) {
+      each.read_ms += kLatePausesMs;
+    }
   }
   return found;
 }
--- a/src/libhawthorndrum/gateway/engine_placement.h
+++ b/src/libhawthorndrum/gateway/engine_placement.h
@@ -21,8 +21,9 @@
 /**
  * Weighs all engines of the service by the expected time to the first token: what waits there to
  * be read, what of the prompt is not in its cache, and the way of the KV cache if the prompt is
- * read elsewhere. Each group of prompts with the same shared parts has a home by rendezvous hash,
- * the same at every daemon, which is taken to hold the shared parts.
+ * read elsewhere. Each group of prompts with the same shared parts has a home in each stage by
+ * rendezvous hash, the same at every daemon, which is taken to hold the shared parts. Engines that
+ * generate read only what fits into the pauses of the streams that run there.
  */
 class engine_placement {
  public:
@@ -45,7 +46,9 @@
   /** What it costs to generate there a prompt that was read elsewhere. */
   static double RunnerCost(const candidate& each) { return each.run_ms + each.wait_ms; }
   std::vector<candidate> Candidates(const placement_query& query, time_point now) const;
-  const fleet_upstream* HomeOf(std::uint64_t key, const std::vector<candidate>& among) const;
+  /** The engine of the stage to which prompts with that shared key belong. */
+  static const fleet_upstream* HomeOf(std::uint64_t key, engine_stage stage,
+                                      const std::vector<candidate>& among);
   double RunCost(const fleet_upstream& row, const placement_query& query) const;
   double TransferCost(const fleet_upstream& from, const fleet_upstream& to,
                       const placement_query& query) const;
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -110,6 +110,7 @@
   query.tried = &each.tried;
   query.failure_is_final = !each.matched->is_idempotent();
   query.may_split = each.may_split;
+  query.longest_pause = each.matched->longest_pause;
   query.time_left = each.TimeLeft(now);
   return each.is_engine() ? engines_.Choose(query, now) : services_.Choose(query, now);
 }
--- a/src/libhawthorndrum/gateway/placement.h
+++ b/src/libhawthorndrum/gateway/placement.h
@@ -24,6 +24,8 @@
   bool failure_is_final = false;
   /** Whether the prompt may be read at one engine and the tokens generated at another. */
   bool may_split = true;
+  /** The longest pause between events that is on time; zero when none is given. */
+  duration longest_pause{0};
   /** Until the caller needs its answer. */
   duration time_left{0};
 };
