--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -7,6 +7,8 @@
 
 #include "base/log_record.h"
 #include "gateway/wire_dialect.h"
+#include "ports/engine_port.h"
+#include "ports/object_store.h"
 
 namespace hawthorndrum {
 
@@ -129,7 +131,13 @@
   if (const auto* finished = std::get_if<attempt_finished>(&happened)) {
     return gateway_.OnAttemptFinished(*finished);
   }
-  if (const auto* lost = std::get_if<attempt_lost>(&happened)) gateway_.OnAttemptLost(*lost);
+  if (const auto* lost = std::get_if<attempt_lost>(&happened)) return gateway_.OnAttemptLost(*lost);
+  if (auto* answered = std::get_if<store_answered>(&happened)) {
+    return answered->listener->OnStoreAnswer(answered->call, answered->answer);
+  }
+  if (auto* answered = std::get_if<order_answered>(&happened)) {
+    answered->listener->OnOrderAnswer(answered->answer);
+  }
 }
 
 void gateway_daemon::ApplyLimits() {
--- a/src/gatewayd/gateway_daemon.h
+++ b/src/gatewayd/gateway_daemon.h
@@ -56,6 +56,9 @@
   const clock& time() const { return clock_; }
   random_source& random() { return random_; }
   json_log& log() { return log_; }
+  metrics_registry& metrics() { return metrics_; }
+  /** Where answers to calls go, to be given out at the next tick. */
+  event_sink& events() { return ticks_; }
   bool stopping() const { return stopping_; }
 
  private:
--- a/src/libhawthorndrum/gateway/fleet_upstream.h
+++ b/src/libhawthorndrum/gateway/fleet_upstream.h
@@ -43,6 +43,8 @@
 
   /** No new work goes there until then, as long as another upstream can take it. */
   time_point avoid_until;
+  /** This daemon is changing its stage until then. */
+  time_point changes_until;
   /** Failures since the last sign of life. */
   int failures = 0;
   /** When it last sent a byte. */
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -181,9 +181,8 @@
   notice.sequence = ++notices_;
   fleet_.ForEach([&](fleet_upstream& row) {
     if (row.own.running > 0) notice.work.push_back({row.id, row.own});
-    if (row.avoid_until > now && row.failures > 0) {
-      notice.failures.push_back({row.id, row.avoid_until - now});
-    }
+    const time_point until = row.failures > 0 ? row.avoid_until : row.changes_until;
+    if (until > now) notice.avoided.push_back({row.id, until - now});
   });
   if (now - own_crashes_at_ > kCrashesTold) own_crashes_.clear();
   notice.crashes = own_crashes_;
--- a/src/libhawthorndrum/gateway/load_notice.cpp
+++ b/src/libhawthorndrum/gateway/load_notice.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint64_t kFormat = 1;
 /** With 1,200 bytes a datagram passes every usual link whole; an entry takes up to 20. */
 constexpr std::size_t kMostWork = 48;
-constexpr std::size_t kMostFailures = 8;
+constexpr std::size_t kMostAvoided = 8;
 constexpr std::size_t kMostCrashes = 8;
 
 template <typename T>
@@ -38,15 +38,15 @@
   return true;
 }
 
-bool ReadFailures(cbor_reader& from, load_notice& notice) {
-  const nlohmann::json* items = from.Array(kMostFailures);
+bool ReadAvoided(cbor_reader& from, load_notice& notice) {
+  const nlohmann::json* items = from.Array(kMostAvoided);
   if (items == nullptr) return false;
   for (const nlohmann::json& item : *items) {
     cbor_reader fields(item);
     const upstream_id upstream(fields.Unsigned());
     const milliseconds avoid_for(fields.Unsigned(60000));
     if (!fields.AtEnd()) return false;
-    notice.failures.push_back({upstream, avoid_for});
+    notice.avoided.push_back({upstream, avoid_for});
   }
   return true;
 }
@@ -76,9 +76,9 @@
     work.push_back({each.upstream.value(), each.work.running, each.work.unread_tokens,
                     each.work.memory_tokens});
   }
-  nlohmann::json failures = nlohmann::json::array();
-  for (const noted_failure& each : First(notice.failures, kMostFailures)) {
-    failures.push_back(
+  nlohmann::json avoided = nlohmann::json::array();
+  for (const noted_avoidance& each : First(notice.avoided, kMostAvoided)) {
+    avoided.push_back(
         {each.upstream.value(), static_cast<std::uint64_t>(ToMilliseconds(each.avoid_for))});
   }
   nlohmann::json crashes = nlohmann::json::array();
@@ -87,7 +87,7 @@
   }
   return EncodeCbor(
       nlohmann::json::array({kFormat, notice.sender.value(), notice.sequence, std::move(work),
-                             std::move(failures), std::move(crashes)}));
+                             std::move(avoided), std::move(crashes)}));
 }
 
 expected<load_notice> DecodeLoadNotice(boost::span<const std::uint8_t> bytes) {
@@ -98,7 +98,7 @@
   const bool known = fields.Unsigned() == kFormat;
   notice.sender = incarnation_id(fields.Unsigned());
   notice.sequence = fields.Unsigned();
-  if (known && fields.ok() && ReadWork(fields, notice) && ReadFailures(fields, notice) &&
+  if (known && fields.ok() && ReadWork(fields, notice) && ReadAvoided(fields, notice) &&
       ReadCrashes(fields, notice) && fields.AtEnd() && notice.sender) {
     return notice;
   }
--- a/src/libhawthorndrum/gateway/load_notice.h
+++ b/src/libhawthorndrum/gateway/load_notice.h
@@ -18,8 +18,8 @@
   upstream_work work;
 };
 
-/** An upstream that did not answer the sender; the others try it only when they must. */
-struct noted_failure {
+/** An upstream that others should use only when they must: it fails, or is about to change. */
+struct noted_avoidance {
   upstream_id upstream;
   /** How much longer the sender keeps away from it. */
   duration avoid_for{0};
@@ -33,7 +33,7 @@
   /** Rises with each notice of a sender. */
   std::uint64_t sequence = 0;
   std::vector<noted_work> work;
-  std::vector<noted_failure> failures;
+  std::vector<noted_avoidance> avoided;
   std::vector<crash_report> crashes;
 };
 
--- a/src/libhawthorndrum/gateway/peer_board.cpp
+++ b/src/libhawthorndrum/gateway/peer_board.cpp
@@ -10,19 +10,19 @@
 void peer_board::OnNotice(const load_notice& notice, time_point now) {
   peer_row& row = peers_[notice.sender];
   if (row.heard != time_point() && notice.sequence <= row.last.sequence) return;
-  TakeFailures(notice, now);
+  TakeAvoided(notice, now);
   for (const crash_report& crash : notice.crashes) crashes_.Note(crash, now);
   row.last = notice;
   row.heard = now;
   changed_ = true;
 }
 
-void peer_board::TakeFailures(const load_notice& notice, time_point now) {
-  for (const noted_failure& failure : notice.failures) {
-    fleet_upstream* row = fleet_.Find(failure.upstream);
+void peer_board::TakeAvoided(const load_notice& notice, time_point now) {
+  for (const noted_avoidance& avoided : notice.avoided) {
+    fleet_upstream* row = fleet_.Find(avoided.upstream);
     if (row == nullptr || now - row->alive_at < kSurelyAlive) continue;
     // Said of by one daemon it is avoided for a short while; whoever must may still find out.
-    const duration avoid_for = std::min<duration>(failure.avoid_for, milliseconds(500));
+    const duration avoid_for = std::min<duration>(avoided.avoid_for, milliseconds(500));
     row->avoid_until = std::max(row->avoid_until, now + avoid_for);
   }
 }
--- a/src/libhawthorndrum/gateway/peer_board.h
+++ b/src/libhawthorndrum/gateway/peer_board.h
@@ -37,7 +37,7 @@
     time_point heard;
   };
 
-  void TakeFailures(const load_notice& notice, time_point now);
+  void TakeAvoided(const load_notice& notice, time_point now);
 
   fleet_table& fleet_;
   crash_record& crashes_;
--- /dev/null
+++ b/src/libhawthorndrum/gateway/stage_keeper.cpp
@@ -0,0 +1,166 @@
+/// Giving orders and following them to their end.
+#include "gateway/stage_keeper.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "base/log_record.h"
+#include "gateway/gateway.h"
+#include "ports/clock.h"
+#include "ports/event_log.h"
+#include "ports/random_source.h"
+#include "systems/lease_system.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+constexpr duration kPlanPeriod = milliseconds(500);
+/** Several notices reach the other daemons in this time. */
+constexpr duration kAnnounced = milliseconds(400);
+/** An engine finishes what it has and is back a few seconds after it accepted the order. */
+constexpr duration kChangeTime = seconds(8);
+/** An order without an answer may be carried out up to so much later. */
+constexpr duration kLateOrder = seconds(14);
+constexpr duration kRetryRefused = seconds(2);
+constexpr duration kSendWithin = milliseconds(500);
+/** Before any traffic a third of the engines may change at once, later an eighth. */
+constexpr std::size_t kFirstChanges = 3;
+constexpr std::size_t kLaterChanges = 8;
+
+std::string_view NameOf(order_outcome outcome) {
+  switch (outcome) {
+    case order_outcome::kAccepted:
+      return "accepted";
+    case order_outcome::kStaleTerm:
+      return "stale_term";
+    case order_outcome::kBusy:
+      return "busy";
+    case order_outcome::kNotSent:
+      return "not_sent";
+    case order_outcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+stage_keeper::stage_keeper(gateway& served, const lease_system& lease, engine_port& engines,
+                           const clock& time, random_source& random, event_log& log)
+    : gateway_(served), lease_(lease), engines_(engines), time_(time), random_(random), log_(log) {}
+
+void stage_keeper::Run(time_point now) {
+  const bool holds = lease_.Holds();
+  if (holds != held_) {
+    held_ = holds;
+    held_since_ = now;
+    log_.Write(log_importance::kImportant,
+               log_record(holds ? "lease_gained" : "lease_lost")
+                   .Number("term", static_cast<std::int64_t>(lease_.term().value()))
+                   .Number("open_orders", static_cast<std::int64_t>(open_.size())));
+  }
+  CloseEnded(now);
+  if (!holds || now - held_since_ < kTurnPause) return;
+  OpenNew(now);
+  SendDue(now);
+}
+
+void stage_keeper::CloseEnded(time_point now) {
+  for (auto place = open_.begin(); place != open_.end();) {
+    fleet_upstream* row = gateway_.fleet().Find(place->first);
+    const bool gone = row == nullptr || !row->takes_work(now);
+    const bool done = !gone && row->entry.stage == place->second.stage;
+    if (!gone && !done && now < place->second.over_at) {
+      ++place;
+      continue;
+    }
+    if (row != nullptr) row->changes_until = now;
+    log_.Write(log_importance::kImportant,
+               log_record("order_ended")
+                   .Text("upstream", row == nullptr ? "" : row->entry.id)
+                   .Text("end", gone   ? "gone"
+                                : done ? "done"
+                                       : "not_seen"));
+    place = open_.erase(place);
+  }
+}
+
+void stage_keeper::OpenNew(time_point now) {
+  const auto config = gateway_.config();
+  if (!config || now < next_plan_) return;
+  next_plan_ = now + kPlanPeriod;
+  for (const gateway_service& service : config->services) {
+    if (!service.is_engine) continue;
+    std::vector<planned_engine> engines;
+    for (const fleet_upstream* row : gateway_.fleet().OfService(service.name)) {
+      if (!row->takes_work(now) || row->entry.stage == engine_stage::kNone) continue;
+      planned_engine each{row->id, row->entry.stage, row->entry.data_centre,
+                          row->all_work().running, false};
+      const auto open = open_.find(row->id);
+      each.changing = open != open_.end();
+      if (each.changing) each.stage = open->second.stage;
+      engines.push_back(std::move(each));
+    }
+    const std::size_t most = std::max<std::size_t>(
+        1, engines.size() / (planned_before_ ? kLaterChanges : kFirstChanges));
+    for (const stage_change& change : PlanStages(engines, {}, 1)) {
+      if (open_.size() >= most) break;
+      open_change opened;
+      opened.stage = change.stage;
+      opened.send_at = now + kAnnounced;
+      opened.over_at = now + kChangeTime;
+      open_[change.engine] = opened;
+      fleet_upstream* row = gateway_.fleet().Find(change.engine);
+      row->changes_until = row->avoid_until = opened.over_at;
+    }
+    planned_before_ = planned_before_ || !engines.empty();
+  }
+}
+
+void stage_keeper::SendDue(time_point now) {
+  for (auto& [engine, change] : open_) {
+    if (!change.sent && now >= change.send_at) Send(engine, change, now);
+  }
+}
+
+void stage_keeper::Send(upstream_id engine, open_change& change, time_point now) {
+  const fleet_upstream* row = gateway_.fleet().Find(engine);
+  if (row == nullptr) return;
+  change.sent = true;
+  change.order = order_id(random_.Draw());
+  engine_order order;
+  order.id = change.order;
+  order.term = lease_.term();
+  order.engine = engine;
+  order.role =
+      change.stage == engine_stage::kPrefill ? engine_role::kPrefill : engine_role::kDecode;
+  order.engine_name = row->entry.id;
+  order.send_by = std::min(lease_.trust_until(), now + kSendWithin);
+  log_.Write(log_importance::kImportant,
+             log_record("order_sent")
+                 .Text("upstream", row->entry.id)
+                 .Text("stage", change.stage == engine_stage::kPrefill ? "prefill" : "decode")
+                 .Number("term", static_cast<std::int64_t>(order.term.value()))
+                 .Number("running", row->all_work().running));
+  engines_.Order(row->entry.address, order, *this);
+}
+
+void stage_keeper::OnOrderAnswer(const order_answer& answer) {
+  const time_point now = time_.Now();
+  for (auto& [engine, change] : open_) {
+    if (change.order != answer.id) continue;
+    log_.Write(log_importance::kImportant,
+               log_record("order_answered").Text("outcome", NameOf(answer.outcome)));
+    if (answer.outcome == order_outcome::kAccepted) {
+      change.over_at = now + kChangeTime;
+    } else if (answer.outcome == order_outcome::kUnknown) {
+      change.over_at = now + kLateOrder;
+    } else {
+      change.over_at = now + kRetryRefused;
+    }
+    return;
+  }
+}
+
+}  // namespace hawthorndrum
--- a/src/libhawthorndrum/ports/engine_order.h
+++ b/src/libhawthorndrum/ports/engine_order.h
@@ -28,6 +28,8 @@
   std::string version;
   std::string adapter;
   time_point send_by;
+  /** The name of the start of the engine that is meant, where engines check it. */
+  std::string engine_name;
 };
 
 /** kBusy: another order runs. kStaleTerm: the engine has seen a higher term. */
