Weigh reading shared parts again by what it takes from others

Cause: prompts left the engine that holds their shared parts as soon as another was a little sooner, so each group was read at 6.6 engines and reading again kept all engines full. Change: reading shared parts that another engine holds weighs three times its own time besides.

--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -33,6 +33,8 @@
  * An event holds several tokens, and each of them waits for a piece of the prompt being read.
  */
 constexpr double kReadShareOfPause = 0.5;
+/** Weight of reading shared parts again, beyond the time that it takes the request itself. */
+constexpr double kReadAgain = 3;
 /** Reading more than that makes the running streams late. */
 constexpr double kLatePausesMs = 700;
 /** The estimate is not so good that the last part of the time left should be refused. */
@@ -111,11 +113,12 @@
     const bool is_home = each.row == reader || each.row == runner;
     if (key != 0 && is_home) held = tokens - query.asked->parts.back().tokens;
     each.unread = tokens - held;
-    each.wait_ms =
-        static_cast<double>(each.row->all_work().unread_tokens) / speeds_.Of(*each.row, now);
-    const double waits = static_cast<double>(each.row->all_work().unread_tokens + each.unread);
     const double speed = speeds_.Of(*each.row, now);
-    each.read_ms = waits / speed;
+    each.wait_ms = static_cast<double>(each.row->all_work().unread_tokens) / speed;
+    each.read_ms = each.wait_ms + static_cast<double>(each.unread) / speed;
+    // What others hold need not be read again; doing so takes the engine's time from the next ones.
+    const std::uint64_t shared = tokens - query.asked->parts.back().tokens;
+    each.again_ms = kReadAgain * static_cast<double>(shared - held) / speed;
     const double pause_ms = ToSeconds(query.longest_pause) * 1000;
     const bool generates = each.row->entry.stage != engine_stage::kPrefill;
     if (generates && pause_ms > 0 && each.read_ms > pause_ms * kReadShareOfPause) {
@@ -133,7 +136,7 @@
   const candidate* runner = nullptr;
   for (const candidate& each : found) {
     if (each.row->entry.stage == engine_stage::kPrefill) continue;
-    const double cost = each.read_ms + each.run_ms;
+    const double cost = each.read_ms + each.again_ms + each.run_ms;
     if (cost < best_ms) {
       best_ms = cost;
       best = {each.row->id, {}, each.unread, Milliseconds(cost)};
@@ -144,8 +147,8 @@
   for (const candidate& each : found) {
     if (each.row->entry.stage != engine_stage::kPrefill) continue;
     const double avoided = now < each.row->avoid_until ? kAvoidedMs : 0;
-    const double cost =
-        each.read_ms + avoided + RunnerCost(*runner) + TransferCost(*each.row, *runner->row, query);
+    const double cost = each.read_ms + each.again_ms + avoided + RunnerCost(*runner) +
+                        TransferCost(*each.row, *runner->row, query);
     if (cost >= best_ms) continue;
     best_ms = cost;
     best = {runner->row->id, each.row->id, each.unread, Milliseconds(cost)};
--- a/src/libhawthorndrum/gateway/engine_placement.h
+++ b/src/libhawthorndrum/gateway/engine_placement.h
@@ -39,6 +39,8 @@
     double wait_ms = 0;
     /** Milliseconds until the prompt would be read there. */
     double read_ms = 0;
+    /** What reading shared parts again takes from others, in milliseconds. */
+    double again_ms = 0;
     /** Milliseconds that running there costs besides. */
     double run_ms = 0;
   };
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -26,6 +26,15 @@
 constexpr int kMostUrgent = 1;
 constexpr int kLeastUrgent = 9;
 
+/** Names the shared parts of the prompt. */
+std::string PromptGroup(const exchange& each) {
+  if (!each.terms.asked) return {};
+  char text[24];
+  std::snprintf(text, sizeof(text), "%016llx",
+                static_cast<unsigned long long>(each.terms.asked->shared_key()));
+  return text;
+}
+
 duration Times(duration time, double factor) {
   return duration(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
 }
@@ -104,6 +113,7 @@
           .Number("waiting_tokens", static_cast<std::int64_t>(before.unread_tokens))
           .Number("running", before.running)
           .Number("peers_running", row.peers.running)
+          .Text("prompt_group", PromptGroup(each))
           .Flag("fetches", terms.fetch_from.has_value())
           .Number("config", static_cast<std::int64_t>(each.config->version)));
   upstream_call call;
