Give each group of prompts two homes, and set the stages before the traffic

Cause: groups of prompts spread over all engines once waits differed; orders came when the traffic had begun. Change: reading shared parts at the second home weighs less than anywhere else; a lease that was never held is taken at once where the store loses nothing.

--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -32,9 +32,13 @@
  * The share of the longest pause between events that reading may fill at an engine that generates.
  * An event holds several tokens, and each of them waits for a piece of the prompt being read.
  */
-constexpr double kReadShareOfPause = 0.5;
-/** Weight of reading shared parts again, beyond the time that it takes the request itself. */
-constexpr double kReadAgain = 3;
+constexpr double kReadShareOfPause = 0.1;
+/**
+ * Weight of reading shared parts again, beyond the time that it takes the request itself. The
+ * second home is the same at every daemon, so that a group spreads no further than it must.
+ */
+constexpr double kReadAgainAtSecond = 1.5;
+constexpr double kReadAgain = 8;
 /** Reading more than that makes the running streams late. */
 constexpr double kLatePausesMs = 700;
 /** The estimate is not so good that the last part of the time left should be refused. */
@@ -78,18 +82,23 @@
   return cost;
 }
 
-const fleet_upstream* engine_placement::HomeOf(std::uint64_t key, engine_stage stage,
-                                               const std::vector<candidate>& among) {
-  const fleet_upstream* home = nullptr;
+engine_placement::homes engine_placement::HomesOf(std::uint64_t key, engine_stage stage,
+                                                  const std::vector<candidate>& among) {
+  homes found;
   std::uint64_t best = 0;
+  std::uint64_t next = 0;
   for (const candidate& each : among) {
     if (each.row->entry.stage != stage) continue;
     const std::uint64_t score = RendezvousScore(key, each.row->id.value());
-    if (home != nullptr && score <= best) continue;
-    best = score;
-    home = each.row;
+    if (found.first == nullptr || score > best) {
+      found.second = std::exchange(found.first, each.row);
+      next = std::exchange(best, score);
+    } else if (found.second == nullptr || score > next) {
+      found.second = each.row;
+      next = score;
+    }
   }
-  return home;
+  return found;
 }
 
 std::vector<engine_placement::candidate> engine_placement::Candidates(const placement_query& query,
@@ -105,12 +114,13 @@
     found.push_back(each);
   }
   const std::uint64_t key = query.asked->shared_key();
-  const fleet_upstream* reader = HomeOf(key, engine_stage::kPrefill, found);
-  const fleet_upstream* runner = HomeOf(key, engine_stage::kDecode, found);
+  const homes readers = HomesOf(key, engine_stage::kPrefill, found);
+  const homes runners = HomesOf(key, engine_stage::kDecode, found);
   const std::uint64_t tokens = query.asked->tokens();
   for (candidate& each : found) {
     std::uint64_t held = each.row->cache.HeldTokens(*query.asked, now);
-    const bool is_home = each.row == reader || each.row == runner;
+    const bool is_home = each.row == readers.first || each.row == runners.first;
+    const bool is_second = each.row == readers.second || each.row == runners.second;
     if (key != 0 && is_home) held = tokens - query.asked->parts.back().tokens;
     each.unread = tokens - held;
     const double speed = speeds_.Of(*each.row, now);
@@ -118,7 +128,8 @@
     each.read_ms = each.wait_ms + static_cast<double>(each.unread) / speed;
     // What others hold need not be read again; doing so takes the engine's time from the next ones.
     const std::uint64_t shared = tokens - query.asked->parts.back().tokens;
-    each.again_ms = kReadAgain * static_cast<double>(shared - held) / speed;
+    each.again_ms =
+        (is_second ? kReadAgainAtSecond : kReadAgain) * static_cast<double>(shared - held) / speed;
     const double pause_ms = ToSeconds(query.longest_pause) * 1000;
     const bool generates = each.row->entry.stage != engine_stage::kPrefill;
     if (generates && pause_ms > 0 && each.read_ms > pause_ms * kReadShareOfPause) {
--- a/src/libhawthorndrum/gateway/engine_placement.h
+++ b/src/libhawthorndrum/gateway/engine_placement.h
@@ -48,9 +48,12 @@
   /** What it costs to generate there a prompt that was read elsewhere. */
   static double RunnerCost(const candidate& each) { return each.run_ms + each.wait_ms; }
   std::vector<candidate> Candidates(const placement_query& query, time_point now) const;
-  /** The engine of the stage to which prompts with that shared key belong. */
-  static const fleet_upstream* HomeOf(std::uint64_t key, engine_stage stage,
-                                      const std::vector<candidate>& among);
+  /** The engines of a stage to which prompts with one shared key belong, the first one first. */
+  struct homes {
+    const fleet_upstream* first = nullptr;
+    const fleet_upstream* second = nullptr;
+  };
+  static homes HomesOf(std::uint64_t key, engine_stage stage, const std::vector<candidate>& among);
   double RunCost(const fleet_upstream& row, const placement_query& query) const;
   double TransferCost(const fleet_upstream& from, const fleet_upstream& to,
                       const placement_query& query) const;
--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -78,6 +78,10 @@
 
   bool head_sent = false;
   event_cutter events;
+  time_point first_event_at;
+  time_point last_event_at;
+  /** Between two events that were handed on. */
+  duration longest_pause{0};
   bool caller_gone = false;
 
   bool is_engine() const { return service->is_engine && terms.asked.has_value(); }
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -219,17 +219,23 @@
 
 void gateway::Close(exchange& each, std::string_view outcome, int status) {
   const duration taken = ports_.time->Now() - each.arrived;
+  const fleet_upstream* last = fleet_.Find(each.call.upstream);
   MetersOf(*each.matched).Ended(outcome, taken);
-  ports_.log->Write(log_importance::kRoutine,
-                    log_record("request_ended")
-                        .Text("request", each.terms.caller_id)
-                        .Text("route", each.matched->name)
-                        .Text("outcome", outcome)
-                        .Number("status", status)
-                        .Number("took_ms", ToMilliseconds(taken))
-                        .Number("events", static_cast<std::int64_t>(each.events.events()))
-                        .Number("runs", each.runs)
-                        .Number("config", static_cast<std::int64_t>(each.config->version)));
+  ports_.log->Write(
+      log_importance::kRoutine,
+      log_record("request_ended")
+          .Text("request", each.terms.caller_id)
+          .Text("route", each.matched->name)
+          .Text("outcome", outcome)
+          .Number("status", status)
+          .Text("upstream", last == nullptr ? "" : last->entry.id)
+          .Number("took_ms", ToMilliseconds(taken))
+          .Number("first_ms",
+                  each.head_sent ? ToMilliseconds(each.first_event_at - each.arrived) : -1)
+          .Number("longest_pause_ms", ToMilliseconds(each.longest_pause))
+          .Number("events", static_cast<std::int64_t>(each.events.events()))
+          .Number("runs", each.runs)
+          .Number("config", static_cast<std::int64_t>(each.config->version)));
   Release(each);
   exchanges_.erase(each.id);
 }
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -1,4 +1,5 @@
 /// Handing upstreams' answers to callers.
+#include <algorithm>
 #include <utility>
 
 #include "base/log_record.h"
@@ -72,8 +73,12 @@
   if (whole.empty()) return;
   if (!each.head_sent) {
     each.head_sent = true;
+    each.first_event_at = now;
     ports_.callers->Begin(each.id, each.answer.terms.status, each.answer.headers);
+  } else {
+    each.longest_pause = std::max(each.longest_pause, now - each.last_event_at);
   }
+  each.last_event_at = now;
   ports_.callers->Write(each.id, whole);
 }
 
--- a/src/libhawthorndrum/gateway/stage_keeper.cpp
+++ b/src/libhawthorndrum/gateway/stage_keeper.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr lease_term kFirstTerm(1);
 constexpr duration kPlanPeriod = milliseconds(500);
 /** Several notices reach the other daemons in this time. */
 constexpr duration kAnnounced = milliseconds(400);
@@ -61,7 +62,10 @@
                    .Number("open_orders", static_cast<std::int64_t>(open_.size())));
   }
   CloseEnded(now);
-  if (!holds || now - held_since_ < kTurnPause) return;
+  if (!holds) return;
+  // The first holder ever follows nobody.
+  const bool first = lease_.term() == kFirstTerm;
+  if (!first && now - held_since_ < kTurnPause) return;
   OpenNew(now);
   SendDue(now);
 }
--- a/src/libhawthorndrum/systems/lease_system.cpp
+++ b/src/libhawthorndrum/systems/lease_system.cpp
@@ -91,8 +91,9 @@
 void lease_system::ConsiderTaking(time_point now) {
   const bool given_back = seen_version_ && seen_.term && !seen_.holder;
   const bool own = seen_version_ && seen_.incarnation == self_;
+  const bool never_held = timing_.take_missing_at_once && !seen_version_;
   const duration wait = std::max(timing_.length, seen_.length);
-  if (given_back || own || now - seen_since_ >= wait) Take();
+  if (given_back || own || never_held || now - seen_since_ >= wait) Take();
 }
 
 void lease_system::Take() {
--- a/src/libhawthorndrum/systems/lease_timing.h
+++ b/src/libhawthorndrum/systems/lease_timing.h
@@ -13,6 +13,8 @@
   duration length = seconds(10);
   duration margin = seconds(1);
   duration announce_every = seconds(2);
+  /** Set where the store never loses a record: one that is missing was never held. */
+  bool take_missing_at_once = false;
 
   duration renew_after() const { return length / 4; }
   duration ask_every() const { return length / 3; }
