Change stages together while the engines are idle

Cause: engines register over two seconds, so the first plan saw few and later ones changed one engine at a time.

--- a/src/libhawthorndrum/gateway/stage_keeper.cpp
+++ b/src/libhawthorndrum/gateway/stage_keeper.cpp
@@ -25,9 +25,9 @@
 constexpr duration kLateOrder = seconds(14);
 constexpr duration kRetryRefused = seconds(2);
 constexpr duration kSendWithin = milliseconds(500);
-/** Before any traffic a third of the engines may change at once, later an eighth. */
-constexpr std::size_t kFirstChanges = 3;
-constexpr std::size_t kLaterChanges = 8;
+/** Idle, a third of the engines may change at once, else an eighth. */
+constexpr std::size_t kIdleChanges = 3;
+constexpr std::size_t kBusyChanges = 8;
 
 std::string_view NameOf(order_outcome outcome) {
   switch (outcome) {
@@ -97,6 +97,7 @@
   for (const gateway_service& service : config->services) {
     if (!service.is_engine) continue;
     std::vector<planned_engine> engines;
+    std::size_t running = 0;
     for (const fleet_upstream* row : gateway_.fleet().OfService(service.name)) {
       if (!row->takes_work(now) || row->entry.stage == engine_stage::kNone) continue;
       planned_engine each{row->id, row->entry.stage, row->entry.data_centre,
@@ -104,10 +105,11 @@
       const auto open = open_.find(row->id);
       each.changing = open != open_.end();
       if (each.changing) each.stage = open->second.stage;
+      running += each.running;
       engines.push_back(std::move(each));
     }
-    const std::size_t most = std::max<std::size_t>(
-        1, engines.size() / (planned_before_ ? kLaterChanges : kFirstChanges));
+    const std::size_t most =
+        std::max<std::size_t>(1, engines.size() / (running > 0 ? kBusyChanges : kIdleChanges));
     for (const stage_change& change : PlanStages(engines, {}, 1)) {
       if (open_.size() >= most) break;
       open_change opened;
@@ -118,7 +120,6 @@
       fleet_upstream* row = gateway_.fleet().Find(change.engine);
       row->changes_until = row->avoid_until = opened.over_at;
     }
-    planned_before_ = planned_before_ || !engines.empty();
   }
 }
 
--- a/src/libhawthorndrum/gateway/stage_keeper.h
+++ b/src/libhawthorndrum/gateway/stage_keeper.h
@@ -61,7 +61,6 @@
   time_point held_since_;
   bool held_ = false;
   time_point next_plan_;
-  bool planned_before_ = false;
 };
 
 }  // namespace hawthorndrum
