Keep long prompts away from streams, and believe what all daemons heard

Cause: a reader that was given up as stalled sent its prompt to be read where streams ran, and each daemon alone hears too seldom from an engine to tell that it is silent. Change: another reader is tried first; reading beside streams costs by the number of streams; the time that passes and what others lose are weighed apart; notices say how long ago an engine was heard.

--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -39,10 +39,8 @@
  */
 constexpr double kReadAgainAtSecond = 1.5;
 constexpr double kReadAgain = 8;
-/** Reading more than that makes the running streams late. */
-constexpr double kLatePausesMs = 700;
-/** The estimate is not so good that the last part of the time left should be refused. */
-constexpr double kRefuseBeyond = 1.0;
+/** Reading more than that makes each stream that runs there late. */
+constexpr double kLatePausesMs = 400;
 constexpr duration kShortestRetry = milliseconds(250);
 
 bool Contains(const std::vector<upstream_id>* ids, upstream_id id) {
@@ -110,65 +108,69 @@
     candidate each;
     each.row = row;
     each.run_ms = RunCost(*row, query);
-    if (now < row->avoid_until) each.run_ms += kAvoidedMs;
+    if (now < row->avoid_until) each.risk_ms = kAvoidedMs;
     found.push_back(each);
   }
   const std::uint64_t key = query.asked->shared_key();
   const homes readers = HomesOf(key, engine_stage::kPrefill, found);
   const homes runners = HomesOf(key, engine_stage::kDecode, found);
-  const std::uint64_t tokens = query.asked->tokens();
   for (candidate& each : found) {
-    std::uint64_t held = each.row->cache.HeldTokens(*query.asked, now);
     const bool is_home = each.row == readers.first || each.row == runners.first;
     const bool is_second = each.row == readers.second || each.row == runners.second;
-    if (key != 0 && is_home) held = tokens - query.asked->parts.back().tokens;
-    each.unread = tokens - held;
-    const double speed = speeds_.Of(*each.row, now);
-    each.wait_ms = static_cast<double>(each.row->all_work().unread_tokens) / speed;
-    each.read_ms = each.wait_ms + static_cast<double>(each.unread) / speed;
-    // What others hold need not be read again; doing so takes the engine's time from the next ones.
-    const std::uint64_t shared = tokens - query.asked->parts.back().tokens;
-    each.again_ms =
-        (is_second ? kReadAgainAtSecond : kReadAgain) * static_cast<double>(shared - held) / speed;
-    const double pause_ms = ToSeconds(query.longest_pause) * 1000;
-    const bool generates = each.row->entry.stage != engine_stage::kPrefill;
-    if (generates && pause_ms > 0 && each.read_ms > pause_ms * kReadShareOfPause) {
-      each.read_ms += kLatePausesMs;
-    }
+    WeighReading(query, is_home && key != 0, is_second ? kReadAgainAtSecond : kReadAgain, now,
+                 each);
   }
   return found;
 }
 
+void engine_placement::WeighReading(const placement_query& query, bool is_home, double read_again,
+                                    time_point now, candidate& each) const {
+  const std::uint64_t tokens = query.asked->tokens();
+  const std::uint64_t shared = tokens - query.asked->parts.back().tokens;
+  const std::uint64_t held = is_home ? shared : each.row->cache.HeldTokens(*query.asked, now);
+  const double speed = speeds_.Of(*each.row, now);
+  each.unread = tokens - held;
+  each.wait_ms = static_cast<double>(each.row->all_work().unread_tokens) / speed;
+  each.read_ms = static_cast<double>(each.unread) / speed;
+  // What others hold need not be read again; doing so takes the engine's time from the next ones.
+  each.price_ms += read_again * static_cast<double>(shared - held) / speed;
+  if (each.row->entry.stage == engine_stage::kPrefill) return;
+  const double pause_ms = ToSeconds(query.longest_pause) * 1000;
+  if (pause_ms > 0 && each.wait_ms + each.read_ms > pause_ms * kReadShareOfPause) {
+    each.price_ms += kLatePausesMs * (1 + each.row->all_work().running);
+  }
+}
+
 tl::expected<placement, no_place> engine_placement::Choose(const placement_query& query,
                                                            time_point now) const {
   const std::vector<candidate> found = Candidates(query, now);
+  const candidate* runner = nullptr;
   placement best;
   double best_ms = std::numeric_limits<double>::infinity();
-  const candidate* runner = nullptr;
+  const auto consider = [&](const placement& place, double expected_ms, double price_ms) {
+    if (expected_ms + price_ms >= best_ms) return;
+    best_ms = expected_ms + price_ms;
+    best = place;
+    best.expected = Milliseconds(expected_ms);
+  };
   for (const candidate& each : found) {
     if (each.row->entry.stage == engine_stage::kPrefill) continue;
-    const double cost = each.read_ms + each.again_ms + each.run_ms;
-    if (cost < best_ms) {
-      best_ms = cost;
-      best = {each.row->id, {}, each.unread, Milliseconds(cost)};
-    }
-    if (runner == nullptr || RunnerCost(each) < RunnerCost(*runner)) runner = &each;
+    if (runner == nullptr || each.RunnerMs() < runner->RunnerMs()) runner = &each;
+    consider({each.row->id, {}, each.unread, {}}, each.wait_ms + each.read_ms + each.run_ms,
+             each.price_ms + each.risk_ms);
   }
   if (runner == nullptr) return tl::make_unexpected(no_place{"no_engine", seconds(1)});
   for (const candidate& each : found) {
     if (each.row->entry.stage != engine_stage::kPrefill) continue;
-    const double avoided = now < each.row->avoid_until ? kAvoidedMs : 0;
-    const double cost = each.read_ms + each.again_ms + avoided + RunnerCost(*runner) +
-                        TransferCost(*each.row, *runner->row, query);
-    if (cost >= best_ms) continue;
-    best_ms = cost;
-    best = {runner->row->id, each.row->id, each.unread, Milliseconds(cost)};
+    const double transfer_ms = TransferCost(*each.row, *runner->row, query);
+    consider({runner->row->id, each.row->id, each.unread, {}},
+             each.wait_ms + each.read_ms + transfer_ms + runner->run_ms,
+             each.price_ms + each.risk_ms + runner->risk_ms);
   }
-  const double left_ms = ToSeconds(query.time_left) * 1000;
-  if (best_ms - kAvoidedMs > left_ms * kRefuseBeyond) {
+  if (best.expected > query.time_left) {
     // The queue is read at the engines' own speed; coming back sooner finds it as long.
     return tl::make_unexpected(no_place{
-        "engines_behind", std::max<duration>(kShortestRetry, Milliseconds(best_ms - left_ms))});
+        "engines_behind", std::max<duration>(kShortestRetry, best.expected - query.time_left)});
   }
   return best;
 }
--- a/src/libhawthorndrum/gateway/engine_placement.h
+++ b/src/libhawthorndrum/gateway/engine_placement.h
@@ -32,22 +32,30 @@
   tl::expected<placement, no_place> Choose(const placement_query& query, time_point now) const;
 
  private:
+  /** All times in milliseconds. */
   struct candidate {
     const fleet_upstream* row = nullptr;
+    /** Tokens of the prompt that are not in its cache. */
     std::uint64_t unread = 0;
-    /** Milliseconds until what waits there would be read. */
+    /** Until what waits there is read. */
     double wait_ms = 0;
-    /** Milliseconds until the prompt would be read there. */
+    /** To read the prompt. */
     double read_ms = 0;
-    /** What reading shared parts again takes from others, in milliseconds. */
-    double again_ms = 0;
-    /** Milliseconds that running there costs besides. */
+    /** What running there takes besides reading. */
     double run_ms = 0;
+    /** What other requests lose by the reading; no time that passes. */
+    double price_ms = 0;
+    /** What the caller risks at an engine that failed just now. */
+    double risk_ms = 0;
+
+    /** What it costs to generate there a prompt that was read elsewhere. */
+    double RunnerMs() const { return run_ms + wait_ms + risk_ms; }
   };
 
-  /** What it costs to generate there a prompt that was read elsewhere. */
-  static double RunnerCost(const candidate& each) { return each.run_ms + each.wait_ms; }
   std::vector<candidate> Candidates(const placement_query& query, time_point now) const;
+  /** Fills in what reading the prompt there takes and costs. */
+  void WeighReading(const placement_query& query, bool is_home, double read_again, time_point now,
+                    candidate& each) const;
   /** The engines of a stage to which prompts with one shared key belong, the first one first. */
   struct homes {
     const fleet_upstream* first = nullptr;
--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -74,6 +74,8 @@
   /** Calls that may have run. */
   int runs = 0;
   int refusals = 0;
+  /** Engines that failed to read the prompt for another one. */
+  int readings = 0;
   bool may_split = true;
 
   bool head_sent = false;
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -25,6 +25,8 @@
 /** A request that crashes upstreams is not welcome sooner. */
 constexpr duration kRetryConvicted = seconds(30);
 constexpr duration kSweepPeriod = seconds(1);
+/** Others need not hear of an upstream that was quiet for longer. */
+constexpr duration kHeardOfTold = seconds(1);
 /** How long crashes are repeated in the notices, which may be lost. */
 constexpr duration kCrashesTold = seconds(1);
 
@@ -180,7 +182,8 @@
   notice.sender = ports_.incarnation;
   notice.sequence = ++notices_;
   fleet_.ForEach([&](fleet_upstream& row) {
-    if (row.own.running > 0) notice.work.push_back({row.id, row.own});
+    const duration ago = now - row.alive_at;
+    if (row.own.running > 0 || ago < kHeardOfTold) notice.work.push_back({row.id, row.own, ago});
     const time_point until = row.failures > 0 ? row.avoid_until : row.changes_until;
     if (until > now) notice.avoided.push_back({row.id, until - now});
   });
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -25,6 +25,8 @@
 constexpr duration kFullAvoidance = milliseconds(60);
 /** A busy engine sends something far more often. */
 constexpr duration kSilenceOfStalled = milliseconds(700);
+/** Engines that may be asked to read a prompt for another one. */
+constexpr int kMostReadings = 2;
 constexpr duration kRetryAfterFailure = milliseconds(300);
 
 }  // namespace
@@ -120,7 +122,8 @@
   Release(each);
   each.answer = {};
   if (each.caller_gone) return Close(each, "caller_gone", 0);
-  each.may_split = false;
+  each.readings += 1;
+  each.may_split = each.readings < kMostReadings && allowance_.Spend(each.service->name, now);
   const auto place = Place(each, now);
   if (!place) return Refuse(each, place.error().reason, place.error().retry_after);
   Send(each, *place, now);
--- a/src/libhawthorndrum/gateway/load_notice.cpp
+++ b/src/libhawthorndrum/gateway/load_notice.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint64_t kFormat = 1;
 /** With 1,200 bytes a datagram passes every usual link whole; an entry takes up to 20. */
 constexpr std::size_t kMostWork = 48;
+constexpr std::uint64_t kLongestAgoMs = 60000;
 constexpr std::size_t kMostAvoided = 8;
 constexpr std::size_t kMostCrashes = 8;
 
@@ -32,6 +33,7 @@
     work.work.running = static_cast<std::uint32_t>(fields.Unsigned(UINT32_MAX));
     work.work.unread_tokens = fields.Unsigned(UINT32_MAX);
     work.work.memory_tokens = fields.Unsigned(UINT32_MAX);
+    work.heard_ago = milliseconds(fields.Unsigned(kLongestAgoMs));
     if (!fields.AtEnd()) return false;
     notice.work.push_back(work);
   }
@@ -73,8 +75,9 @@
     return a.work.unread_tokens > b.work.unread_tokens;
   });
   for (const noted_work& each : First(sorted, kMostWork)) {
-    work.push_back({each.upstream.value(), each.work.running, each.work.unread_tokens,
-                    each.work.memory_tokens});
+    work.push_back(
+        {each.upstream.value(), each.work.running, each.work.unread_tokens, each.work.memory_tokens,
+         std::min(static_cast<std::uint64_t>(ToMilliseconds(each.heard_ago)), kLongestAgoMs)});
   }
   nlohmann::json avoided = nlohmann::json::array();
   for (const noted_avoidance& each : First(notice.avoided, kMostAvoided)) {
--- a/src/libhawthorndrum/gateway/load_notice.h
+++ b/src/libhawthorndrum/gateway/load_notice.h
@@ -16,6 +16,8 @@
 struct noted_work {
   upstream_id upstream;
   upstream_work work;
+  /** How long ago the sender heard from the upstream. */
+  duration heard_ago{0};
 };
 
 /** An upstream that others should use only when they must: it fails, or is about to change. */
--- a/src/libhawthorndrum/gateway/peer_board.cpp
+++ b/src/libhawthorndrum/gateway/peer_board.cpp
@@ -10,6 +10,10 @@
 void peer_board::OnNotice(const load_notice& notice, time_point now) {
   peer_row& row = peers_[notice.sender];
   if (row.heard != time_point() && notice.sequence <= row.last.sequence) return;
+  for (const noted_work& noted : notice.work) {
+    fleet_upstream* known = fleet_.Find(noted.upstream);
+    if (known != nullptr) known->alive_at = std::max(known->alive_at, now - noted.heard_ago);
+  }
   TakeAvoided(notice, now);
   for (const crash_report& crash : notice.crashes) crashes_.Note(crash, now);
   row.last = notice;
