--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -37,6 +37,8 @@
   upstream_id upstream;
   upstream_work booked;
   time_point sent_at;
+  /** The upstream may be silent for so long without being taken for stalled. */
+  duration patience{0};
   /** When it is given up as stalled, if another upstream may take over. */
   time_point stalls_at;
   /** Tokens that the engine had to read before the first one came, those of others included. */
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -63,8 +63,9 @@
 void gateway::RelayEvents(exchange& each, std::string_view bytes) {
   const time_point now = ports_.time->Now();
   if (fleet_upstream* row = fleet_.Find(each.call.upstream)) row->alive_at = now;
-  each.call.stalls_at =
-      now + std::max<duration>(kShortestEventStall, kPausesToStall * each.matched->longest_pause);
+  each.call.patience =
+      std::max<duration>(kShortestEventStall, kPausesToStall * each.matched->longest_pause);
+  each.call.stalls_at = now + each.call.patience;
   std::string whole;
   if (!each.events.Feed(bytes, whole)) {
     ports_.upstreams->Cancel(each.call.attempt);
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -23,8 +23,6 @@
 constexpr duration kLongestAvoidance = seconds(3);
 /** A full upstream has room again soon. */
 constexpr duration kFullAvoidance = milliseconds(60);
-/** A busy engine sends something far more often. */
-constexpr duration kSilenceOfStalled = milliseconds(700);
 /** Engines that may be asked to read a prompt for another one. */
 constexpr int kMostReadings = 2;
 constexpr duration kRetryAfterFailure = milliseconds(300);
@@ -170,8 +168,8 @@
   const fleet_upstream* row = fleet_.Find(each.call.upstream);
   const time_point sign =
       row == nullptr ? each.call.sent_at : std::max(row->alive_at, each.call.sent_at);
-  if (now - sign < kSilenceOfStalled) {
-    each.call.stalls_at = sign + kSilenceOfStalled;
+  if (now - sign < each.call.patience) {
+    each.call.stalls_at = sign + each.call.patience;
     return;
   }
   if (each.state == exchange_state::kReading) {
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -55,7 +55,8 @@
   each.call.booked.running = 1;
   each.call.booked.unread_tokens = place.unread_tokens;
   each.call.booked.memory_tokens = each.terms.asked->tokens();
-  each.call.stalls_at = now + Times(place.expected, kStallFactor) + kStallSlack;
+  each.call.patience = Times(place.expected, kStallFactor) + kStallSlack;
+  each.call.stalls_at = now + each.call.patience;
   row->cache.NotePrompt(*each.terms.asked, now);
   run_terms terms;
   terms.read_only = true;
@@ -78,12 +79,13 @@
     each.call.booked.memory_tokens = asked.tokens() + asked.output_tokens;
     row->cache.NotePrompt(asked, now);
     terms.fetch_from = std::exchange(each.handle, std::nullopt);
-    const duration stalls = Times(expected, kStallFactor) + kStallSlack;
-    each.call.stalls_at = now + std::max(stalls, each.matched->objective);
+    each.call.patience =
+        std::max(Times(expected, kStallFactor) + kStallSlack, each.matched->objective);
   } else {
     const duration usual = Times(row->answer_time, kPlainStallFactor);
-    each.call.stalls_at = now + std::max(usual, each.matched->objective / 2);
+    each.call.patience = std::max(usual, each.matched->objective / 2);
   }
+  each.call.stalls_at = now + each.call.patience;
   terms.last_event_id =
       each.events.last_id().empty() ? each.terms.last_event_id : each.events.last_id();
   Open(each, *row, terms, now);
