Keep prompts that were read over refusals, and reset calls that were given up

Change: a refusal after the head closes the connection instead; unfinished calls are reset; a read prompt is offered to another engine; readings beyond the first are charged; engines that refuse weigh more.

--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -26,6 +26,8 @@
 /** Beyond this share of its memory an engine preempts. */
 constexpr double kMemoryShare = 0.9;
 constexpr double kNoMemoryMs = 600;
+/** An engine that refuses costs a call and the budget's retries. */
+constexpr double kRefusalMs = 400;
 /** Engines that failed just now come last. */
 constexpr double kAvoidedMs = 4000;
 /**
@@ -108,7 +110,8 @@
     candidate each;
     each.row = row;
     each.run_ms = RunCost(*row, query);
-    if (now < row->avoid_until) each.risk_ms = kAvoidedMs;
+    each.risk_ms = kRefusalMs * row->refusal_share;
+    if (now < row->avoid_until) each.risk_ms += kAvoidedMs;
     found.push_back(each);
   }
   const std::uint64_t key = query.asked->shared_key();
@@ -129,9 +132,10 @@
   const std::uint64_t shared = tokens - query.asked->parts.back().tokens;
   const std::uint64_t held = is_home ? shared : each.row->cache.HeldTokens(*query.asked, now);
   const double speed = speeds_.Of(*each.row, now);
-  each.unread = tokens - held;
+  each.unread = query.is_read ? 0 : tokens - held;
   each.wait_ms = static_cast<double>(each.row->all_work().unread_tokens) / speed;
   each.read_ms = static_cast<double>(each.unread) / speed;
+  if (query.is_read) return;
   // What others hold need not be read again; doing so takes the engine's time from the next ones.
   each.price_ms += read_again * static_cast<double>(shared - held) / speed;
   if (each.row->entry.stage == engine_stage::kPrefill) return;
--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -67,9 +67,9 @@
   exchange_state state = exchange_state::kRunning;
   exchange_call call;
   upstream_answer answer;
-  /** Where the tokens will be generated while the prompt is read elsewhere. */
-  upstream_id runs_next;
+  /** The prompt as an engine read it, until another one has taken it. */
   std::optional<kv_handle> handle;
+  bool sent_to_read = false;
 
   /** Upstreams that the request was sent to, those that refused included. */
   std::vector<upstream_id> tried;
--- a/src/libhawthorndrum/gateway/fleet_upstream.h
+++ b/src/libhawthorndrum/gateway/fleet_upstream.h
@@ -51,6 +51,8 @@
   time_point alive_at;
   /** Share of answers that were failures, of late. */
   double failure_share = 0;
+  /** Share of calls that it refused, of late. */
+  double refusal_share = 0;
   /** How much longer it takes than expected, of late; at least 1. */
   double slowness = 1;
   time_point slowness_at;
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -111,7 +111,8 @@
   query.asked = each.terms.asked ? &*each.terms.asked : nullptr;
   query.tried = &each.tried;
   query.failure_is_final = !each.matched->is_idempotent();
-  query.may_split = each.may_split;
+  query.is_read = each.handle.has_value();
+  query.may_split = each.may_split && !query.is_read;
   query.longest_pause = each.matched->longest_pause;
   query.time_left = each.TimeLeft(now);
   return each.is_engine() ? engines_.Choose(query, now) : services_.Choose(query, now);
@@ -155,6 +156,9 @@
 }
 
 void gateway::Refuse(exchange& each, std::string_view reason, duration retry_after) {
+  DropHandle(each);
+  // The caller has a part of a stream, whose end must not look like another answer.
+  if (each.head_sent) return CutOff(each);
   ports_.metrics->Counter("gateway_refused_total", MetricLabel("reason", reason)).Add();
   ports_.callers->Answer(each.id, ProblemAnswer(503, reason, retry_after));
   ports_.log->Write(log_importance::kNotable,
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -83,6 +83,8 @@
   const weighted_service& PickTarget(const route& matched);
   tl::expected<placement, no_place> Place(const exchange& each, time_point now) const;
   void Send(exchange& each, const placement& place, time_point now);
+  /** Sends the prompt, which was read elsewhere, to an engine that generates. */
+  void SendReadPrompt(exchange& each, time_point now);
   void SendRead(exchange& each, const placement& place, time_point now);
   void SendRun(exchange& each, upstream_id at, std::uint64_t unread, duration expected,
                time_point now);
@@ -96,6 +98,8 @@
   void FinishStream(exchange& each, time_point now);
   void RelayEvents(exchange& each, std::string_view bytes);
   void Deliver(exchange& each);
+  /** Closes the caller's connection in the middle of its stream. */
+  void CutOff(exchange& each);
   bool IsDeliverable(const exchange& each) const;
 
   // When something went wrong.
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -20,6 +20,8 @@
  */
 constexpr duration kShortestEventStall = milliseconds(1000);
 constexpr int kPausesToStall = 4;
+/** Each answer takes so much off the share of refusals that is remembered. */
+constexpr double kRefusalFades = 0.1;
 constexpr double kFailureWeight = 0.1;
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
@@ -39,9 +41,12 @@
   each->answer.terms = ports_.dialect->ReadAnswer(head.status, head.headers);
   each->answer.headers = head.headers;
   each->answer.body.clear();
+  // An engine that runs the request has taken the prompt that was read for it.
+  if (each->state == exchange_state::kRunning && !each->answer.terms.not_run) each->handle.reset();
   if (fleet_upstream* row = fleet_.Find(each->call.upstream)) {
     row->alive_at = now;
     row->failures = 0;
+    if (!each->answer.terms.not_run) row->refusal_share *= 1 - kRefusalFades;
   }
 }
 
@@ -109,15 +114,13 @@
     return Close(each, "caller_gone", 0);
   }
   each.handle = kv_handle{address, std::move(*name)};
-  const fleet_upstream* runner = fleet_.Find(each.runs_next);
-  if (runner != nullptr && runner->takes_work(now) && now >= runner->avoid_until) {
-    return SendRun(each, each.runs_next, 0, duration(0), now);
-  }
-  // The chosen engine left meanwhile; any other one may fetch as well.
-  each.may_split = false;
+  SendReadPrompt(each, now);
+}
+
+void gateway::SendReadPrompt(exchange& each, time_point now) {
+  // What was best when the reading began may have filled up or left meanwhile.
   const auto place = Place(each, now);
-  if (place) return SendRun(each, place->runs_at, 0, duration(0), now);
-  DropHandle(each);
+  if (place) return SendRun(each, place->runs_at, 0, place->expected, now);
   Refuse(each, place.error().reason, place.error().retry_after);
 }
 
@@ -154,11 +157,13 @@
   Deliver(each);
 }
 
+void gateway::CutOff(exchange& each) {
+  ports_.callers->Abort(each.id);
+  Close(each, "cut", each.answer.terms.status);
+}
+
 void gateway::Deliver(exchange& each) {
-  if (each.head_sent) {
-    ports_.callers->Abort(each.id);
-    return Close(each, "cut", each.answer.terms.status);
-  }
+  if (each.head_sent) return CutOff(each);
   const int status = each.answer.terms.status;
   ports_.callers->Answer(each.id, {status, each.answer.headers, std::move(each.answer.body)});
   Close(each, IsSuccess(status) ? "answered" : "upstream_error", status);
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -22,6 +22,7 @@
 constexpr duration kFirstAvoidance = milliseconds(250);
 constexpr duration kLongestAvoidance = seconds(3);
 /** A full upstream has room again soon. */
+constexpr double kRefusalWeight = 0.15;
 constexpr duration kFullAvoidance = milliseconds(60);
 /** Engines that may be asked to read a prompt for another one. */
 constexpr int kMostReadings = 2;
@@ -66,6 +67,8 @@
     row.failures += 1;
   } else if (problem.may_have_run) {
     return;
+  } else {
+    row.refusal_share += kRefusalWeight * (1 - row.refusal_share);
   }
   row.avoid_until = std::max(row.avoid_until, now + avoid_for);
 }
@@ -94,7 +97,10 @@
     each.refusals += 1;
   }
   if (each.caller_gone) return Close(each, "caller_gone", 0);
+  // A run that ended may have taken the prompt; one that was refused twice may have found it gone.
+  if (problem.may_have_run || each.refusals > 1) DropHandle(each);
   if (!MayTryAgain(each, problem, now)) return GiveUp(each, problem, now);
+  if (each.handle) return SendReadPrompt(each, now);
   const auto place = Place(each, now);
   if (!place) return GiveUp(each, problem, now);
   Send(each, *place, now);
@@ -129,10 +135,7 @@
 
 void gateway::GiveUp(exchange& each, const call_problem& problem, time_point now) {
   DropHandle(each);
-  if (each.head_sent) {
-    ports_.callers->Abort(each.id);
-    return Close(each, "cut", each.answer.terms.status);
-  }
+  if (each.head_sent) return CutOff(each);
   if (problem.has_answer) return Deliver(each);
   // Only what certainly never ran may be called so.
   if (each.runs == 0) return Refuse(each, problem.reason, kRetryAfterFailure);
@@ -154,10 +157,7 @@
                         .Number("runs", each.runs));
   Cancel(each);
   DropHandle(each);
-  if (each.head_sent) {
-    ports_.callers->Abort(each.id);
-    return Close(each, "cut", each.answer.terms.status);
-  }
+  if (each.head_sent) return CutOff(each);
   if (unsent && each.runs == 0) return Refuse(each, "deadline", kRetryAfterFailure);
   ports_.callers->Answer(each.id, ProblemAnswer(504, "deadline", duration(0)));
   Close(each, "failed", 504);
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -50,7 +50,9 @@
 void gateway::SendRead(exchange& each, const placement& place, time_point now) {
   fleet_upstream* row = fleet_.Find(place.reads_at);
   each.state = exchange_state::kReading;
-  each.runs_next = place.runs_at;
+  // Only the first reading is free of the retry budget.
+  if (each.sent_to_read) allowance_.Charge(each.service->name);
+  each.sent_to_read = true;
   each.call = {};
   each.call.booked.running = 1;
   each.call.booked.unread_tokens = place.unread_tokens;
@@ -78,7 +80,7 @@
     each.call.booked.unread_tokens = unread;
     each.call.booked.memory_tokens = asked.tokens() + asked.output_tokens;
     row->cache.NotePrompt(asked, now);
-    terms.fetch_from = std::exchange(each.handle, std::nullopt);
+    terms.fetch_from = each.handle;
     each.call.patience =
         std::max(Times(expected, kStallFactor) + kStallSlack, each.matched->objective);
   } else {
--- a/src/libhawthorndrum/gateway/placement.h
+++ b/src/libhawthorndrum/gateway/placement.h
@@ -22,6 +22,8 @@
   const std::vector<upstream_id>* tried = nullptr;
   /** Whether failures of the upstream are final, as for requests that must not run twice. */
   bool failure_is_final = false;
+  /** The prompt was read; only tokens are to be generated. */
+  bool is_read = false;
   /** Whether the prompt may be read at one engine and the tokens generated at another. */
   bool may_split = true;
   /** The longest pause between events that is on time; zero when none is given. */
--- a/src/libhawthorndrum/gateway/service_placement.cpp
+++ b/src/libhawthorndrum/gateway/service_placement.cpp
@@ -46,6 +46,7 @@
   const double load = row.all_work().running / slots;
   double cost = ToSeconds(answer) * 1000 * (1 + load);
   cost += row.failure_share * (query.failure_is_final ? kFinalFailureMs : kRetriedFailureMs);
+  cost += row.refusal_share * kRetriedFailureMs;
   if (row.entry.data_centre != own_data_centre_) cost += kOtherDataCentreMs;
   if (now < row.avoid_until) cost += kAvoidedMs;
   return cost;
--- a/src/libtransport/http_client.cpp
+++ b/src/libtransport/http_client.cpp
@@ -305,6 +305,8 @@
 void http_client::impl::running_call::Close() {
   if (!connection_) return;
   beast::error_code ignored;
+  // A reset discards what has not arrived: a request given up here must not run later.
+  connection_->socket.set_option(asio::socket_base::linger(true, 0), ignored);
   connection_->socket.close(ignored);
 }
 
