--- /dev/null
+++ b/tests/discovery/test_discovery.cpp
@@ -0,0 +1,150 @@
+/// Following the host list through outages of the store.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "gateway/object_reader.h"
+#include "gateway/object_watch.h"
+#include "gateway/upstream_directory.h"
+#include "gateway_fixture.h"
+
+namespace hawthorndrum {
+namespace {
+
+class recording_reader : public object_reader {
+ public:
+  void List(const std::string&, const std::string& after) override {
+    calls.push_back("list " + after);
+  }
+  void Watch(const std::string&, std::uint64_t revision, duration) override {
+    calls.push_back("watch " + std::to_string(revision));
+  }
+  std::vector<std::string> calls;
+};
+
+class DiscoveryTest : public GatewayFixtureTest {
+ protected:
+  DiscoveryTest()
+      : directory(served, clock, log), watch("servers", reader, directory, random, log) {}
+
+  static upstream_entry Entry(const std::string& id, bool leaving = false) {
+    upstream_entry entry;
+    entry.id = id;
+    entry.service = "desk";
+    entry.address = "10.0.0.9:80";
+    entry.leaving = leaving;
+    return entry;
+  }
+  bool TakesWork(const std::string& id) {
+    const fleet_upstream* row = served.fleet().FindEntry(id);
+    return row != nullptr && row->takes_work(clock.Now());
+  }
+  void Outage(duration length) {
+    watch.OnTrouble(store_trouble::kSilent, clock.Now());
+    clock.Advance(length);
+    watch.Run(clock.Now());
+    watch.OnEvents(50, clock.Now());
+  }
+  void ListOnce() {
+    watch.Run(clock.Now());
+    directory.Put(Entry("a"));
+    watch.OnPart({"", 10}, clock.Now());
+  }
+
+  recording_reader reader;
+  upstream_directory directory;
+  object_watch watch;
+};
+
+TEST_F(DiscoveryTest, ListsInPartsAndThenWatches) {
+  watch.Run(clock.Now());
+  watch.OnPart({"m", 10}, clock.Now());
+  watch.OnPart({"", 12}, clock.Now());
+  EXPECT_EQ(reader.calls, (std::vector<std::string>{"list ", "list m", "watch 10"}))
+      << "changes during the list are in the history after its first part";
+}
+
+TEST_F(DiscoveryTest, AFailedWatchGoesOnFromItsRevision) {
+  ListOnce();
+  watch.OnTrouble(store_trouble::kSilent, clock.Now());
+  watch.Run(clock.Now());
+  EXPECT_EQ(reader.calls.back(), "watch 10");
+  EXPECT_EQ(reader.calls.size(), 2u) << "not at once";
+  clock.Advance(seconds(1));
+  watch.Run(clock.Now());
+  EXPECT_EQ(reader.calls.size(), 3u);
+  EXPECT_EQ(reader.calls.back(), "watch 10");
+}
+
+TEST_F(DiscoveryTest, ALostHistoryIsListedAnewAtOnce) {
+  ListOnce();
+  watch.OnTrouble(store_trouble::kHistoryGone, clock.Now());
+  EXPECT_EQ(reader.calls.back(), "list ");
+  EXPECT_TRUE(TakesWork("a")) << "nothing is forgotten meanwhile";
+  watch.OnPart({"", 40}, clock.Now());
+  EXPECT_FALSE(TakesWork("a")) << "it is missing from the new list";
+}
+
+TEST_F(DiscoveryTest, ADeletedEntryGetsNoWorkFromThenOn) {
+  ListOnce();
+  directory.Remove("a");
+  EXPECT_FALSE(TakesWork("a"));
+}
+
+TEST_F(DiscoveryTest, EntriesThatLapsedInAnOutageKeepTheirWorkForAWhile) {
+  ListOnce();
+  Outage(seconds(5));
+  directory.Remove("a");
+  EXPECT_TRUE(TakesWork("a"));
+  clock.Advance(upstream_directory::kLapseGrace + milliseconds(1));
+  EXPECT_FALSE(TakesWork("a"));
+}
+
+TEST_F(DiscoveryTest, AnEntryThatComesBackAfterAnOutageIsUsedOn) {
+  ListOnce();
+  Outage(seconds(5));
+  directory.Remove("a");
+  clock.Advance(milliseconds(900));
+  directory.Put(Entry("a"));
+  clock.Advance(seconds(10));
+  EXPECT_TRUE(TakesWork("a"));
+}
+
+TEST_F(DiscoveryTest, OneThatSaidItLeavesHasNoGrace) {
+  ListOnce();
+  directory.Put(Entry("a", true));
+  Outage(seconds(5));
+  directory.Remove("a");
+  EXPECT_FALSE(TakesWork("a"));
+}
+
+TEST_F(DiscoveryTest, AnotherStartUnderTheSameNameIsAnotherUpstream) {
+  ListOnce();
+  const upstream_id before = served.fleet().FindEntry("a")->id;
+  upstream_entry again = Entry("a");
+  again.born = 5;
+  directory.Put(again);
+  EXPECT_NE(served.fleet().FindEntry("a")->id, before);
+  served.fleet().Sweep(clock.Now());
+  EXPECT_EQ(served.fleet().Find(before), nullptr);
+}
+
+TEST_F(DiscoveryTest, AnUnreadableEntryNamesNoUpstreamAndHarmsNoOther) {
+  ListOnce();
+  directory.Put(Entry("b"));
+  directory.NoteUnreadable("a", "torn");
+  EXPECT_FALSE(TakesWork("a"));
+  EXPECT_TRUE(TakesWork("b"));
+  EXPECT_NE(log.LastOf("upstream_entry_unreadable"), "");
+}
+
+TEST_F(DiscoveryTest, LostAndRegainedStoreIsLogged) {
+  ListOnce();
+  Outage(seconds(3));
+  EXPECT_NE(log.LastOf("store_lost").find("\"trouble\":\"silent\""), std::string::npos);
+  EXPECT_NE(log.LastOf("store_regained").find("\"after_ms\":3000"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace hawthorndrum
--- /dev/null
+++ b/tests/gateway/streams.cpp
@@ -0,0 +1,178 @@
+/// Streams: relaying, resuming, reading prompts elsewhere.
+#include <gtest/gtest.h>
+
+#include "gateway_fixture.h"
+
+namespace hawthorndrum {
+namespace {
+
+class StreamsTest : public GatewayFixtureTest {
+ protected:
+  static std::string Event(int id) { return "id: " + std::to_string(id) + "\ndata: t\n\n"; }
+};
+
+TEST_F(StreamsTest, EventsAreHandedOnAsTheyCome) {
+  Add("d", "llm", engine_stage::kDecode);
+  const request_id id = AskPrompt("/tell/x", "aa", 100, 50);
+  Head(200);
+  Bytes(Event(1));
+  EXPECT_EQ(CallerOf(id).body, Event(1));
+  Bytes(Event(2));
+  Done();
+  EXPECT_EQ(CallerOf(id).body, Event(1) + Event(2));
+  EXPECT_EQ(CallerOf(id).ends, 1);
+}
+
+TEST_F(StreamsTest, GoesOnElsewhereAfterTheLastWholeEvent) {
+  Add("d", "llm", engine_stage::kDecode);
+  Add("e", "llm", engine_stage::kDecode);
+  const request_id id = AskPrompt("/tell/x", "aa", 100, 50);
+  Head(200);
+  Bytes(Event(1) + Event(2) + "id: 3\nda");
+  Lost();
+  ASSERT_EQ(upstreams.sent.size(), 2u);
+  EXPECT_EQ(SentHeader("Last-Event-Id"), "2");
+  Head(200);
+  Bytes(Event(3));
+  Done();
+  EXPECT_EQ(CallerOf(id).body, Event(1) + Event(2) + Event(3));
+  EXPECT_EQ(CallerOf(id).begins, 1);
+  EXPECT_EQ(CallerOf(id).ends, 1);
+}
+
+TEST_F(StreamsTest, AStreamThatMayNotBeResumedIsCutAndNotSentAgain) {
+  Add("d", "llm", engine_stage::kDecode);
+  Add("e", "llm", engine_stage::kDecode);
+  const request_id id = AskPrompt("/note/x", "aa", 100, 50);
+  Head(200);
+  Bytes(Event(1));
+  Lost();
+  EXPECT_EQ(upstreams.sent.size(), 1u);
+  EXPECT_EQ(CallerOf(id).aborts, 1);
+  EXPECT_EQ(CallerOf(id).ends, 0);
+}
+
+TEST_F(StreamsTest, AnEndInsideAnEventIsNoEnd) {
+  Add("d", "llm", engine_stage::kDecode);
+  const request_id id = AskPrompt("/note/x", "aa", 100, 50);
+  Head(200);
+  Bytes(Event(1) + "id: 2\n");
+  Done();
+  EXPECT_EQ(CallerOf(id).aborts, 1);
+  EXPECT_EQ(CallerOf(id).ends, 0);
+}
+
+// Found on the bench as an answer that callers could not read: the refusal was written into the
+// stream's chunked body.
+TEST_F(StreamsTest, NoPlaceToResumeClosesTheConnection) {
+  Add("d", "llm", engine_stage::kDecode);
+  const request_id id = AskPrompt("/tell/x", "aa", 100, 50);
+  Head(200);
+  Bytes(Event(1));
+  Lost();
+  EXPECT_EQ(CallerOf(id).answers, 0);
+  EXPECT_EQ(CallerOf(id).aborts, 1);
+}
+
+TEST_F(StreamsTest, AReaderThatFailsWhileAStreamIsResumedClosesTheConnection) {
+  Add("d", "llm", engine_stage::kDecode);
+  const upstream_id reader = Add("p", "llm", engine_stage::kPrefill);
+  const request_id id = AskPrompt("/tell/x", "aa", 9000, 5000);
+  HandleMade();
+  Head(200);
+  Bytes(Event(1));
+  served.fleet().Remove("d", clock.Now());
+  Lost();
+  EXPECT_EQ(CallerOf(id).answers, 0);
+  EXPECT_EQ(CallerOf(id).aborts, 1);
+  EXPECT_EQ(served.fleet().Find(reader)->own.running, 0u);
+}
+
+TEST_F(StreamsTest, LongPromptsAreReadAtOneEngineAndGeneratedAtAnother) {
+  Add("d", "llm", engine_stage::kDecode);
+  Add("p", "llm", engine_stage::kPrefill);
+  AskPrompt("/tell/x", "aa", 9000, 5000);
+  EXPECT_EQ(SentHeader("X-Hawthorndrum-Stage"), "prefill");
+  EXPECT_EQ(SentHeader("X-Hawthorndrum-Expect-Instance"), "p");
+  const std::string reader = last().call.address;
+  HandleMade();
+  ASSERT_EQ(upstreams.sent.size(), 2u);
+  EXPECT_EQ(SentHeader("X-Hawthorndrum-Stage"), "");
+  EXPECT_EQ(SentHeader("X-Hawthorndrum-Kv-Source"), reader + "/h1");
+  EXPECT_EQ(SentHeader("X-Hawthorndrum-Expect-Instance"), "d");
+}
+
+// Found on the bench as too many retries: each refusal made the prompt be read again.
+TEST_F(StreamsTest, APromptThatWasReadIsKeptWhenTheFirstEngineRefuses) {
+  Add("d", "llm", engine_stage::kDecode);
+  Add("e", "llm", engine_stage::kDecode);
+  Add("p", "llm", engine_stage::kPrefill);
+  AskPrompt("/note/x", "aa", 9000, 5000);
+  HandleMade();
+  const std::string source(SentHeader("X-Hawthorndrum-Kv-Source"));
+  const std::string first(SentHeader("X-Hawthorndrum-Expect-Instance"));
+  Refused();
+  ASSERT_EQ(upstreams.sent.size(), 3u);
+  EXPECT_EQ(SentHeader("X-Hawthorndrum-Kv-Source"), source);
+  EXPECT_NE(SentHeader("X-Hawthorndrum-Expect-Instance"), first);
+}
+
+TEST_F(StreamsTest, AReadPromptThatNobodyTakesIsDropped) {
+  Add("d", "llm", engine_stage::kDecode);
+  Add("p", "llm", engine_stage::kPrefill);
+  const request_id id = AskPrompt("/note/x", "aa", 9000, 5000);
+  HandleMade();
+  Refused();
+  EXPECT_EQ(CallerOf(id).status, 503);
+  ASSERT_EQ(upstreams.notified.size(), 1u);
+  EXPECT_EQ(upstreams.notified[0].second.method, "DELETE");
+}
+
+TEST_F(StreamsTest, AReaderThatFailsIsReplacedByAnotherReader) {
+  Add("d", "llm", engine_stage::kDecode);
+  Add("p", "llm", engine_stage::kPrefill);
+  Add("q", "llm", engine_stage::kPrefill);
+  AskPrompt("/note/x", "aa", 9000, 5000);
+  const std::string first(SentHeader("X-Hawthorndrum-Expect-Instance"));
+  Lost();
+  ASSERT_EQ(upstreams.sent.size(), 2u);
+  EXPECT_EQ(SentHeader("X-Hawthorndrum-Stage"), "prefill");
+  EXPECT_NE(SentHeader("X-Hawthorndrum-Expect-Instance"), first);
+}
+
+TEST_F(StreamsTest, ASilentEngineIsGivenUpOnlyWhenNobodyHearsFromIt) {
+  Add("d", "llm", engine_stage::kDecode);
+  Add("e", "llm", engine_stage::kDecode);
+  AskPrompt("/tell/x", "aa", 100, 50);
+  const upstream_id first = last().call.upstream;
+  load_notice notice;
+  notice.sender = incarnation_id(8);
+  for (int i = 1; i <= 10; ++i) {
+    notice.sequence = i;
+    notice.work = {{first, {}, milliseconds(10)}};
+    served.OnNotice(notice);
+    Pass(milliseconds(100));
+  }
+  EXPECT_EQ(upstreams.sent.size(), 1u) << "another daemon hears from it";
+  for (int i = 0; i < 10; ++i) Pass(milliseconds(100));
+  EXPECT_EQ(upstreams.sent.size(), 2u);
+  EXPECT_TRUE(upstreams.sent[0].cancelled);
+}
+
+TEST_F(StreamsTest, PromptsOfOneGroupGoToTheEngineThatReadTheFirst) {
+  Add("d", "llm", engine_stage::kDecode);
+  for (const char* id : {"p", "q", "r", "s"}) Add(id, "llm", engine_stage::kPrefill);
+  AskPrompt("/note/x", "aa", 9000, 1000);
+  const std::string home(SentHeader("X-Hawthorndrum-Expect-Instance"));
+  HandleMade();
+  Head(200);
+  for (int i = 0; i < 5; ++i) {
+    AskPrompt("/note/x", "aa", 9000, 1000);
+    EXPECT_EQ(SentHeader("X-Hawthorndrum-Expect-Instance"), home);
+    HandleMade();
+    Head(200);
+  }
+}
+
+}  // namespace
+}  // namespace hawthorndrum
--- /dev/null
+++ b/tests/notices/test_notices.cpp
@@ -0,0 +1,130 @@
+/// Load notices: their codec, and the board that sums them up.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "gateway/crash_record.h"
+#include "gateway/fleet_table.h"
+#include "gateway/load_notice.h"
+#include "gateway/peer_board.h"
+
+namespace hawthorndrum {
+namespace {
+
+load_notice Notice(std::uint64_t sender, std::uint64_t sequence) {
+  load_notice notice;
+  notice.sender = incarnation_id(sender);
+  notice.sequence = sequence;
+  return notice;
+}
+
+TEST(Notices, RoundTrip) {
+  load_notice notice = Notice(3, 9);
+  notice.work = {{upstream_id(5), {2, 700, 900}, milliseconds(40)}};
+  notice.avoided = {{upstream_id(6), milliseconds(250)}};
+  notice.crashes = {{77, upstream_id(5)}};
+  const auto read = DecodeLoadNotice(EncodeLoadNotice(notice));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->sender, notice.sender);
+  EXPECT_EQ(read->work[0].work.unread_tokens, 700u);
+  EXPECT_EQ(read->work[0].heard_ago, milliseconds(40));
+  EXPECT_EQ(read->avoided[0].avoid_for, milliseconds(250));
+  EXPECT_EQ(read->crashes[0].fingerprint, 77u);
+}
+
+TEST(Notices, FitIntoOneDatagramHoweverManyEnginesThereAre) {
+  load_notice notice = Notice(UINT64_MAX, UINT64_MAX);
+  for (int i = 0; i < 4700; ++i) {
+    notice.work.push_back({upstream_id(UINT64_MAX - i), {64, 500000, 500000}, seconds(60)});
+    notice.avoided.push_back({upstream_id(UINT64_MAX - i), seconds(60)});
+    notice.crashes.push_back({UINT64_MAX - i, upstream_id(UINT64_MAX - i)});
+  }
+  EXPECT_LE(EncodeLoadNotice(notice).size(), 2048u);
+}
+
+RC_GTEST_PROP(NoticeProperties, AnyBytesAreRefusedOrRead, (const std::vector<std::uint8_t>& any)) {
+  DecodeLoadNotice(any);
+}
+
+RC_GTEST_PROP(NoticeProperties, AChangedByteNeverBreaksTheDecoder, (std::uint8_t with)) {
+  load_notice notice = Notice(3, 9);
+  notice.work = {{upstream_id(5), {2, 700, 900}, milliseconds(40)}};
+  auto bytes = EncodeLoadNotice(notice);
+  bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = with;
+  DecodeLoadNotice(bytes);
+}
+
+class BoardTest : public testing::Test {
+ protected:
+  BoardTest() : board(fleet, crashes) {
+    upstream_entry entry;
+    entry.id = "e1";
+    entry.service = "llm";
+    engine = fleet.Put(entry).id;
+  }
+  upstream_work PeersWork() { return fleet.Find(engine)->peers; }
+
+  fleet_table fleet;
+  crash_record crashes;
+  peer_board board;
+  upstream_id engine;
+  time_point now{seconds(100)};
+};
+
+TEST_F(BoardTest, SumsUpTheLastNoticeOfEachDaemon) {
+  for (std::uint64_t sender : {1, 2}) {
+    load_notice notice = Notice(sender, 1);
+    notice.work = {{engine, {1, 100, 0}, {}}};
+    board.OnNotice(notice, now);
+    notice.sequence = 2;
+    notice.work = {{engine, {2, 300, 0}, {}}};
+    board.OnNotice(notice, now);
+  }
+  board.Run(now);
+  EXPECT_EQ(PeersWork().running, 4u);
+  EXPECT_EQ(PeersWork().unread_tokens, 600u);
+}
+
+TEST_F(BoardTest, AnOvertakenNoticeChangesNothing) {
+  load_notice late = Notice(1, 4);
+  late.work = {{engine, {9, 0, 0}, {}}};
+  board.OnNotice(Notice(1, 5), now);
+  board.OnNotice(late, now);
+  board.Run(now);
+  EXPECT_EQ(PeersWork().running, 0u);
+}
+
+TEST_F(BoardTest, ASilentDaemonIsForgotten) {
+  load_notice notice = Notice(1, 1);
+  notice.work = {{engine, {3, 0, 0}, {}}};
+  board.OnNotice(notice, now);
+  board.Run(now);
+  board.Run(now + peer_board::kForgotten + milliseconds(1));
+  EXPECT_EQ(PeersWork().running, 0u);
+  EXPECT_EQ(board.peers(), 0u);
+}
+
+TEST_F(BoardTest, AnUpstreamThatAnsweredJustNowIsNotAvoidedOnAnothersWord) {
+  load_notice notice = Notice(1, 1);
+  notice.avoided = {{engine, seconds(2)}};
+  fleet.Find(engine)->alive_at = now;
+  board.OnNotice(notice, now);
+  EXPECT_LE(fleet.Find(engine)->avoid_until, now);
+  notice.sequence = 2;
+  board.OnNotice(notice, now + seconds(1));
+  EXPECT_GT(fleet.Find(engine)->avoid_until, now + seconds(1));
+}
+
+TEST(CrashRecord, CountsEachUpstreamOnce) {
+  crash_record crashes;
+  const time_point now{seconds(50)};
+  for (int i = 0; i < 5; ++i) crashes.Note({7, upstream_id(1)}, now);
+  EXPECT_EQ(crashes.CrashesOf(7, now), 1u);
+  crashes.Note({7, upstream_id(2)}, now);
+  EXPECT_FALSE(crashes.IsConvicted(7, now));
+  crashes.Note({7, upstream_id(3)}, now);
+  EXPECT_TRUE(crashes.IsConvicted(7, now));
+  EXPECT_FALSE(crashes.IsConvicted(7, now + crash_record::kRemembered + seconds(1)));
+}
+
+}  // namespace
+}  // namespace hawthorndrum
--- /dev/null
+++ b/tests/placement/test_placement.cpp
@@ -0,0 +1,194 @@
+/// Where requests are placed, and what refusing is based on.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+#include "gateway/engine_placement.h"
+#include "gateway/engine_speeds.h"
+#include "gateway/fleet_table.h"
+#include "gateway/gateway_config.h"
+#include "gateway/prompt.h"
+#include "gateway/retry_allowance.h"
+#include "gateway/service_placement.h"
+
+namespace hawthorndrum {
+namespace {
+
+class PlacementTest : public testing::Test {
+ protected:
+  PlacementTest() : engines(fleet, speeds, "north"), services(fleet, "north") {
+    llm.name = "llm";
+    llm.is_engine = true;
+    llm.memory_tokens = 500000;
+    llm.token_bytes = 160000;
+    llm.link_mbps = 2e6;
+    desk.name = "desk";
+  }
+  fleet_upstream& Add(const std::string& id, const std::string& service, engine_stage stage,
+                      const std::string& data_centre = "north") {
+    upstream_entry entry;
+    entry.id = id;
+    entry.service = service;
+    entry.stage = stage;
+    entry.data_centre = data_centre;
+    entry.slots = stage == engine_stage::kNone ? 6 : 64;
+    return fleet.Put(entry);
+  }
+  static prompt Prompt(std::uint64_t group, std::uint64_t shared, std::uint64_t own) {
+    return {{{group, shared}, {group * 1000 + own, own}}, 100};
+  }
+  placement_query Query(const prompt& asked) {
+    placement_query query;
+    query.service = &llm;
+    query.asked = &asked;
+    query.tried = &tried;
+    query.longest_pause = milliseconds(200);
+    query.time_left = seconds(4);
+    return query;
+  }
+  placement_query Call() {
+    placement_query query;
+    query.service = &desk;
+    query.tried = &tried;
+    query.time_left = seconds(1);
+    return query;
+  }
+
+  fleet_table fleet;
+  engine_speeds speeds;
+  engine_placement engines;
+  service_placement services;
+  gateway_service llm;
+  gateway_service desk;
+  std::vector<upstream_id> tried;
+  time_point now{seconds(100)};
+};
+
+TEST_F(PlacementTest, LongPromptsAreNotReadWhereStreamsRun) {
+  Add("d", "llm", engine_stage::kDecode).own.running = 20;
+  const upstream_id reader = Add("p", "llm", engine_stage::kPrefill).id;
+  const prompt asked = Prompt(1, 9000, 4000);
+  const auto place = engines.Choose(Query(asked), now);
+  ASSERT_TRUE(place);
+  EXPECT_EQ(place->reads_at, reader);
+}
+
+TEST_F(PlacementTest, AFewTokensAreReadWhereTheyAreGenerated) {
+  Add("d", "llm", engine_stage::kDecode);
+  Add("p", "llm", engine_stage::kPrefill);
+  const prompt asked = Prompt(1, 9000, 60);
+  const auto place = engines.Choose(Query(asked), now);
+  ASSERT_TRUE(place);
+  EXPECT_FALSE(place->reads_at);
+}
+
+// Groups spread over all engines on the bench once waits differed a little, and three quarters of
+// all reading was reading again.
+TEST_F(PlacementTest, AGroupStaysAtItsHomeUnderUnevenWaits) {
+  Add("d", "llm", engine_stage::kDecode);
+  for (const char* id : {"p", "q", "r", "s", "t", "u"}) Add(id, "llm", engine_stage::kPrefill);
+  const prompt asked = Prompt(3, 9000, 2000);
+  const upstream_id home = engines.Choose(Query(asked), now)->reads_at;
+  fleet.Find(home)->peers.unread_tokens = 15000;
+  EXPECT_EQ(engines.Choose(Query(asked), now)->reads_at, home);
+}
+
+TEST_F(PlacementTest, AnOverloadedHomeGivesWayToOneSecondHome) {
+  Add("d", "llm", engine_stage::kDecode);
+  for (const char* id : {"p", "q", "r", "s", "t", "u"}) Add(id, "llm", engine_stage::kPrefill);
+  const prompt asked = Prompt(3, 9000, 2000);
+  const upstream_id home = engines.Choose(Query(asked), now)->reads_at;
+  fleet.Find(home)->peers.unread_tokens = 60000;
+  const upstream_id second = engines.Choose(Query(asked), now)->reads_at;
+  EXPECT_NE(second, home);
+  const prompt other = Prompt(3, 9000, 500);
+  EXPECT_EQ(engines.Choose(Query(other), now)->reads_at, second);
+}
+
+TEST_F(PlacementTest, GroupsSpreadEvenlyOverReaders) {
+  Add("d", "llm", engine_stage::kDecode);
+  for (int i = 0; i < 10; ++i) Add("p" + std::to_string(i), "llm", engine_stage::kPrefill);
+  std::map<upstream_id, int> groups;
+  for (std::uint64_t group = 1; group <= 500; ++group) {
+    const prompt asked = Prompt(group, 9000, 2000);
+    groups[engines.Choose(Query(asked), now)->reads_at] += 1;
+  }
+  EXPECT_EQ(groups.size(), 10u);
+  for (const auto& [reader, count] : groups) EXPECT_LT(count, 2 * 50);
+}
+
+TEST_F(PlacementTest, WhatCannotBeReadInTimeIsRefusedAtOnceWithATimeToComeBack) {
+  Add("d", "llm", engine_stage::kDecode).peers.unread_tokens = 2'000'000;
+  Add("p", "llm", engine_stage::kPrefill).peers.unread_tokens = 2'000'000;
+  const prompt asked = Prompt(3, 9000, 2000);
+  const auto place = engines.Choose(Query(asked), now);
+  ASSERT_FALSE(place);
+  EXPECT_EQ(place.error().reason, "engines_behind");
+  EXPECT_GT(place.error().retry_after, seconds(10));
+}
+
+TEST_F(PlacementTest, AnEngineThatFailedJustNowIsTheLastChoiceButAChoice) {
+  Add("p", "llm", engine_stage::kPrefill);
+  Add("d", "llm", engine_stage::kDecode).avoid_until = now + seconds(1);
+  const upstream_id sound = Add("e", "llm", engine_stage::kDecode).id;
+  const prompt asked = Prompt(3, 9000, 2000);
+  EXPECT_EQ(engines.Choose(Query(asked), now)->runs_at, sound);
+  fleet.Find(sound)->entry.leaving = true;
+  EXPECT_TRUE(engines.Choose(Query(asked), now));
+}
+
+TEST_F(PlacementTest, ASlowEngineIsNoticedAndForgivenLater) {
+  fleet_upstream& slow = Add("p", "llm", engine_stage::kPrefill);
+  const double before = speeds.Of(slow, now);
+  for (int i = 0; i < 10; ++i) speeds.Observe(slow, 10000, seconds(2), now);
+  EXPECT_LT(speeds.Of(slow, now), before / 2);
+  EXPECT_GT(speeds.Of(slow, now + seconds(30)), before * 0.8);
+}
+
+TEST_F(PlacementTest, CallsPreferTheUpstreamNearbyUntilItIsBusy) {
+  const upstream_id near = Add("a", "desk", engine_stage::kNone).id;
+  const upstream_id far = Add("b", "desk", engine_stage::kNone, "south").id;
+  EXPECT_EQ(services.Choose(Call(), now)->runs_at, near);
+  fleet.Find(near)->peers.running = 6;
+  EXPECT_EQ(services.Choose(Call(), now)->runs_at, far);
+}
+
+TEST_F(PlacementTest, PaymentsAvoidAnUpstreamThatFailsSomeCalls) {
+  Add("a", "desk", engine_stage::kNone).failure_share = 0.3;
+  const upstream_id sound = Add("b", "desk", engine_stage::kNone, "south").id;
+  placement_query pay = Call();
+  pay.failure_is_final = true;
+  EXPECT_EQ(services.Choose(pay, now)->runs_at, sound);
+}
+
+TEST_F(PlacementTest, FullUpstreamsAreNotAskedAgain) {
+  Add("a", "desk", engine_stage::kNone).peers.running = 60;
+  const auto place = services.Choose(Call(), now);
+  ASSERT_FALSE(place);
+  EXPECT_EQ(place.error().reason, "upstreams_full");
+}
+
+TEST(RetryAllowance, AllDaemonsTogetherStayWithinTheLimits) {
+  constexpr int kDaemons = 8;
+  retry_limits limits{0.2, 56, seconds(10)};
+  std::vector<retry_allowance> daemons(kDaemons, retry_allowance(limits));
+  int spent = 0;
+  int requests = 0;
+  time_point now{seconds(1)};
+  for (int tick = 0; tick < 1000; ++tick, now += milliseconds(10)) {
+    for (retry_allowance& each : daemons) {
+      each.SetDaemons(kDaemons);
+      if (tick % 5 == 0) {
+        each.Earn("s");
+        ++requests;
+      }
+      if (each.Spend("s", now)) ++spent;
+    }
+  }
+  EXPECT_LE(spent, requests * limits.ratio + limits.reserve);
+  EXPECT_GE(spent, requests * limits.ratio * 0.7);
+}
+
+}  // namespace
+}  // namespace hawthorndrum
--- /dev/null
+++ b/tests/stages/test_stages.cpp
@@ -0,0 +1,188 @@
+/// The plan of the engines' stages, and the orders that follow from it.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fake_object_store.h"
+#include "gateway/daemon_directory.h"
+#include "gateway/directory_peers.h"
+#include "gateway/stage_keeper.h"
+#include "gateway/stage_plan.h"
+#include "gateway_fixture.h"
+#include "systems/lease_system.h"
+
+namespace hawthorndrum {
+namespace {
+
+std::vector<planned_engine> Engines(std::size_t count, std::size_t reading) {
+  std::vector<planned_engine> engines;
+  for (std::size_t i = 0; i < count; ++i) {
+    engines.push_back({upstream_id(i + 1),
+                       i < reading ? engine_stage::kPrefill : engine_stage::kDecode,
+                       "dc" + std::to_string(i % 3), 0, false});
+  }
+  return engines;
+}
+
+TEST(StagePlan, KeepsSomeOfEachStage) {
+  EXPECT_EQ(EnginesThatRead(18, {}), 15u);
+  EXPECT_EQ(EnginesThatRead(4, {}), 2u);
+  EXPECT_EQ(EnginesThatRead(2, {}), 1u);
+  EXPECT_EQ(EnginesThatRead(1, {}), 0u);
+}
+
+TEST(StagePlan, NothingToDoOnceTheSharesAreMet) {
+  EXPECT_TRUE(PlanStages(Engines(18, 15), {}, 1).empty());
+}
+
+TEST(StagePlan, SpreadsReadersOverTheDataCentres) {
+  std::map<std::string, int> reading;
+  const auto engines = Engines(18, 0);
+  for (const stage_change& change : PlanStages(engines, {}, 1)) {
+    EXPECT_EQ(change.stage, engine_stage::kPrefill);
+    reading[engines[change.engine.value() - 1].data_centre] += 1;
+  }
+  for (const auto& [data_centre, count] : reading) EXPECT_EQ(count, 5) << data_centre;
+}
+
+RC_GTEST_PROP(StagePlanProperties, OnePlanMeetsTheSharesAndNeverFlaps, ()) {
+  const auto count = *rc::gen::inRange<std::size_t>(1, 120);
+  auto engines = Engines(count, *rc::gen::inRange<std::size_t>(0, count + 1));
+  for (const stage_change& change : PlanStages(engines, {}, 1)) {
+    engines[change.engine.value() - 1].stage = change.stage;
+  }
+  std::size_t reading = 0;
+  for (const auto& each : engines) reading += each.stage == engine_stage::kPrefill;
+  RC_ASSERT(reading == EnginesThatRead(count, {}));
+  RC_ASSERT(PlanStages(engines, {}, 1).empty());
+}
+
+class recording_engines : public engine_port {
+ public:
+  void Order(std::string_view, const engine_order& order, order_listener& who) override {
+    orders.push_back(order);
+    listener = &who;
+  }
+  void PollLoad(upstream_id, std::string_view) override {}
+  std::vector<engine_order> orders;
+  order_listener* listener = nullptr;
+};
+
+/** One daemon's lease and keeper over a store that daemons share. */
+struct keeping_daemon {
+  keeping_daemon(fake_object_store& store, int number, gateway& served, const clock& time,
+                 random_source& random, metrics_registry& metrics, event_log& log)
+      : client(store, number),
+        directory("host" + std::to_string(number)),
+        peers(directory, peer_id(number)),
+        lease(client, peers, time, random, metrics, "fleet", incarnation_id(number), Timing()),
+        keeper(served, lease, engines, time, random, log) {}
+
+  static lease_timing Timing() {
+    lease_timing timing;
+    timing.length = seconds(4);
+    timing.margin = milliseconds(500);
+    timing.take_missing_at_once = true;
+    return timing;
+  }
+  void Run(time_point now) {
+    lease.Run(now);
+    keeper.Run(now);
+  }
+
+  fake_store_client client;
+  recording_engines engines;
+  daemon_directory directory;
+  directory_peers peers;
+  lease_system lease;
+  stage_keeper keeper;
+};
+
+class StageKeeperTest : public GatewayFixtureTest {
+ protected:
+  StageKeeperTest()
+      : first(store, 1, served, clock, random, metrics, log),
+        second(store, 2, served, clock, random, metrics, log) {
+    for (const char* id : {"a", "b", "c", "d", "e", "f"}) Add(id, "llm", engine_stage::kDecode);
+  }
+  void Tick(duration length, bool with_first, bool with_second) {
+    for (duration passed{0}; passed < length; passed += milliseconds(50)) {
+      clock.Advance(milliseconds(50));
+      if (with_first) first.Run(clock.Now());
+      if (with_second) second.Run(clock.Now());
+      store.RunAll();
+    }
+  }
+
+  fake_object_store store;
+  keeping_daemon first;
+  keeping_daemon second;
+};
+
+TEST_F(StageKeeperTest, OneDaemonOrdersAndNamesTheStartOfTheEngine) {
+  Tick(seconds(2), true, true);
+  EXPECT_EQ(first.engines.orders.size() + second.engines.orders.size(), 2u)
+      << "a third of six idle engines at once";
+  EXPECT_TRUE(first.engines.orders.empty() || second.engines.orders.empty());
+  const auto& orders = first.engines.orders.empty() ? second.engines.orders : first.engines.orders;
+  EXPECT_EQ(orders[0].engine_name.size(), 1u);
+  EXPECT_EQ(orders[0].term, lease_term(1));
+  EXPECT_LE(orders[0].send_by, clock.Now() + seconds(4));
+}
+
+TEST_F(StageKeeperTest, ChangesAreAnnouncedBeforeTheOrderLeaves) {
+  first.Run(clock.Now());
+  store.RunAll();
+  first.Run(clock.Now());
+  EXPECT_TRUE(first.engines.orders.empty());
+  EXPECT_EQ(served.MakeNotice().avoided.size(), 2u);
+}
+
+TEST_F(StageKeeperTest, NoOrdersWithoutTheLease) {
+  store.RunAll();
+  for (int i = 0; i < 100; ++i) {
+    clock.Advance(milliseconds(100));
+    first.Run(clock.Now());
+  }
+  EXPECT_TRUE(first.engines.orders.empty()) << "the store never answered";
+}
+
+TEST_F(StageKeeperTest, ASuccessorWaitsOutTheTurnOfTheHolderBefore) {
+  Tick(seconds(2), true, false);
+  ASSERT_FALSE(first.engines.orders.empty());
+  // The holder is paused; its lease lapses and the other daemon takes it.
+  for (int i = 0; i < 400 && !second.lease.Holds(); ++i) Tick(milliseconds(50), false, true);
+  ASSERT_TRUE(second.lease.Holds());
+  Tick(stage_keeper::kTurnPause - milliseconds(200), false, true);
+  EXPECT_TRUE(second.engines.orders.empty());
+  Tick(seconds(3), false, true);
+  ASSERT_FALSE(second.engines.orders.empty());
+  EXPECT_LT(first.engines.orders[0].term, second.engines.orders[0].term);
+}
+
+TEST_F(StageKeeperTest, AHolderThatWakesAfterItsLeaseOrdersNothing) {
+  Tick(seconds(2), true, false);
+  const std::size_t before = first.engines.orders.size();
+  clock.Advance(seconds(30));
+  first.Run(clock.Now());
+  EXPECT_EQ(first.engines.orders.size(), before);
+}
+
+TEST_F(StageKeeperTest, AnEngineHasOneOpenOrder) {
+  Tick(seconds(2), true, false);
+  const std::size_t before = first.engines.orders.size();
+  Tick(seconds(4), true, false);
+  EXPECT_EQ(first.engines.orders.size(), before) << "the engines have not changed yet";
+  for (const engine_order& order : first.engines.orders) {
+    fleet_upstream* row = served.fleet().Find(order.engine);
+    row->entry.stage = engine_stage::kPrefill;
+  }
+  Tick(seconds(2), true, false);
+  EXPECT_GT(first.engines.orders.size(), before);
+}
+
+}  // namespace
+}  // namespace hawthorndrum
