Collect notices by data centre and pace watches by the number of daemons

Change: the first daemon of a data centre collects and sends one digest; a digest names the notices that it holds, so that nobody counts its own work twice; watches of the host list pause between changes by the number of daemons.

--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -19,10 +19,6 @@
 constexpr duration kStopCheckInterval = milliseconds(50);
 /** What is left of the grace period when connections that are still open are given up. */
 constexpr duration kStopReserve = milliseconds(500);
-/** Notices are sent more seldom the more daemons receive them. */
-constexpr duration kNoticePeriodPerDaemon = milliseconds(8);
-constexpr duration kShortestNoticePeriod = milliseconds(50);
-constexpr duration kLongestNoticePeriod = milliseconds(500);
 constexpr duration kSweepPeriod = seconds(1);
 /** Descriptors that connections to callers leave for upstreams, the store and files. */
 constexpr std::uint32_t kOtherDescriptors = 1200;
@@ -77,6 +73,7 @@
       daemons_(settings.host),
       gateway_(PortsOf(settings, caller_server_, upstream_calls_, dialect, clock_, random_, log_,
                        metrics_)),
+      exchange_(gateway_, daemons_, settings.host, settings.data_centre),
       notices_(io, daemons_, metrics_,
                [this](const load_notice& notice) { gateway_.OnNotice(notice); }),
       stop_timer_(io) {
@@ -147,19 +144,9 @@
   caller_server_.SetLimits(LimitsOf(config->limits, settings_.file_limit));
 }
 
-void gateway_daemon::SendNotice(time_point now) {
-  const auto others = static_cast<std::int64_t>(daemons_.others().size());
-  if (others == 0) return;
-  const duration period = std::clamp<duration>(kNoticePeriodPerDaemon * others,
-                                               kShortestNoticePeriod, kLongestNoticePeriod);
-  if (now - noticed_at_ < period) return;
-  noticed_at_ = now;
-  notices_.SendToAll(gateway_.MakeNotice());
-}
-
 void gateway_daemon::Run(time_point now) {
   ApplyLimits();
-  SendNotice(now);
+  if (const auto due = exchange_.Run(now)) notices_.Send(*due);
   log_.Run(now);
   if (now - swept_at_ < kSweepPeriod) return;
   swept_at_ = now;
--- a/src/gatewayd/gateway_daemon.h
+++ b/src/gatewayd/gateway_daemon.h
@@ -11,6 +11,7 @@
 #include "gateway/daemon_directory.h"
 #include "gateway/gateway.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/notice_exchange.h"
 #include "gateway_front.h"
 #include "http_client.h"
 #include "http_server.h"
@@ -64,7 +65,6 @@
  private:
   http_answer ReadyPage() const;
   void ApplyLimits();
-  void SendNotice(time_point now);
   void StopAccepting();
   void StopWhenIdle();
 
@@ -85,12 +85,12 @@
   http_upstream_calls upstream_calls_;
   daemon_directory daemons_;
   gateway gateway_;
+  notice_exchange exchange_;
   notice_socket notices_;
   boost::asio::steady_timer stop_timer_;
   bool stopping_ = false;
   std::uint64_t limits_version_ = 0;
   time_point stop_began_;
-  time_point noticed_at_;
   time_point swept_at_;
 };
 
--- a/src/gatewayd/notice_socket.cpp
+++ b/src/gatewayd/notice_socket.cpp
@@ -37,17 +37,18 @@
   socket_.close(ignored);
 }
 
-void notice_socket::SendToAll(const load_notice& notice) {
-  const std::vector<std::uint8_t> bytes = EncodeLoadNotice(notice);
+void notice_socket::Send(const outgoing_notice& outgoing) {
+  const std::vector<std::uint8_t> bytes = EncodeLoadNotice(outgoing.notice);
   counter& unsent = metrics_.Counter("notices_unsent_total");
-  for (const daemon_record& other : daemons_.others()) {
-    const auto endpoint = ParseEndpoint(other.notices_address);
+  for (const std::string& address : outgoing.addresses) {
+    const auto endpoint = ParseEndpoint(address);
     if (!endpoint) continue;
     boost::system::error_code failed;
     socket_.send_to(boost::asio::buffer(bytes), {endpoint->address(), endpoint->port()}, 0, failed);
     if (failed) unsent.Add();
   }
-  metrics_.Counter("notices_sent_total").Add(daemons_.others().size());
+  metrics_.Counter("notices_sent_total").Add(outgoing.addresses.size());
+  metrics_.Counter("notice_bytes_sent_total").Add(outgoing.addresses.size() * bytes.size());
 }
 
 bool notice_socket::IsKnown(const udp::endpoint& sender) const {
--- a/src/gatewayd/notice_socket.h
+++ b/src/gatewayd/notice_socket.h
@@ -11,6 +11,7 @@
 #include "base/error.h"
 #include "gateway/daemon_directory.h"
 #include "gateway/load_notice.h"
+#include "gateway/notice_exchange.h"
 
 namespace boost::asio {
 class io_context;
@@ -33,8 +34,7 @@
 
   expected<void> Open(std::string_view address);
   void Close();
-  /** Sends the notice to every other daemon. */
-  void SendToAll(const load_notice& notice);
+  void Send(const outgoing_notice& outgoing);
 
  private:
   void Receive();
@@ -44,7 +44,7 @@
   const daemon_directory& daemons_;
   metrics_registry& metrics_;
   handler received_;
-  std::array<std::uint8_t, 2048> buffer_{};
+  std::array<std::uint8_t, 4096> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
 };
 
--- a/src/libhawthorndrum/gateway/fleet_upstream.h
+++ b/src/libhawthorndrum/gateway/fleet_upstream.h
@@ -1,6 +1,7 @@
 /// One upstream as this daemon sees it: its entry, the work it has and how it fared lately.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -25,6 +26,12 @@
     memory_tokens += more.memory_tokens;
     return *this;
   }
+  /** Takes off what is there of it; for sums whose parts may be of different ages. */
+  void TakeOff(const upstream_work& less) {
+    running -= std::min(running, less.running);
+    unread_tokens -= std::min(unread_tokens, less.unread_tokens);
+    memory_tokens -= std::min(memory_tokens, less.memory_tokens);
+  }
   upstream_work& operator-=(const upstream_work& less) {
     running -= less.running;
     unread_tokens -= less.unread_tokens;
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -45,7 +45,7 @@
       engines_(fleet_, speeds_, ports.data_centre),
       services_(fleet_, ports.data_centre),
       allowance_(ports.retries),
-      peers_(fleet_, crashes_) {}
+      peers_(fleet_, crashes_, ports.incarnation, ports.data_centre) {}
 
 gateway::~gateway() = default;
 
@@ -175,16 +175,14 @@
   Close(each, "refused", 503);
 }
 
-void gateway::OnNotice(const load_notice& notice) {
-  if (notice.sender == ports_.incarnation) return;
-  peers_.OnNotice(notice, ports_.time->Now());
-}
+void gateway::OnNotice(const load_notice& notice) { peers_.OnNotice(notice, ports_.time->Now()); }
 
 load_notice gateway::MakeNotice() {
   const time_point now = ports_.time->Now();
   load_notice notice;
   notice.sender = ports_.incarnation;
   notice.sequence = ++notices_;
+  notice.data_centre = ports_.data_centre;
   fleet_.ForEach([&](fleet_upstream& row) {
     const duration ago = now - row.alive_at;
     if (row.own.running > 0 || ago < kHeardOfTold) notice.work.push_back({row.id, row.own, ago});
@@ -193,6 +191,7 @@
   });
   if (now - own_crashes_at_ > kCrashesTold) own_crashes_.clear();
   notice.crashes = own_crashes_;
+  peers_.NoteOwn(notice);
   return notice;
 }
 
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -61,6 +61,7 @@
   load_notice MakeNotice();
 
   fleet_table& fleet() { return fleet_; }
+  peer_board& peers() { return peers_; }
   std::uint64_t config_version() const { return config_ ? config_->version : 0; }
   std::shared_ptr<const gateway_config> config() const { return config_; }
   bool is_ready() const { return config_ != nullptr && fleet_known_; }
--- a/src/libhawthorndrum/gateway/load_notice.cpp
+++ b/src/libhawthorndrum/gateway/load_notice.cpp
@@ -11,9 +11,11 @@
 
 namespace {
 
-constexpr std::uint64_t kFormat = 1;
-/** With 1,200 bytes a datagram passes every usual link whole; an entry takes up to 20. */
-constexpr std::size_t kMostWork = 48;
+constexpr std::uint64_t kFormat = 2;
+/** Bound a datagram to 4 KB: an upstream's work takes up to 34 bytes, a covered notice 19. */
+constexpr std::size_t kMostWork = 80;
+constexpr std::size_t kMostCovered = 40;
+constexpr std::size_t kLongestName = 64;
 constexpr std::uint64_t kLongestAgoMs = 60000;
 constexpr std::size_t kMostAvoided = 8;
 constexpr std::size_t kMostCrashes = 8;
@@ -40,6 +42,19 @@
   return true;
 }
 
+bool ReadCovers(cbor_reader& from, load_notice& notice) {
+  const nlohmann::json* items = from.Array(kMostCovered);
+  if (items == nullptr) return false;
+  for (const nlohmann::json& item : *items) {
+    cbor_reader fields(item);
+    const incarnation_id sender(fields.Unsigned());
+    const std::uint64_t sequence = fields.Unsigned();
+    if (!fields.AtEnd()) return false;
+    notice.covers.push_back({sender, sequence});
+  }
+  return true;
+}
+
 bool ReadAvoided(cbor_reader& from, load_notice& notice) {
   const nlohmann::json* items = from.Array(kMostAvoided);
   if (items == nullptr) return false;
@@ -88,9 +103,13 @@
   for (const crash_report& each : First(notice.crashes, kMostCrashes)) {
     crashes.push_back({each.fingerprint, each.upstream.value()});
   }
-  return EncodeCbor(
-      nlohmann::json::array({kFormat, notice.sender.value(), notice.sequence, std::move(work),
-                             std::move(avoided), std::move(crashes)}));
+  nlohmann::json covers = nlohmann::json::array();
+  for (const covered_notice& each : First(notice.covers, kMostCovered)) {
+    covers.push_back({each.sender.value(), each.sequence});
+  }
+  return EncodeCbor(nlohmann::json::array({kFormat, notice.sender.value(), notice.sequence,
+                                           notice.data_centre, std::move(covers), std::move(work),
+                                           std::move(avoided), std::move(crashes)}));
 }
 
 expected<load_notice> DecodeLoadNotice(boost::span<const std::uint8_t> bytes) {
@@ -101,8 +120,10 @@
   const bool known = fields.Unsigned() == kFormat;
   notice.sender = incarnation_id(fields.Unsigned());
   notice.sequence = fields.Unsigned();
-  if (known && fields.ok() && ReadWork(fields, notice) && ReadAvoided(fields, notice) &&
-      ReadCrashes(fields, notice) && fields.AtEnd() && notice.sender) {
+  notice.data_centre = fields.Text(kLongestName);
+  if (known && fields.ok() && ReadCovers(fields, notice) && ReadWork(fields, notice) &&
+      ReadAvoided(fields, notice) && ReadCrashes(fields, notice) && fields.AtEnd() &&
+      notice.sender) {
     return notice;
   }
   return tl::make_unexpected(error{error_code::kInvalid, "not a load notice"});
--- a/src/libhawthorndrum/gateway/load_notice.h
+++ b/src/libhawthorndrum/gateway/load_notice.h
@@ -3,6 +3,7 @@
 
 #include <boost/core/span.hpp>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "base/error.h"
@@ -27,13 +28,26 @@
   duration avoid_for{0};
 };
 
+/** A daemon's notice that is part of a digest. */
+struct covered_notice {
+  incarnation_id sender;
+  std::uint64_t sequence = 0;
+};
+
 /**
- * Says all of the sender's work, so that a lost or overtaken datagram does no harm.
+ * Says all of the sender's work, so that a lost or overtaken datagram does no harm. A digest says
+ * the work of a whole data centre, the sender's included.
  */
 struct load_notice {
   incarnation_id sender;
   /** Rises with each notice of a sender. */
   std::uint64_t sequence = 0;
+  std::string data_centre;
+  /** What a digest sums up; empty for a daemon's own notice. */
+  std::vector<covered_notice> covers;
+
+  bool is_digest() const { return !covers.empty(); }
+
   std::vector<noted_work> work;
   std::vector<noted_avoidance> avoided;
   std::vector<crash_report> crashes;
--- a/src/libhawthorndrum/gateway/object_watch.cpp
+++ b/src/libhawthorndrum/gateway/object_watch.cpp
@@ -39,7 +39,7 @@
 void object_watch::Run(time_point now) {
   if (call_open_ || now < next_call_) return;
   call_open_ = true;
-  if (phase_ == phase::kWatching) return reader_.Watch(kind_, revision_, kWatchWait);
+  if (phase_ == phase::kWatching) return reader_.Watch(kind_, revision_, wait_);
   if (after_.empty()) listener_.OnListBegins();
   reader_.List(kind_, after_);
 }
@@ -71,7 +71,9 @@
 
 void object_watch::OnEvents(std::uint64_t revision, time_point now) {
   Succeeded(now);
+  const bool news = revision > revision_;
   revision_ = std::max(revision_, revision);
+  if (news) next_call_ = now + pause_;
   Run(now);
 }
 
--- a/src/libhawthorndrum/gateway/object_watch.h
+++ b/src/libhawthorndrum/gateway/object_watch.h
@@ -47,12 +47,18 @@
  */
 class object_watch {
  public:
-  /** How long the store may hold a watch; a dead connection is found soon after. */
-  static constexpr duration kWatchWait = milliseconds(2000);
-
   object_watch(std::string kind, object_reader& reader, object_watch_listener& listener,
                random_source& random, event_log& log);
 
+  /**
+   * Every daemon pays for every call, so the more daemons there are the more changes each call
+   * should bring: `pause` passes between a watch's answer and the next one.
+   */
+  void SetPace(duration pause, duration wait) {
+    pause_ = pause;
+    wait_ = wait;
+  }
+
   void OnPart(const listed_part& part, time_point now);
   void OnEvents(std::uint64_t revision, time_point now);
   void OnTrouble(store_trouble trouble, time_point now);
@@ -70,6 +76,9 @@
   object_watch_listener& listener_;
   random_source& random_;
   event_log& log_;
+  duration pause_{0};
+  /** How long the store may hold a watch without changes. */
+  duration wait_ = seconds(2);
   phase phase_ = phase::kListing;
   bool call_open_ = false;
   time_point next_call_;
--- a/src/libhawthorndrum/gateway/peer_board.cpp
+++ b/src/libhawthorndrum/gateway/peer_board.cpp
@@ -2,49 +2,131 @@
 #include "gateway/peer_board.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "gateway/fleet_table.h"
 
 namespace hawthorndrum {
 
+namespace {
+
+/** Another daemon's word keeps this one from an upstream for so long; it may be repeated. */
+constexpr duration kLongestAvoidance = milliseconds(500);
+/** Digests are a few periods old at most. */
+constexpr std::size_t kOwnNoticesKept = 12;
+
+}  // namespace
+
+peer_board::peer_board(fleet_table& fleet, crash_record& crashes, incarnation_id self,
+                       std::string own_data_centre)
+    : fleet_(fleet), crashes_(crashes), self_(self), own_data_centre_(std::move(own_data_centre)) {}
+
+bool peer_board::Store(peer_row& row, const load_notice& notice, time_point now) {
+  const bool same = row.last.sender == notice.sender;
+  if (same && row.heard != time_point() && notice.sequence <= row.last.sequence) return false;
+  row.last = notice;
+  row.heard = now;
+  changed_ = true;
+  return true;
+}
+
 void peer_board::OnNotice(const load_notice& notice, time_point now) {
-  peer_row& row = peers_[notice.sender];
-  if (row.heard != time_point() && notice.sequence <= row.last.sequence) return;
+  if (notice.sender == self_) return;
+  peer_row& row = notice.is_digest() ? digests_[notice.data_centre] : members_[notice.sender];
+  if (!Store(row, notice, now)) return;
   for (const noted_work& noted : notice.work) {
     fleet_upstream* known = fleet_.Find(noted.upstream);
     if (known != nullptr) known->alive_at = std::max(known->alive_at, now - noted.heard_ago);
   }
   TakeAvoided(notice, now);
   for (const crash_report& crash : notice.crashes) crashes_.Note(crash, now);
-  row.last = notice;
-  row.heard = now;
-  changed_ = true;
 }
 
 void peer_board::TakeAvoided(const load_notice& notice, time_point now) {
   for (const noted_avoidance& avoided : notice.avoided) {
     fleet_upstream* row = fleet_.Find(avoided.upstream);
     if (row == nullptr || now - row->alive_at < kSurelyAlive) continue;
-    // Said of by one daemon it is avoided for a short while; whoever must may still find out.
-    const duration avoid_for = std::min<duration>(avoided.avoid_for, milliseconds(500));
+    const duration avoid_for = std::min(avoided.avoid_for, kLongestAvoidance);
     row->avoid_until = std::max(row->avoid_until, now + avoid_for);
   }
 }
 
-void peer_board::Run(time_point now) {
-  for (auto place = peers_.begin(); place != peers_.end();) {
+void peer_board::NoteOwn(const load_notice& own) {
+  own_notices_.push_back(own);
+  if (own_notices_.size() > kOwnNoticesKept) own_notices_.pop_front();
+}
+
+time_point peer_board::OwnDigestAt() const {
+  const auto found = digests_.find(own_data_centre_);
+  return found == digests_.end() ? time_point() : found->second.heard;
+}
+
+load_notice peer_board::MakeDigest(const load_notice& own, time_point now) const {
+  load_notice digest = own;
+  digest.covers = {{own.sender, own.sequence}};
+  std::map<upstream_id, noted_work> sums;
+  for (const noted_work& noted : own.work) sums[noted.upstream] = noted;
+  for (const auto& [sender, member] : members_) {
+    const duration age = now - member.heard;
+    digest.covers.push_back({sender, member.last.sequence});
+    for (const noted_work& noted : member.last.work) {
+      const auto [place, added] = sums.try_emplace(noted.upstream, noted);
+      noted_work& sum = place->second;
+      if (!added) sum.work += noted.work;
+      sum.heard_ago =
+          std::min(added ? noted.heard_ago + age : sum.heard_ago, noted.heard_ago + age);
+    }
+    const auto& avoided = member.last.avoided;
+    digest.avoided.insert(digest.avoided.end(), avoided.begin(), avoided.end());
+    const auto& crashes = member.last.crashes;
+    digest.crashes.insert(digest.crashes.end(), crashes.begin(), crashes.end());
+  }
+  digest.work.clear();
+  for (const auto& [upstream, sum] : sums) digest.work.push_back(sum);
+  return digest;
+}
+
+template <typename Rows>
+void peer_board::Forget(Rows& rows, time_point now) {
+  for (auto place = rows.begin(); place != rows.end();) {
     const bool silent = now - place->second.heard > kForgotten;
     changed_ = changed_ || silent;
-    place = silent ? peers_.erase(place) : std::next(place);
+    place = silent ? rows.erase(place) : std::next(place);
+  }
+}
+
+void peer_board::AddUp(const load_notice& notice) {
+  for (const noted_work& noted : notice.work) {
+    if (fleet_upstream* row = fleet_.Find(noted.upstream)) row->peers += noted.work;
   }
+}
+
+void peer_board::TakeOutOwn(const load_notice& digest) {
+  const auto covered =
+      std::find_if(digest.covers.begin(), digest.covers.end(),
+                   [this](const covered_notice& each) { return each.sender == self_; });
+  if (covered == digest.covers.end()) return;
+  for (const load_notice& own : own_notices_) {
+    if (own.sequence != covered->sequence) continue;
+    for (const noted_work& noted : own.work) {
+      if (fleet_upstream* row = fleet_.Find(noted.upstream)) row->peers.TakeOff(noted.work);
+    }
+  }
+}
+
+void peer_board::Run(time_point now) {
+  Forget(members_, now);
+  Forget(digests_, now);
   if (!changed_) return;
   changed_ = false;
   fleet_.ForEach([](fleet_upstream& row) { row.peers = {}; });
-  for (const auto& [sender, peer] : peers_) {
-    for (const noted_work& noted : peer.last.work) {
-      if (fleet_upstream* row = fleet_.Find(noted.upstream)) row->peers += noted.work;
-    }
+  for (const auto& [data_centre, digest] : digests_) {
+    // A collector has its members' notices themselves.
+    if (data_centre == own_data_centre_ && HasMembers()) continue;
+    AddUp(digest.last);
+    TakeOutOwn(digest.last);
   }
+  for (const auto& [sender, member] : members_) AddUp(member.last);
 }
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/peer_board.h
+++ b/src/libhawthorndrum/gateway/peer_board.h
@@ -1,7 +1,9 @@
 /// The other daemons' work, as their notices said last.
 #pragma once
 
+#include <deque>
 #include <map>
+#include <string>
 
 #include "base/ids.h"
 #include "base/units.h"
@@ -13,8 +15,11 @@
 class fleet_table;
 
 /**
- * Keeps the last notice of each daemon until kForgotten after it came, and sums them up into the
- * fleet's rows.
+ * Keeps the last notice of each daemon of this data centre that sends here, and the last digest of
+ * each data centre, until kForgotten after it came, and sums them up into the fleet's rows.
+ *
+ * Invariant: what this daemon itself said is not part of the sum, as far as the digest names the
+ * notice that it took it from.
  */
 class peer_board {
  public:
@@ -23,13 +28,21 @@
   /** An upstream that answered this daemon so lately is not avoided on another's word. */
   static constexpr duration kSurelyAlive = milliseconds(150);
 
-  peer_board(fleet_table& fleet, crash_record& crashes) : fleet_(fleet), crashes_(crashes) {}
+  peer_board(fleet_table& fleet, crash_record& crashes, incarnation_id self,
+             std::string own_data_centre);
 
   void OnNotice(const load_notice& notice, time_point now);
   /** Forgets daemons that went silent and sums up the rest. */
   void Run(time_point now);
 
-  std::size_t peers() const { return peers_.size(); }
+  /** Remembers what this daemon said, to take it out of digests. */
+  void NoteOwn(const load_notice& own);
+  /** The sum of this daemon's notice and its members'. */
+  load_notice MakeDigest(const load_notice& own, time_point now) const;
+  /** Whether daemons of this data centre send their notices here. */
+  bool HasMembers() const { return !members_.empty(); }
+  /** When a digest of this data centre came last. */
+  time_point OwnDigestAt() const;
 
  private:
   struct peer_row {
@@ -37,11 +50,22 @@
     time_point heard;
   };
 
+  /** Takes the notice unless it was overtaken by a later one of the same sender. */
+  bool Store(peer_row& row, const load_notice& notice, time_point now);
   void TakeAvoided(const load_notice& notice, time_point now);
+  void AddUp(const load_notice& notice);
+  void TakeOutOwn(const load_notice& digest);
+  template <typename Rows>
+  void Forget(Rows& rows, time_point now);
 
   fleet_table& fleet_;
   crash_record& crashes_;
-  std::map<incarnation_id, peer_row> peers_;
+  incarnation_id self_;
+  std::string own_data_centre_;
+  std::map<incarnation_id, peer_row> members_;
+  std::map<std::string, peer_row> digests_;
+  /** The notices of this daemon that digests may still hold, the oldest first. */
+  std::deque<load_notice> own_notices_;
   bool changed_ = false;
 };
 
--- a/tests/discovery/test_discovery.cpp
+++ b/tests/discovery/test_discovery.cpp
@@ -65,6 +65,21 @@
       << "changes during the list are in the history after its first part";
 }
 
+TEST_F(DiscoveryTest, APauseBetweenWatchesGathersChanges) {
+  watch.SetPace(milliseconds(500), seconds(2));
+  ListOnce();
+  watch.OnEvents(11, clock.Now());
+  EXPECT_EQ(reader.calls.back(), "watch 10");
+  clock.Advance(milliseconds(499));
+  watch.Run(clock.Now());
+  EXPECT_EQ(reader.calls.back(), "watch 10");
+  clock.Advance(milliseconds(1));
+  watch.Run(clock.Now());
+  EXPECT_EQ(reader.calls.back(), "watch 11");
+  watch.OnEvents(11, clock.Now());
+  EXPECT_EQ(reader.calls.size(), 4u) << "without news there is no pause";
+}
+
 TEST_F(DiscoveryTest, AFailedWatchGoesOnFromItsRevision) {
   ListOnce();
   watch.OnTrouble(store_trouble::kSilent, clock.Now());
