Follow the collector that is heard, not the one that should be

Cause: digests of a second collector counted as a sign of the first, dead one, so that members went on sending to it. Change: notices name their host, and a collector is alive only by its own digests.

--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -45,6 +45,7 @@
   ports.random = &random;
   ports.log = &log;
   ports.metrics = &metrics;
+  ports.host = settings.host;
   ports.data_centre = settings.data_centre;
   ports.incarnation = incarnation_id(random.Draw());
   ports.retries = settings.retries;
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -182,6 +182,7 @@
   load_notice notice;
   notice.sender = ports_.incarnation;
   notice.sequence = ++notices_;
+  notice.host = ports_.host;
   notice.data_centre = ports_.data_centre;
   fleet_.ForEach([&](fleet_upstream& row) {
     const duration ago = now - row.alive_at;
--- a/src/libhawthorndrum/gateway/gateway_ports.h
+++ b/src/libhawthorndrum/gateway/gateway_ports.h
@@ -25,6 +25,7 @@
   random_source* random = nullptr;
   event_log* log = nullptr;
   metrics_registry* metrics = nullptr;
+  std::string host;
   std::string data_centre;
   incarnation_id incarnation;
   retry_limits retries;
--- a/src/libhawthorndrum/gateway/load_notice.cpp
+++ b/src/libhawthorndrum/gateway/load_notice.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint64_t kFormat = 2;
+constexpr std::uint64_t kFormat = 3;
 /** Bound a datagram to 4 KB: an upstream's work takes up to 34 bytes, a covered notice 19. */
 constexpr std::size_t kMostWork = 80;
 constexpr std::size_t kMostCovered = 40;
@@ -107,9 +107,9 @@
   for (const covered_notice& each : First(notice.covers, kMostCovered)) {
     covers.push_back({each.sender.value(), each.sequence});
   }
-  return EncodeCbor(nlohmann::json::array({kFormat, notice.sender.value(), notice.sequence,
-                                           notice.data_centre, std::move(covers), std::move(work),
-                                           std::move(avoided), std::move(crashes)}));
+  return EncodeCbor(nlohmann::json::array(
+      {kFormat, notice.sender.value(), notice.sequence, notice.host, notice.data_centre,
+       std::move(covers), std::move(work), std::move(avoided), std::move(crashes)}));
 }
 
 expected<load_notice> DecodeLoadNotice(boost::span<const std::uint8_t> bytes) {
@@ -120,6 +120,7 @@
   const bool known = fields.Unsigned() == kFormat;
   notice.sender = incarnation_id(fields.Unsigned());
   notice.sequence = fields.Unsigned();
+  notice.host = fields.Text(kLongestName);
   notice.data_centre = fields.Text(kLongestName);
   if (known && fields.ok() && ReadCovers(fields, notice) && ReadWork(fields, notice) &&
       ReadAvoided(fields, notice) && ReadCrashes(fields, notice) && fields.AtEnd() &&
--- a/src/libhawthorndrum/gateway/load_notice.h
+++ b/src/libhawthorndrum/gateway/load_notice.h
@@ -42,6 +42,8 @@
   incarnation_id sender;
   /** Rises with each notice of a sender. */
   std::uint64_t sequence = 0;
+  /** The sender's host. */
+  std::string host;
   std::string data_centre;
   /** What a digest sums up; empty for a daemon's own notice. */
   std::vector<covered_notice> covers;
--- a/src/libhawthorndrum/gateway/notice_exchange.cpp
+++ b/src/libhawthorndrum/gateway/notice_exchange.cpp
@@ -50,7 +50,7 @@
     collector_since_ = now;
   }
   if (collector != own_name_) {
-    const time_point heard = std::max(board.OwnDigestAt(), collector_since_);
+    const time_point heard = std::max(board.DigestOf(collector), collector_since_);
     if (now - heard > kCollectorSilence) {
       passed_over_until_[collector] = now + kPassedOver;
       collector = Collector(now);
--- a/src/libhawthorndrum/gateway/peer_board.cpp
+++ b/src/libhawthorndrum/gateway/peer_board.cpp
@@ -56,9 +56,10 @@
   if (own_notices_.size() > kOwnNoticesKept) own_notices_.pop_front();
 }
 
-time_point peer_board::OwnDigestAt() const {
+time_point peer_board::DigestOf(const std::string& host) const {
   const auto found = digests_.find(own_data_centre_);
-  return found == digests_.end() ? time_point() : found->second.heard;
+  if (found == digests_.end() || found->second.last.host != host) return time_point();
+  return found->second.heard;
 }
 
 load_notice peer_board::MakeDigest(const load_notice& own, time_point now) const {
--- a/src/libhawthorndrum/gateway/peer_board.h
+++ b/src/libhawthorndrum/gateway/peer_board.h
@@ -41,8 +41,8 @@
   load_notice MakeDigest(const load_notice& own, time_point now) const;
   /** Whether daemons of this data centre send their notices here. */
   bool HasMembers() const { return !members_.empty(); }
-  /** When a digest of this data centre came last. */
-  time_point OwnDigestAt() const;
+  /** When that host's digest of this data centre came, if it was the last one to come. */
+  time_point DigestOf(const std::string& host) const;
 
  private:
   struct peer_row {
--- a/tests/notices/exchange.cpp
+++ b/tests/notices/exchange.cpp
@@ -24,10 +24,11 @@
   noticing_daemon(const std::string& name, const std::string& data_centre, const clock& time,
                   std::uint64_t number)
       : directory(name),
-        served(Ports(data_centre, time, number)),
+        served(Ports(name, data_centre, time, number)),
         exchange(served, directory, name, data_centre) {}
 
-  gateway_ports Ports(const std::string& data_centre, const clock& time, std::uint64_t number) {
+  gateway_ports Ports(const std::string& name, const std::string& data_centre, const clock& time,
+                      std::uint64_t number) {
     gateway_ports ports;
     ports.callers = &callers;
     ports.upstreams = &upstreams;
@@ -36,6 +37,7 @@
     ports.random = &random;
     ports.log = &log;
     ports.metrics = &metrics;
+    ports.host = name;
     ports.data_centre = data_centre;
     ports.incarnation = incarnation_id(number);
     return ports;
