--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -20,7 +20,7 @@
 constexpr duration kLongestIdleForFinal = seconds(1);
 /** Multiples of the expected time after which an upstream counts as stalled. */
 constexpr double kStallFactor = 3;
-constexpr duration kStallSlack = milliseconds(300);
+constexpr duration kStallSlack = milliseconds(800);
 /** A plain answer that takes so many times its usual time is not coming. */
 constexpr double kPlainStallFactor = 5;
 constexpr int kMostUrgent = 1;
