Avoid an upstream that proves to be another one, and let 0.78 of the engines read

When engines that generate crash, two of three are not enough. Change: after a 421 an upstream is avoided for two seconds, by all daemons; engines with twice their slots taken are not asked; four engines of 18 generate.

--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -21,6 +21,8 @@
 constexpr double kOtherDataCentreMs = 8;
 /** Spreads running requests over engines that are equal otherwise. */
 constexpr double kRunningMs = 0.5;
+/** An engine with so many requests for each of its slots would refuse another one. */
+constexpr std::uint32_t kMostPerSlot = 2;
 /** A request beyond an engine's slots waits for one of them, in milliseconds each. */
 constexpr double kBeyondSlotsMs = 25;
 /** Beyond this share of its memory an engine preempts. */
@@ -106,6 +108,7 @@
   std::vector<candidate> found;
   for (const fleet_upstream* row : fleet_.OfService(query.service->name)) {
     if (!row->takes_work(now) || Contains(query.tried, row->id)) continue;
+    if (row->all_work().running >= row->entry.slots * kMostPerSlot) continue;
     if (row->entry.stage == engine_stage::kPrefill && !query.may_split) continue;
     candidate each;
     each.row = row;
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -148,7 +148,10 @@
     row->failure_share += kFailureWeight * (failed - row->failure_share);
     if (!each.is_engine()) service_placement::Observe(*row, now - each.call.sent_at);
   }
-  if (terms.not_run) return Recover(each, {"upstream_refused", false, false, false}, now);
+  if (terms.not_run) {
+    // The host list tells of the change later; until then nothing else should go there.
+    return Recover(each, {"upstream_refused", false, terms.is_another, false}, now);
+  }
   if (!IsDeliverable(each)) return Recover(each, {"answer_unusable", true, false, false}, now);
   const bool failed = terms.status >= 500;
   if (failed && each.matched->is_idempotent()) {
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -22,6 +22,8 @@
 constexpr duration kFirstAvoidance = milliseconds(250);
 constexpr duration kLongestAvoidance = seconds(3);
 /** A full upstream has room again soon. */
+/** The host list tells within about a second that another upstream has the address. */
+constexpr duration kAnotherAvoidance = seconds(2);
 constexpr double kRefusalWeight = 0.15;
 constexpr duration kFullAvoidance = milliseconds(60);
 /** Engines that may be asked to read a prompt for another one. */
@@ -64,6 +66,8 @@
   if (problem.upstream_failed) {
     const int doublings = std::min(row.failures, 4);
     avoid_for = std::min<duration>(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
+    if (!problem.may_have_run && problem.reason == "upstream_refused")
+      avoid_for = kAnotherAvoidance;
     row.failures += 1;
   } else if (problem.may_have_run) {
     return;
--- a/src/libhawthorndrum/gateway/stage_plan.h
+++ b/src/libhawthorndrum/gateway/stage_plan.h
@@ -32,7 +32,7 @@
 
 /** The share of engines that read, and what no plan goes below. */
 struct stage_shares {
-  double reading = 0.83;
+  double reading = 0.78;
   std::size_t fewest_of_each = 2;
 };
 
--- a/src/libhawthorndrum/gateway/wire_dialect.h
+++ b/src/libhawthorndrum/gateway/wire_dialect.h
@@ -55,6 +55,8 @@
   bool sealed = false;
   /** The upstream states that it did not run the request. */
   bool not_run = false;
+  /** The upstream that was meant is not at the address any more, or does something else now. */
+  bool is_another = false;
 };
 
 /**
