Read a prompt again only within the retry budget; explain requests from logs

Change: calls that reached nobody keep the read prompt and have a bound of their own; a second reading needs a retry, else the prompt is read where it runs. Conclusion: every extra call is asked for first.

--- a/completions/hawthorndrumctl.bash
+++ b/completions/hawthorndrumctl.bash
@@ -28,7 +28,7 @@
     leases) words="give-back --admin --token-file --authority --timeout --output --help" ;;
     peers) words="--admin --token-file --authority --timeout --output --help" ;;
     poison) words="clear --admin --token-file --authority --timeout --output --help" ;;
-    why) words="--admin --token-file --authority --timeout --output --help" ;;
+    why) words="--log --admin --token-file --authority --timeout --output --help" ;;
   esac
   case "$current" in
     -*) COMPREPLY=($(compgen -W "$words" -- "$current")) ;;
--- a/src/hawthorndrumctl/command_line.cpp
+++ b/src/hawthorndrumctl/command_line.cpp
@@ -11,6 +11,7 @@
 #include "publish_command.h"
 #include "section_command.h"
 #include "status_command.h"
+#include "why_command.h"
 
 namespace hawthorndrum {
 namespace {
@@ -55,6 +56,7 @@
   for (section_spec& spec : SectionSpecs()) {
     commands.push_back(std::make_unique<section_command>(std::move(spec)));
   }
+  commands.push_back(std::make_unique<why_command>());
   return commands;
 }
 
--- a/src/hawthorndrumctl/section_command.cpp
+++ b/src/hawthorndrumctl/section_command.cpp
@@ -119,12 +119,6 @@
        "poison",
        {{"clear", "clear", {"fingerprint"}}},
        ""},
-      {"why",
-       "explain what became of a request",
-       "[REQUEST]",
-       "why",
-       {},
-       "REQUEST is the X-Request-Id of an answer of this daemon. Without it, the last ones.\n"},
   };
 }
 
--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -76,6 +76,8 @@
   /** Calls that may have run. */
   int runs = 0;
   int refusals = 0;
+  /** Calls that did not reach their upstream. */
+  int unreached = 0;
   /** Engines that failed to read the prompt for another one. */
   int readings = 0;
   bool may_split = true;
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -69,6 +69,8 @@
 
  private:
   struct route_meters;
+  /** The reason of a call whose upstream stated that it did not run it. */
+  static constexpr std::string_view kRefusedByUpstream = "upstream_refused";
   /** Why a call ended without an answer that can be handed on. */
   struct call_problem {
     std::string_view reason;
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -150,7 +150,7 @@
   }
   if (terms.not_run) {
     // The host list tells of the change later; until then nothing else should go there.
-    return Recover(each, {"upstream_refused", false, terms.is_another, false}, now);
+    return Recover(each, {kRefusedByUpstream, false, terms.is_another, false}, now);
   }
   if (!IsDeliverable(each)) return Recover(each, {"answer_unusable", true, false, false}, now);
   const bool failed = terms.status >= 500;
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -18,6 +18,8 @@
 constexpr duration kLeastTimeForTry = milliseconds(30);
 /** Upstreams that refused a request because they are full, before it is refused here. */
 constexpr int kMostRefusals = 2;
+/** Upstreams to which no connection could be made, before the request is refused here. */
+constexpr int kMostUnreached = 3;
 /** An upstream that failed is kept away from for so long, doubled with each failure in a row. */
 constexpr duration kFirstAvoidance = milliseconds(250);
 constexpr duration kLongestAvoidance = seconds(3);
@@ -66,7 +68,7 @@
   if (problem.upstream_failed) {
     const int doublings = std::min(row.failures, 4);
     avoid_for = std::min<duration>(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
-    if (!problem.may_have_run && problem.reason == "upstream_refused")
+    if (!problem.may_have_run && problem.reason == kRefusedByUpstream)
       avoid_for = kAnotherAvoidance;
     row.failures += 1;
   } else if (problem.may_have_run) {
@@ -98,13 +100,16 @@
   each.events.DropRest();
   if (!problem.may_have_run) {
     each.runs -= 1;
-    each.refusals += 1;
+    (problem.reason == kRefusedByUpstream ? each.refusals : each.unreached) += 1;
   }
   if (each.caller_gone) return Close(each, "caller_gone", 0);
   // A run that ended may have taken the prompt; one that was refused twice may have found it gone.
-  if (problem.may_have_run || each.refusals > 1) DropHandle(each);
+  const bool refused = problem.reason == kRefusedByUpstream;
+  if (problem.may_have_run || (refused && each.refusals > 1)) DropHandle(each);
   if (!MayTryAgain(each, problem, now)) return GiveUp(each, problem, now);
   if (each.handle) return SendReadPrompt(each, now);
+  // Only the first reading is free of the retry budget.
+  if (each.sent_to_read) each.may_split = allowance_.Spend(each.service->name, now);
   const auto place = Place(each, now);
   if (!place) return GiveUp(each, problem, now);
   Send(each, *place, now);
@@ -115,10 +120,10 @@
   if (problem.may_have_run && !each.matched->is_idempotent()) return false;
   if (each.head_sent && !each.matched->resumable) return false;
   if (each.runs >= each.matched->attempts) return false;
-  if (each.refusals > kMostRefusals) return false;
+  if (each.refusals > kMostRefusals || each.unreached > kMostUnreached) return false;
   if (crashes_.IsConvicted(each.fingerprint, now)) return false;
   // What never left this host is no further call at the service.
-  const bool sent = problem.may_have_run || problem.reason == "upstream_refused";
+  const bool sent = problem.may_have_run || problem.reason == kRefusedByUpstream;
   return !sent || allowance_.Spend(each.service->name, now);
 }
 
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -50,8 +50,6 @@
 void gateway::SendRead(exchange& each, const placement& place, time_point now) {
   fleet_upstream* row = fleet_.Find(place.reads_at);
   each.state = exchange_state::kReading;
-  // Only the first reading is free of the retry budget.
-  if (each.sent_to_read) allowance_.Charge(each.service->name);
   each.sent_to_read = true;
   each.call = {};
   each.call.booked.running = 1;
--- /dev/null
+++ b/tests/ctl/log_stories.cpp
@@ -0,0 +1,48 @@
+/// Explaining a request from the lines that daemons wrote.
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include "command_line.h"
+#include "log_story.h"
+
+namespace hawthorndrum {
+namespace {
+
+constexpr char kLines[] =
+    R"(  0.1 front-1 {"at":100.0,"host":"front-1","event":"upstream_gone","upstream":"i-9","in_ms":0}
+{"at":100.5,"host":"front-1","event":"store_lost","kind":"servers"}
+{"at":101.0,"host":"front-1","event":"run_sent","request":"q1","upstream":"i-9","run":1}
+{"at":101.1,"host":"front-1","event":"run_sent","request":"q2","upstream":"i-8","run":1}
+torn {"at":10
+{"at":101.2,"host":"front-1","event":"call_failed","request":"q1","upstream":"i-9","reason":"x"}
+{"at":101.2,"host":"front-2","event":"store_lost","kind":"servers"}
+{"at":90.0,"host":"front-1","event":"config_in_force","version":3}
+)";
+
+TEST(LogStory, ShowsTheRequestAndWhatChangedAroundIt) {
+  std::istringstream lines(kLines);
+  log_story story;
+  story.Read(lines);
+  EXPECT_EQ(story.unreadable(), 1u);
+  std::vector<std::string> events;
+  for (const log_entry& each : story.Of("q1")) events.push_back(each.event);
+  EXPECT_EQ(events,
+            (std::vector<std::string>{"upstream_gone", "store_lost", "run_sent", "call_failed"}));
+  EXPECT_TRUE(story.Of("q7").empty());
+}
+
+TEST(LogStory, WhyReadsALogFile) {
+  const std::string file = testing::TempDir() + "/hawthorndrum-why.log";
+  std::ofstream(file) << kLines;
+  std::ostringstream out;
+  std::ostringstream err;
+  EXPECT_EQ(RunCommandLine({"why", "--log", file, "q1"}, {out, err}), exit_code::kDone);
+  EXPECT_NE(out.str().find("call_failed  upstream=i-9 reason=x"), std::string::npos) << out.str();
+  EXPECT_NE(RunCommandLine({"why", "--log", file, "none"}, {out, err}), exit_code::kDone);
+}
+
+}  // namespace
+}  // namespace hawthorndrum
--- a/tests/gateway/streams.cpp
+++ b/tests/gateway/streams.cpp
@@ -117,6 +117,45 @@
   EXPECT_NE(SentHeader("X-Hawthorndrum-Expect-Instance"), first);
 }
 
+// Found on the bench as too many retries, although none was left: a prompt that was read was read
+// again because the engines that should generate could not be reached.
+TEST_F(StreamsTest, APromptThatWasReadIsKeptWhileEnginesCannotBeReached) {
+  for (const char* id : {"d", "e", "f", "g"}) Add(id, "llm", engine_stage::kDecode);
+  Add("p", "llm", engine_stage::kPrefill);
+  AskPrompt("/note/x", "aa", 9000, 5000);
+  HandleMade();
+  for (int i = 0; i < 3; ++i) Lost(attempt_failure::kNotConnected, false);
+  EXPECT_EQ(SentHeader("X-Hawthorndrum-Stage"), "");
+  EXPECT_NE(SentHeader("X-Hawthorndrum-Kv-Source"), "");
+}
+
+TEST_F(StreamsTest, ASecondReadingNeedsARetry) {
+  gateway_ports poor = Ports();
+  poor.retries = {0, 0, seconds(10)};
+  gateway tight(poor);
+  tight.SetConfig(MakeConfig(1));
+  tight.SetFleetKnown();
+  for (const auto& [id, stage] :
+       {std::pair{"p", engine_stage::kPrefill}, std::pair{"q", engine_stage::kPrefill},
+        std::pair{"d", engine_stage::kDecode}}) {
+    upstream_entry entry;
+    entry.id = id;
+    entry.service = "llm";
+    entry.stage = stage;
+    entry.slots = 64;
+    tight.fleet().Put(entry);
+  }
+  http_request request;
+  request.target = "/note/x";
+  request.headers = {{"Host", "shop.example"},
+                     {"X-Hawthorndrum-Token-Count", "9000,10"},
+                     {"X-Hawthorndrum-Prompt-Prefix", "aa:4000,bb:5000"}};
+  tight.OnRequest(request_id(900), std::move(request));
+  EXPECT_EQ(SentHeader("X-Hawthorndrum-Stage"), "prefill");
+  tight.OnAttemptLost({last().call.attempt, attempt_failure::kConnectionLost, true});
+  EXPECT_EQ(SentHeader("X-Hawthorndrum-Stage"), "") << "read where it runs, as the first run";
+}
+
 TEST_F(StreamsTest, AReadPromptThatNobodyTakesIsDropped) {
   Add("d", "llm", engine_stage::kDecode);
   Add("p", "llm", engine_stage::kPrefill);
