List anew when other daemons know of a change that a watch missed

Change: notices say the newest configuration and host list that a daemon knows; a watch that has not brought it 300 ms later is given up for a list; watches wait for different times. Conclusion: a change is known wherever one daemon knows it.

--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -184,6 +184,8 @@
   notice.sequence = ++notices_;
   notice.host = ports_.host;
   notice.data_centre = ports_.data_centre;
+  notice.config_version = config_version();
+  notice.fleet_revision = fleet_revision_;
   fleet_.ForEach([&](fleet_upstream& row) {
     const duration ago = now - row.alive_at;
     if (row.own.running > 0 || ago < kHeardOfTold) notice.work.push_back({row.id, row.own, ago});
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -44,6 +44,8 @@
   void SetConfig(std::shared_ptr<const gateway_config> config);
   /** The host list was read whole at least once. */
   void SetFleetKnown() { fleet_known_ = true; }
+  /** The store's revision at the last change of the host list. */
+  void SetFleetRevision(std::uint64_t revision) { fleet_revision_ = revision; }
   /** Other daemons that share the retry budget, this one not included. */
   void SetOtherDaemons(std::size_t others) { allowance_.SetDaemons(others + 1); }
 
@@ -138,6 +140,7 @@
   peer_board peers_;
   std::shared_ptr<const gateway_config> config_;
   bool fleet_known_ = false;
+  std::uint64_t fleet_revision_ = 0;
   std::map<request_id, exchange> exchanges_;
   std::unordered_map<attempt_id, request_id> attempts_;
   std::vector<crash_report> own_crashes_;
--- a/src/libhawthorndrum/gateway/load_notice.cpp
+++ b/src/libhawthorndrum/gateway/load_notice.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint64_t kFormat = 3;
+constexpr std::uint64_t kFormat = 4;
 /** Bound a datagram to 4 KB: an upstream's work takes up to 34 bytes, a covered notice 19. */
 constexpr std::size_t kMostWork = 80;
 constexpr std::size_t kMostCovered = 40;
@@ -109,7 +109,8 @@
   }
   return EncodeCbor(nlohmann::json::array(
       {kFormat, notice.sender.value(), notice.sequence, notice.host, notice.data_centre,
-       std::move(covers), std::move(work), std::move(avoided), std::move(crashes)}));
+       notice.config_version, notice.fleet_revision, std::move(covers), std::move(work),
+       std::move(avoided), std::move(crashes)}));
 }
 
 expected<load_notice> DecodeLoadNotice(boost::span<const std::uint8_t> bytes) {
@@ -122,6 +123,8 @@
   notice.sequence = fields.Unsigned();
   notice.host = fields.Text(kLongestName);
   notice.data_centre = fields.Text(kLongestName);
+  notice.config_version = fields.Unsigned();
+  notice.fleet_revision = fields.Unsigned();
   if (known && fields.ok() && ReadCovers(fields, notice) && ReadWork(fields, notice) &&
       ReadAvoided(fields, notice) && ReadCrashes(fields, notice) && fields.AtEnd() &&
       notice.sender) {
--- a/src/libhawthorndrum/gateway/load_notice.h
+++ b/src/libhawthorndrum/gateway/load_notice.h
@@ -45,6 +45,10 @@
   /** The sender's host. */
   std::string host;
   std::string data_centre;
+  /** The newest configuration that the sender knows. */
+  std::uint64_t config_version = 0;
+  /** The store's revision at the last change of the host list that the sender knows. */
+  std::uint64_t fleet_revision = 0;
   /** What a digest sums up; empty for a daemon's own notice. */
   std::vector<covered_notice> covers;
 
--- a/src/libhawthorndrum/gateway/object_watch.cpp
+++ b/src/libhawthorndrum/gateway/object_watch.cpp
@@ -15,6 +15,10 @@
 
 constexpr duration kFirstBackoff = milliseconds(60);
 constexpr duration kLongestBackoff = milliseconds(800);
+/** A change reaches all watches within a few milliseconds, others' word of it within a period. */
+constexpr duration kNewsPatience = milliseconds(300);
+/** The shortest wait, as a share of the longest. */
+constexpr double kShortestWait = 0.4;
 /** Shorter troubles are not worth a line when they end. */
 constexpr duration kWorthTelling = milliseconds(500);
 
@@ -39,9 +43,28 @@
 void object_watch::Run(time_point now) {
   if (call_open_ || now < next_call_) return;
   call_open_ = true;
-  if (phase_ == phase::kWatching) return reader_.Watch(kind_, revision_, wait_);
+  call_began_ = now;
+  ++call_;
+  if (phase_ == phase::kWatching) {
+    // Watches that one change ended together should not end together the next time.
+    const double share = kShortestWait + (1 - kShortestWait) * random_.Fraction();
+    const auto wait = static_cast<std::int64_t>(static_cast<double>(wait_.count()) * share);
+    return reader_.Watch(kind_, revision_, duration(wait), call_);
+  }
   if (after_.empty()) listener_.OnListBegins();
-  reader_.List(kind_, after_);
+  reader_.List(kind_, after_, call_);
+}
+
+void object_watch::OnWordOfNews(time_point now) {
+  if (phase_ != phase::kWatching || !call_open_ || now - call_began_ < kNewsPatience) return;
+  log_.Write(log_importance::kNotable, log_record("watch_missed_news")
+                                           .Text("kind", kind_)
+                                           .Number("revision", static_cast<std::int64_t>(revision_))
+                                           .Number("after_ms", ToMilliseconds(now - call_began_)));
+  call_open_ = false;
+  next_call_ = now;
+  StartList();
+  Run(now);
 }
 
 void object_watch::Succeeded(time_point now) {
@@ -58,22 +81,27 @@
                  .Number("revision", static_cast<std::int64_t>(revision_)));
 }
 
-void object_watch::OnPart(const listed_part& part, time_point now) {
+void object_watch::OnPart(std::uint64_t call, const listed_part& part, time_point now) {
+  if (call != call_ || !call_open_) return;
   Succeeded(now);
   after_ = part.next_after;
   // Changes during a long list are in the history after its first part's revision.
   if (revision_ == 0 || part.revision < revision_) revision_ = part.revision;
   if (!after_.empty()) return Run(now);
   phase_ = phase::kWatching;
+  news_revision_ = std::max(news_revision_, revision_);
   listener_.OnListComplete();
   Run(now);
 }
 
-void object_watch::OnEvents(std::uint64_t revision, time_point now) {
+void object_watch::OnEvents(std::uint64_t call, std::uint64_t revision, bool news, time_point now) {
+  if (call != call_ || !call_open_) return;
   Succeeded(now);
-  const bool news = revision > revision_;
   revision_ = std::max(revision_, revision);
-  if (news) next_call_ = now + pause_;
+  if (news) {
+    news_revision_ = revision_;
+    next_call_ = now + pause_;
+  }
   Run(now);
 }
 
@@ -83,7 +111,8 @@
   revision_ = 0;
 }
 
-void object_watch::OnTrouble(store_trouble trouble, time_point now) {
+void object_watch::OnTrouble(std::uint64_t call, store_trouble trouble, time_point now) {
+  if (call != call_ || !call_open_) return;
   call_open_ = false;
   if (trouble == store_trouble::kHistoryGone) {
     log_.Write(log_importance::kImportant,
--- a/src/libhawthorndrum/gateway/object_watch.h
+++ b/src/libhawthorndrum/gateway/object_watch.h
@@ -59,9 +59,22 @@
     wait_ = wait;
   }
 
-  void OnPart(const listed_part& part, time_point now);
-  void OnEvents(std::uint64_t revision, time_point now);
-  void OnTrouble(store_trouble trouble, time_point now);
+  /**
+   * Another daemon knows of a change. When the open watch has not brought it a little later, its
+   * connection or the store's memory of it is lost, and the objects are listed anew.
+   */
+  void OnWordOfNews(time_point now);
+
+  /** The store's revision as far as this watch knows. */
+  std::uint64_t revision() const { return revision_; }
+  /** The revision at the last answer that brought changes. */
+  std::uint64_t news_revision() const { return news_revision_; }
+
+  /** Answers to a call other than the last one started are passed over. */
+  void OnPart(std::uint64_t call, const listed_part& part, time_point now);
+  /** `news` tells whether there were changes at all. */
+  void OnEvents(std::uint64_t call, std::uint64_t revision, bool news, time_point now);
+  void OnTrouble(std::uint64_t call, store_trouble trouble, time_point now);
   /** Starts calls whose time has come; the first one at the first run. */
   void Run(time_point now);
 
@@ -81,6 +94,9 @@
   duration wait_ = seconds(2);
   phase phase_ = phase::kListing;
   bool call_open_ = false;
+  std::uint64_t call_ = 0;
+  time_point call_began_;
+  std::uint64_t news_revision_ = 0;
   time_point next_call_;
   std::string after_;
   std::uint64_t revision_ = 0;
--- a/src/libhawthorndrum/gateway/peer_board.cpp
+++ b/src/libhawthorndrum/gateway/peer_board.cpp
@@ -34,6 +34,8 @@
   if (notice.sender == self_) return;
   peer_row& row = notice.is_digest() ? digests_[notice.data_centre] : members_[notice.sender];
   if (!Store(row, notice, now)) return;
+  newest_config_ = std::max(newest_config_, notice.config_version);
+  newest_fleet_ = std::max(newest_fleet_, notice.fleet_revision);
   for (const noted_work& noted : notice.work) {
     fleet_upstream* known = fleet_.Find(noted.upstream);
     if (known != nullptr) known->alive_at = std::max(known->alive_at, now - noted.heard_ago);
@@ -70,6 +72,8 @@
   for (const auto& [sender, member] : members_) {
     const duration age = now - member.heard;
     digest.covers.push_back({sender, member.last.sequence});
+    digest.config_version = std::max(digest.config_version, member.last.config_version);
+    digest.fleet_revision = std::max(digest.fleet_revision, member.last.fleet_revision);
     for (const noted_work& noted : member.last.work) {
       const auto [place, added] = sums.try_emplace(noted.upstream, noted);
       noted_work& sum = place->second;
--- a/src/libhawthorndrum/gateway/peer_board.h
+++ b/src/libhawthorndrum/gateway/peer_board.h
@@ -41,6 +41,9 @@
   load_notice MakeDigest(const load_notice& own, time_point now) const;
   /** Whether daemons of this data centre send their notices here. */
   bool HasMembers() const { return !members_.empty(); }
+  /** The newest that any daemon knows, as far as its word came here. */
+  std::uint64_t newest_config() const { return newest_config_; }
+  std::uint64_t newest_fleet() const { return newest_fleet_; }
   /** When that host's digest of this data centre came, if it was the last one to come. */
   time_point DigestOf(const std::string& host) const;
 
@@ -67,6 +70,8 @@
   /** The notices of this daemon that digests may still hold, the oldest first. */
   std::deque<load_notice> own_notices_;
   bool changed_ = false;
+  std::uint64_t newest_config_ = 0;
+  std::uint64_t newest_fleet_ = 0;
 };
 
 }  // namespace hawthorndrum
--- a/tests/discovery/test_discovery.cpp
+++ b/tests/discovery/test_discovery.cpp
@@ -14,13 +14,16 @@
 
 class recording_reader : public object_reader {
  public:
-  void List(const std::string&, const std::string& after) override {
+  void List(const std::string&, const std::string& after, std::uint64_t call) override {
     calls.push_back("list " + after);
+    last = call;
   }
-  void Watch(const std::string&, std::uint64_t revision, duration) override {
+  void Watch(const std::string&, std::uint64_t revision, duration, std::uint64_t call) override {
     calls.push_back("watch " + std::to_string(revision));
+    last = call;
   }
   std::vector<std::string> calls;
+  std::uint64_t last = 0;
 };
 
 class DiscoveryTest : public GatewayFixtureTest {
@@ -41,15 +44,15 @@
     return row != nullptr && row->takes_work(clock.Now());
   }
   void Outage(duration length) {
-    watch.OnTrouble(store_trouble::kSilent, clock.Now());
+    watch.OnTrouble(reader.last, store_trouble::kSilent, clock.Now());
     clock.Advance(length);
     watch.Run(clock.Now());
-    watch.OnEvents(50, clock.Now());
+    watch.OnEvents(reader.last, 50, true, clock.Now());
   }
   void ListOnce() {
     watch.Run(clock.Now());
     directory.Put(Entry("a"));
-    watch.OnPart({"", 10}, clock.Now());
+    watch.OnPart(reader.last, {"", 10}, clock.Now());
   }
 
   recording_reader reader;
@@ -59,8 +62,8 @@
 
 TEST_F(DiscoveryTest, ListsInPartsAndThenWatches) {
   watch.Run(clock.Now());
-  watch.OnPart({"m", 10}, clock.Now());
-  watch.OnPart({"", 12}, clock.Now());
+  watch.OnPart(reader.last, {"m", 10}, clock.Now());
+  watch.OnPart(reader.last, {"", 12}, clock.Now());
   EXPECT_EQ(reader.calls, (std::vector<std::string>{"list ", "list m", "watch 10"}))
       << "changes during the list are in the history after its first part";
 }
@@ -68,7 +71,7 @@
 TEST_F(DiscoveryTest, APauseBetweenWatchesGathersChanges) {
   watch.SetPace(milliseconds(500), seconds(2));
   ListOnce();
-  watch.OnEvents(11, clock.Now());
+  watch.OnEvents(reader.last, 11, true, clock.Now());
   EXPECT_EQ(reader.calls.back(), "watch 10");
   clock.Advance(milliseconds(499));
   watch.Run(clock.Now());
@@ -76,13 +79,26 @@
   clock.Advance(milliseconds(1));
   watch.Run(clock.Now());
   EXPECT_EQ(reader.calls.back(), "watch 11");
-  watch.OnEvents(11, clock.Now());
+  watch.OnEvents(reader.last, 11, false, clock.Now());
   EXPECT_EQ(reader.calls.size(), 4u) << "without news there is no pause";
 }
 
+// Found on the bench: a watch that the store had forgotten kept a daemon on the old configuration.
+TEST_F(DiscoveryTest, AWatchThatMissedWhatOthersKnowIsListedAnew) {
+  ListOnce();
+  watch.OnWordOfNews(clock.Now());
+  EXPECT_EQ(reader.calls.back(), "watch 10") << "the answer may be on its way";
+  clock.Advance(milliseconds(400));
+  const std::uint64_t forgotten = reader.last;
+  watch.OnWordOfNews(clock.Now());
+  EXPECT_EQ(reader.calls.back(), "list ");
+  watch.OnEvents(forgotten, 99, true, clock.Now());
+  EXPECT_EQ(watch.revision(), 0u) << "the old call says nothing any more";
+}
+
 TEST_F(DiscoveryTest, AFailedWatchGoesOnFromItsRevision) {
   ListOnce();
-  watch.OnTrouble(store_trouble::kSilent, clock.Now());
+  watch.OnTrouble(reader.last, store_trouble::kSilent, clock.Now());
   watch.Run(clock.Now());
   EXPECT_EQ(reader.calls.back(), "watch 10");
   EXPECT_EQ(reader.calls.size(), 2u) << "not at once";
@@ -94,10 +110,10 @@
 
 TEST_F(DiscoveryTest, ALostHistoryIsListedAnewAtOnce) {
   ListOnce();
-  watch.OnTrouble(store_trouble::kHistoryGone, clock.Now());
+  watch.OnTrouble(reader.last, store_trouble::kHistoryGone, clock.Now());
   EXPECT_EQ(reader.calls.back(), "list ");
   EXPECT_TRUE(TakesWork("a")) << "nothing is forgotten meanwhile";
-  watch.OnPart({"", 40}, clock.Now());
+  watch.OnPart(reader.last, {"", 40}, clock.Now());
   EXPECT_FALSE(TakesWork("a")) << "it is missing from the new list";
 }
 
--- /dev/null
+++ b/tests/settings/log_pages.cpp
@@ -0,0 +1,87 @@
+/// The page of log lines names every event and field that the gateway writes, and no other.
+#include <dirent.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <string>
+
+namespace hawthorndrum {
+namespace {
+
+std::string ReadAll(const std::string& path) {
+  std::ifstream stream(path);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+/** The text of all sources of a folder. */
+std::string Sources(const std::string& folder) {
+  std::string text;
+  DIR* open = opendir(folder.c_str());
+  EXPECT_NE(open, nullptr) << folder;
+  if (open == nullptr) return text;
+  for (const dirent* entry; (entry = readdir(open)) != nullptr;) {
+    const std::string name = entry->d_name;
+    if (name.size() > 4 && name.substr(name.size() - 4) == ".cpp") {
+      text += ReadAll(folder + "/" + name);
+    }
+  }
+  closedir(open);
+  return text;
+}
+
+std::set<std::string> Matches(const std::string& text, const std::regex& pattern) {
+  std::set<std::string> found;
+  for (std::sregex_iterator place(text.begin(), text.end(), pattern), end; place != end; ++place) {
+    for (std::size_t group = 1; group < place->size(); ++group) {
+      if ((*place)[group].matched) found.insert((*place)[group]);
+    }
+  }
+  return found;
+}
+
+std::set<std::string> Difference(const std::set<std::string>& a, const std::set<std::string>& b) {
+  std::set<std::string> left;
+  std::set_difference(a.begin(), a.end(), b.begin(), b.end(), std::inserter(left, left.end()));
+  return left;
+}
+
+std::string Joined(const std::set<std::string>& names) {
+  std::string text;
+  for (const std::string& name : names) text += name + " ";
+  return text;
+}
+
+TEST(LogPages, OperationsPageHasEveryEventAndFieldAndNoOther) {
+  const std::string code =
+      Sources("src/libhawthorndrum/gateway") + Sources("src/gatewayd") + Sources("platform");
+  std::set<std::string> written =
+      Matches(code, std::regex("log_record\\([\\w.]*(?: \\? )?\"(\\w+)\"(?: : \"(\\w+)\")?\\)"));
+  // Fields of records follow each other in chains; readers of settings have their own names.
+  const std::set<std::string> fields =
+      Matches(code, std::regex("\\)?\\s*\\.(?:Text|Number|Decimal|Flag)\\(\"(\\w+)\","));
+  written.insert(fields.begin(), fields.end());
+
+  const std::string page = ReadAll("docs/OPERATIONS.md");
+  const std::size_t begin = page.find("## Lines");
+  const std::string table = page.substr(begin, page.find("## Metrics") - begin);
+  std::set<std::string> told;
+  std::istringstream lines(table);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.rfind("| `", 0) != 0) continue;
+    const auto names = Matches(line, std::regex("`(\\w+)`"));
+    told.insert(names.begin(), names.end());
+  }
+  const std::set<std::string> not_records = {"host", "data_centre", "ratio", "reserve", "value"};
+  EXPECT_EQ(Joined(Difference(Difference(written, told), not_records)), "");
+  EXPECT_EQ(Joined(Difference(Difference(told, written), {"after_ms", "in_ms"})), "");
+}
+
+}  // namespace
+}  // namespace hawthorndrum
--- a/tests/settings/settings_pages.cpp
+++ b/tests/settings/settings_pages.cpp
@@ -55,6 +55,11 @@
             KeysRead(ReadFile("src/libhawthorndrum/systems/settings_reader.cpp")));
 }
 
+TEST(SettingsPages, GatewayPageHasEveryKeyAndNoOther) {
+  EXPECT_EQ(KeysOf(ReadFile("docs/gateway-settings.md")),
+            KeysRead(ReadFile("src/libhawthorndrum/gateway/gateway_settings.cpp")));
+}
+
 TEST(SettingsPages, ServicePageHasEveryKeyAndNoOther) {
   EXPECT_EQ(KeysOf(ReadFile("docs/service-files.md")),
             KeysRead(ReadFile("src/libhawthorndrum/systems/service_file_reader.cpp")));
