Count only changes of the kind as news, and believe refusals sooner

Change: news is the revision of the last change among the kind's objects; a refusal weighs twice as much, and twice as long.

--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -29,7 +29,7 @@
 constexpr double kMemoryShare = 0.9;
 constexpr double kNoMemoryMs = 600;
 /** An engine that refuses costs a call and the budget's retries. */
-constexpr double kRefusalMs = 400;
+constexpr double kRefusalMs = 800;
 /** Engines that failed just now come last. */
 constexpr double kAvoidedMs = 4000;
 /**
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -26,7 +26,7 @@
 /** A full upstream has room again soon. */
 /** The host list tells within about a second that another upstream has the address. */
 constexpr duration kAnotherAvoidance = seconds(2);
-constexpr double kRefusalWeight = 0.15;
+constexpr double kRefusalWeight = 0.3;
 constexpr duration kFullAvoidance = milliseconds(60);
 /** Engines that may be asked to read a prompt for another one. */
 constexpr int kMostReadings = 2;
--- a/src/libhawthorndrum/gateway/object_watch.cpp
+++ b/src/libhawthorndrum/gateway/object_watch.cpp
@@ -85,23 +85,22 @@
   if (call != call_ || !call_open_) return;
   Succeeded(now);
   after_ = part.next_after;
+  news_revision_ = std::max(news_revision_, part.newest_change);
   // Changes during a long list are in the history after its first part's revision.
   if (revision_ == 0 || part.revision < revision_) revision_ = part.revision;
   if (!after_.empty()) return Run(now);
   phase_ = phase::kWatching;
-  news_revision_ = std::max(news_revision_, revision_);
   listener_.OnListComplete();
   Run(now);
 }
 
-void object_watch::OnEvents(std::uint64_t call, std::uint64_t revision, bool news, time_point now) {
+void object_watch::OnEvents(std::uint64_t call, std::uint64_t revision, std::uint64_t newest_change,
+                            time_point now) {
   if (call != call_ || !call_open_) return;
   Succeeded(now);
   revision_ = std::max(revision_, revision);
-  if (news) {
-    news_revision_ = revision_;
-    next_call_ = now + pause_;
-  }
+  news_revision_ = std::max(news_revision_, newest_change);
+  if (newest_change > 0) next_call_ = now + pause_;
   Run(now);
 }
 
--- a/src/libhawthorndrum/gateway/object_watch.h
+++ b/src/libhawthorndrum/gateway/object_watch.h
@@ -18,6 +18,8 @@
   /** Where the next part begins; empty after the last one. */
   std::string next_after;
   std::uint64_t revision = 0;
+  /** The revision of the last change among the part's objects. */
+  std::uint64_t newest_change = 0;
 };
 
 /** Why a call to the store did not bring what was asked. */
@@ -67,13 +69,14 @@
 
   /** The store's revision as far as this watch knows. */
   std::uint64_t revision() const { return revision_; }
-  /** The revision at the last answer that brought changes. */
+  /** The revision of the last change of the kind's objects that is known. */
   std::uint64_t news_revision() const { return news_revision_; }
 
   /** Answers to a call other than the last one started are passed over. */
   void OnPart(std::uint64_t call, const listed_part& part, time_point now);
-  /** `news` tells whether there were changes at all. */
-  void OnEvents(std::uint64_t call, std::uint64_t revision, bool news, time_point now);
+  /** `newest_change` is the revision of the last change; 0 when there was none. */
+  void OnEvents(std::uint64_t call, std::uint64_t revision, std::uint64_t newest_change,
+                time_point now);
   void OnTrouble(std::uint64_t call, store_trouble trouble, time_point now);
   /** Starts calls whose time has come; the first one at the first run. */
   void Run(time_point now);
--- a/tests/discovery/test_discovery.cpp
+++ b/tests/discovery/test_discovery.cpp
@@ -47,7 +47,7 @@
     watch.OnTrouble(reader.last, store_trouble::kSilent, clock.Now());
     clock.Advance(length);
     watch.Run(clock.Now());
-    watch.OnEvents(reader.last, 50, true, clock.Now());
+    watch.OnEvents(reader.last, 50, 50, clock.Now());
   }
   void ListOnce() {
     watch.Run(clock.Now());
@@ -71,7 +71,7 @@
 TEST_F(DiscoveryTest, APauseBetweenWatchesGathersChanges) {
   watch.SetPace(milliseconds(500), seconds(2));
   ListOnce();
-  watch.OnEvents(reader.last, 11, true, clock.Now());
+  watch.OnEvents(reader.last, 11, 11, clock.Now());
   EXPECT_EQ(reader.calls.back(), "watch 10");
   clock.Advance(milliseconds(499));
   watch.Run(clock.Now());
@@ -79,7 +79,7 @@
   clock.Advance(milliseconds(1));
   watch.Run(clock.Now());
   EXPECT_EQ(reader.calls.back(), "watch 11");
-  watch.OnEvents(reader.last, 11, false, clock.Now());
+  watch.OnEvents(reader.last, 11, 0, clock.Now());
   EXPECT_EQ(reader.calls.size(), 4u) << "without news there is no pause";
 }
 
@@ -92,10 +92,17 @@
   const std::uint64_t forgotten = reader.last;
   watch.OnWordOfNews(clock.Now());
   EXPECT_EQ(reader.calls.back(), "list ");
-  watch.OnEvents(forgotten, 99, true, clock.Now());
+  watch.OnEvents(forgotten, 99, 99, clock.Now());
   EXPECT_EQ(watch.revision(), 0u) << "the old call says nothing any more";
 }
 
+TEST_F(DiscoveryTest, OnlyChangesOfTheKindAreNews) {
+  watch.Run(clock.Now());
+  watch.OnPart(reader.last, {"", 40, 12}, clock.Now());
+  EXPECT_EQ(watch.revision(), 40u);
+  EXPECT_EQ(watch.news_revision(), 12u) << "the store's revision rises with other kinds too";
+}
+
 TEST_F(DiscoveryTest, AFailedWatchGoesOnFromItsRevision) {
   ListOnce();
   watch.OnTrouble(reader.last, store_trouble::kSilent, clock.Now());
