--- /dev/null
+++ b/tests/soak/fault_proxy.py
@@ -0,0 +1,55 @@
+"""A loopback proxy that delays, resets, silences or cuts one way what passes through it."""
+
+import asyncio
+
+
+class FaultProxy:
+    """Passes connections on to `target`, a port; `mode` changes what becomes of their bytes.
+
+    Modes: None, "delay", "silence" (nothing passes, nothing closes), "forth" and "back" (only the
+    bytes to, or from, the target pass) and "refuse".
+    """
+
+    def __init__(self, target):
+        self.target = target
+        self.mode = None
+        self.server = None
+        self.open = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    def reset(self):
+        for writer in list(self.open):
+            writer.transport.abort()
+
+    async def accept(self, reader, writer):
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.open |= {writer, far_writer}
+        await asyncio.gather(self.copy(reader, far_writer, "forth"),
+                             self.copy(far_reader, writer, "back"))
+        self.open -= {writer, far_writer}
+
+    async def copy(self, reader, writer, way):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if not data:
+                    break
+                if self.mode == "delay":
+                    await asyncio.sleep(0.15)
+                while self.mode == "silence" or self.mode in ("forth", "back") and self.mode != way:
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except (ConnectionError, RuntimeError):
+            writer.transport.abort()
--- /dev/null
+++ b/tests/soak/platform_standin.py
@@ -0,0 +1,267 @@
+"""Stand-ins of the platform for the soak: its store, engines and plain workers.
+
+They live in the soak's own process: they are what back ends see, and the checks read their records.
+Every message is HTTP/1.1, written by hand so that faults can be put anywhere in it.
+"""
+
+import asyncio
+import json
+import time
+
+HISTORY = 400  # Changes that the store remembers for watches.
+
+
+async def read_message(reader):
+    """Returns the first line's words, the headers in lower case and the body; None at the end."""
+    line = await reader.readline()
+    if not line:
+        return None
+    words = line.decode("latin-1").split()
+    headers = {}
+    while True:
+        line = await reader.readline()
+        if line in (b"\r\n", b"\n", b""):
+            break
+        name, _, value = line.decode("latin-1").partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = b""
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        while True:
+            size = int((await reader.readline()).split(b";")[0], 16)
+            chunk = await reader.readexactly(size + 2)
+            if size == 0:
+                break
+            body += chunk[:-2]
+    elif "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return words, headers, body
+
+
+def answer(status, headers, body):
+    lines = ["HTTP/1.1 %d X" % status, "Content-Length: %d" % len(body)]
+    lines += ["%s: %s" % item for item in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Store:
+    """Objects by kind and name, with revisions and watches."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.objects = {}
+        self.history = []
+        self.revision = 10
+        self.oldest = 10
+        self.changed = asyncio.Condition()
+        self.trouble = None  # None, "busy" or "lost".
+
+    async def put(self, kind, name, spec):
+        self.revision += 1
+        kept = self.objects.setdefault(kind, {})
+        kept[name] = {"metadata": {"name": name, "rev": self.revision}, "spec": spec}
+        await self.tell(kind, kept[name], False)
+
+    async def delete(self, kind, name):
+        gone = self.objects.get(kind, {}).pop(name, None)
+        if gone is not None:
+            self.revision += 1
+            await self.tell(kind, gone, True)
+
+    async def tell(self, kind, entry, deleted):
+        self.history.append((self.revision, kind, {"object": entry, "deleted": deleted}))
+        if len(self.history) > HISTORY:
+            self.oldest = self.history.pop(0)[0]
+        async with self.changed:
+            self.changed.notify_all()
+
+    def forget(self):
+        self.history.clear()
+        self.oldest = self.revision
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                message = await read_message(reader)
+                if message is None:
+                    break
+                words, _, body = message
+                status, content = await self.call(words[0], words[1], body)
+                if self.trouble == "lost" and self.rng.random() < 0.5:
+                    break
+                writer.write(answer(status, {}, json.dumps(content).encode()))
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
+            pass
+        writer.close()
+
+    async def call(self, method, target, body):
+        if self.trouble == "busy":
+            return 503, {}
+        path, _, query = target.partition("?")
+        parts = path.split("/")[3:]
+        options = dict(item.split("=") for item in query.split("&")) if query else {}
+        kind = self.objects.setdefault(parts[0], {})
+        if method == "GET" and len(parts) == 2:
+            return (200, kind[parts[1]]) if parts[1] in kind else (404, {})
+        if method == "GET" and "watch" in options:
+            return await self.watch(parts[0], int(options["watch"]), int(options["wait_ms"]))
+        if method == "GET":
+            return 200, {"items": list(kind.values()), "has_more": False,
+                         "store_revision": self.revision}
+        if method == "DELETE":
+            await self.delete(parts[0], parts[1])
+            return 200, {}
+        sent = json.loads(body)
+        name = sent["metadata"]["name"]
+        if method == "POST" and name in kind:
+            return 409, kind[name]
+        if method == "PUT":
+            if name not in kind:
+                return 404, {}
+            wanted = sent["metadata"].get("rev")
+            if wanted is not None and wanted != kind[name]["metadata"]["rev"]:
+                return 409, kind[name]
+        await self.put(parts[0], name, sent["spec"])
+        return 200, kind[name]
+
+    async def watch(self, kind, revision, wait_ms):
+        end = time.monotonic() + wait_ms / 1000
+        while True:
+            if revision < self.oldest:
+                return 410, {}
+            events = [e for r, k, e in self.history if k == kind and r > revision]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "store_revision": self.revision}
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass
+
+
+class Worker:
+    """One start of a worker: an engine of a stage, or a plain one when `stage` is None."""
+
+    def __init__(self, records, rng, name, service, stage):
+        self.records, self.rng, self.name = records, rng, name
+        self.service, self.stage = service, stage
+        self.born = int(time.time() * 1000)
+        self.orders, self.handles, self.switching = 0, set(), False
+        self.fault = None  # None, "refuse", "cut", "extra" or "error".
+        self.writers = set()
+        self.server, self.alive = None, True
+        self.on_stage = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    def crash(self):
+        self.alive = False
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def entry(self, address, state):
+        spec = {"service": self.service, "addr": address, "zone": "z1", "version": "v1",
+                "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1, "born": self.born}
+        if self.stage:
+            spec["phase"] = self.stage
+        return spec
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                message = await read_message(reader)
+                if message is None or not await self.handle(message, writer):
+                    break
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
+            pass
+        self.writers.discard(writer)
+        writer.close()
+
+    async def handle(self, message, writer):
+        words, headers, body = message
+        method, target = words[0], words[1]
+        if headers.get("x-hawthorndrum-expect-instance", self.name) != self.name:
+            writer.write(answer(421, {"X-Hawthorndrum-Instance-Id": self.name}, b""))
+            return True
+        if target == "/api/report":
+            report = {"seq": self.orders, "busy": self.switching}
+            writer.write(answer(200, {}, json.dumps(report).encode()))
+            return True
+        if target == "/api/order":
+            return await self.order(json.loads(body), writer)
+        if target.startswith("/api/"):
+            self.handles.discard(target.split("/")[-1])
+            writer.write(answer(200, {}, b"{}"))
+            return True
+        return await self.run(method, target, headers, body, writer)
+
+    async def order(self, sent, writer):
+        self.records.on_order(self.name, sent)
+        if sent["expected"] != self.orders or self.switching:
+            writer.write(answer(409, {}, b"{}"))
+            return True
+        self.orders += 1
+        self.switching = True
+        asyncio.get_running_loop().call_later(0.5, self.switched, sent["phase"])
+        writer.write(answer(202, {}, b"{}"))
+        return True
+
+    def switched(self, stage):
+        self.stage, self.switching = stage, False
+        if self.on_stage and self.alive:
+            self.on_stage(self)
+
+    async def run(self, method, target, headers, body, writer):
+        request = headers.get("x-hawthorndrum-request-id", "")
+        mark = {"X-Hawthorndrum-Request-Id": request}
+        if self.switching or (self.fault == "refuse" and self.rng.random() < 0.5):
+            writer.write(answer(503, {**mark, "X-Hawthorndrum-Not-Executed": "1"}, b""))
+            return True
+        if headers.get("x-hawthorndrum-stage") == "prefill":
+            handle = "h%d" % self.rng.getrandbits(48)
+            self.handles.add(handle)
+            writer.write(answer(200, {}, json.dumps({"handle": handle, "tokens": 1}).encode()))
+            return True
+        self.records.on_run(self.name, request, method, target, body)
+        seal = self.records.seal(self.name, request)
+        if target.startswith("/stream/"):
+            return await self.stream(request, headers, seal, mark, writer)
+        await asyncio.sleep(self.rng.uniform(0.001, 0.02))
+        if self.fault == "error" and self.rng.random() < 0.4:
+            writer.write(answer(500, {**mark, "X-Hawthorndrum-Response-Seal": seal}, b"sorry"))
+            return True
+        whole = answer(200, {**mark, "X-Hawthorndrum-Response-Seal": seal},
+                       self.records.body(request))
+        if self.fault == "cut" and self.rng.random() < 0.3:
+            writer.write(whole[: self.rng.randrange(1, len(whole))])
+            await writer.drain()
+            return False
+        writer.write(whole)
+        if self.fault == "extra" and self.rng.random() < 0.3:
+            writer.write(whole)
+        return True
+
+    async def stream(self, request, headers, seal, mark, writer):
+        first = int(headers.get("last-event-id") or 0) + 1
+        head = {**mark, "X-Hawthorndrum-Response-Seal": seal, "Transfer-Encoding": "chunked"}
+        lines = ["HTTP/1.1 200 OK"] + ["%s: %s" % item for item in head.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        for number in range(first, self.records.EVENTS + 1):
+            event = self.records.event(request, number)
+            chunk = b"%x\r\n%s\r\n" % (len(event), event)
+            if self.fault == "cut" and self.rng.random() < 0.05:
+                writer.write(chunk[: self.rng.randrange(len(chunk))])
+                await writer.drain()
+                writer.transport.abort()
+                return False
+            writer.write(chunk)
+            await writer.drain()
+            await asyncio.sleep(self.rng.uniform(0.002, 0.02))
+        writer.write(b"0\r\n\r\n")
+        return True
