Change idle engines together while others are busy

Cause: releases replace engines by new ones that start in their first stage; they were changed two at a time, although they had no work.

--- a/src/libhawthorndrum/gateway/stage_keeper.cpp
+++ b/src/libhawthorndrum/gateway/stage_keeper.cpp
@@ -25,7 +25,10 @@
 constexpr duration kLateOrder = seconds(14);
 constexpr duration kRetryRefused = seconds(2);
 constexpr duration kSendWithin = milliseconds(500);
-/** Idle, a third of the engines may change at once, else an eighth. */
+/**
+ * The parts of the engines that may change at once: a third while it takes nothing from callers, as
+ * with engines that just started, and an eighth of those at work.
+ */
 constexpr std::size_t kIdleChanges = 3;
 constexpr std::size_t kBusyChanges = 8;
 
@@ -97,7 +100,6 @@
   for (const gateway_service& service : config->services) {
     if (!service.is_engine) continue;
     std::vector<planned_engine> engines;
-    std::size_t running = 0;
     for (const fleet_upstream* row : gateway_.fleet().OfService(service.name)) {
       if (!row->takes_work(now) || row->entry.stage == engine_stage::kNone) continue;
       planned_engine each{row->id, row->entry.stage, row->entry.data_centre,
@@ -105,13 +107,13 @@
       const auto open = open_.find(row->id);
       each.changing = open != open_.end();
       if (each.changing) each.stage = open->second.stage;
-      running += each.running;
       engines.push_back(std::move(each));
     }
-    const std::size_t most =
-        std::max<std::size_t>(1, engines.size() / (running > 0 ? kBusyChanges : kIdleChanges));
+    const std::size_t most_idle = std::max<std::size_t>(1, engines.size() / kIdleChanges);
+    const std::size_t most_busy = std::max<std::size_t>(1, engines.size() / kBusyChanges);
     for (const stage_change& change : PlanStages(engines, {}, 1)) {
-      if (open_.size() >= most) break;
+      const bool idle = gateway_.fleet().Find(change.engine)->all_work().running == 0;
+      if (open_.size() >= (idle ? most_idle : most_busy)) break;
       open_change opened;
       opened.stage = change.stage;
       opened.send_at = now + kAnnounced;
--- a/tests/stages/test_stages.cpp
+++ b/tests/stages/test_stages.cpp
@@ -27,21 +27,24 @@
   return engines;
 }
 
+/** Given here, so that the tests check the plan whatever share the fleet is run with. */
+constexpr stage_shares kFiveSixths{0.83, 2};
+
 TEST(StagePlan, KeepsSomeOfEachStage) {
-  EXPECT_EQ(EnginesThatRead(18, {}), 15u);
-  EXPECT_EQ(EnginesThatRead(4, {}), 2u);
-  EXPECT_EQ(EnginesThatRead(2, {}), 1u);
-  EXPECT_EQ(EnginesThatRead(1, {}), 0u);
+  EXPECT_EQ(EnginesThatRead(18, kFiveSixths), 15u);
+  EXPECT_EQ(EnginesThatRead(4, kFiveSixths), 2u);
+  EXPECT_EQ(EnginesThatRead(2, kFiveSixths), 1u);
+  EXPECT_EQ(EnginesThatRead(1, kFiveSixths), 0u);
 }
 
 TEST(StagePlan, NothingToDoOnceTheSharesAreMet) {
-  EXPECT_TRUE(PlanStages(Engines(18, 15), {}, 1).empty());
+  EXPECT_TRUE(PlanStages(Engines(18, 15), kFiveSixths, 1).empty());
 }
 
 TEST(StagePlan, SpreadsReadersOverTheDataCentres) {
   std::map<std::string, int> reading;
   const auto engines = Engines(18, 0);
-  for (const stage_change& change : PlanStages(engines, {}, 1)) {
+  for (const stage_change& change : PlanStages(engines, kFiveSixths, 1)) {
     EXPECT_EQ(change.stage, engine_stage::kPrefill);
     reading[engines[change.engine.value() - 1].data_centre] += 1;
   }
@@ -171,6 +174,17 @@
   EXPECT_EQ(first.engines.orders.size(), before);
 }
 
+// Releases replace engines by new ones in their first stage; changing those one by one left the
+// fleet short of readers for most of the bench's days with a release.
+TEST_F(StageKeeperTest, IdleEnginesChangeTogetherWhileOthersAreBusy) {
+  for (const char* id : {"a", "b", "c"}) served.fleet().FindEntry(id)->peers.running = 5;
+  Tick(seconds(2), true, false);
+  ASSERT_EQ(first.engines.orders.size(), 2u);
+  for (const engine_order& order : first.engines.orders) {
+    EXPECT_EQ(served.fleet().Find(order.engine)->peers.running, 0u);
+  }
+}
+
 TEST_F(StageKeeperTest, AnEngineHasOneOpenOrder) {
   Tick(seconds(2), true, false);
   const std::size_t before = first.engines.orders.size();
