--- a/src/hawthorndrumd/main.cpp
+++ b/src/hawthorndrumd/main.cpp
@@ -1,5 +1,4 @@
 /// hawthorndrumd: the daemon on every entry host.
-#include <getopt.h>
 #include <glog/logging.h>
 #include <sys/resource.h>
 
@@ -7,19 +6,18 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
-#include <fstream>
-#include <iterator>
 #include <optional>
 #include <string>
 
 #include "daemon.h"
+#include "daemon_command_line.h"
 #include "log_setup.h"
 #include "systems/settings_reader.h"
 
 namespace hawthorndrum {
 namespace {
 
-constexpr int kUsageExitCode = 2;
+constexpr char kProgram[] = "hawthorndrumd";
 constexpr int kSettingsExitCode = 3;
 
 constexpr char kUsage[] =
@@ -33,54 +31,11 @@
     "Exit codes: 0 stopped as asked, 1 failed, 2 wrong usage, 3 settings refused.\n"
     "SIGTERM and SIGINT stop the daemon after its last request; SIGHUP reads TLS files again.\n";
 
-struct command_line {
-  std::string settings;
-  bool check = false;
-};
-
-enum option_value : int { kSettings = 256, kCheck, kVersion, kHelp };
-
-constexpr option kOptions[] = {{"settings", required_argument, nullptr, kSettings},
-                               {"check", no_argument, nullptr, kCheck},
-                               {"version", no_argument, nullptr, kVersion},
-                               {"help", no_argument, nullptr, kHelp},
-                               {nullptr, 0, nullptr, 0}};
-
-/** Reads the command line; the exit code when there is nothing more to do. */
-std::optional<int> ReadCommandLine(int argc, char** argv, command_line& line) {
-  for (int value; (value = getopt_long(argc, argv, "", kOptions, nullptr)) != -1;) {
-    switch (value) {
-      case kSettings:
-        line.settings = optarg;
-        break;
-      case kCheck:
-        line.check = true;
-        break;
-      case kVersion:
-        std::puts("hawthorndrumd " HAWTHORNDRUM_VERSION);
-        return 0;
-      case kHelp:
-        std::fputs(kUsage, stdout);
-        return 0;
-      default:
-        return kUsageExitCode;
-    }
-  }
-  if (optind == argc && !line.settings.empty()) return std::nullopt;
-  std::fputs(kUsage, stderr);
-  return kUsageExitCode;
-}
-
 std::optional<daemon_settings> LoadSettings(const std::string& file) {
-  std::ifstream stream(file);
-  if (!stream) {
-    std::fprintf(stderr, "hawthorndrumd: can't read %s\n", file.c_str());
-    return std::nullopt;
-  }
-  const std::string text((std::istreambuf_iterator<char>(stream)),
-                         std::istreambuf_iterator<char>());
+  const auto text = ReadSettingsFile(kProgram, file);
+  if (!text) return std::nullopt;
   findings found;
-  daemon_settings settings = ReadSettings(file, text, found);
+  daemon_settings settings = ReadSettings(file, *text, found);
   if (found.empty()) return settings;
   std::fputs(found.ToText().c_str(), stderr);
   return std::nullopt;
@@ -123,8 +78,8 @@
 }
 
 int Run(int argc, char** argv) {
-  command_line line;
-  if (const auto code = ReadCommandLine(argc, argv, line)) return *code;
+  daemon_command_line line;
+  if (const auto code = line.Read(argc, argv, kProgram, kUsage)) return *code;
   const auto settings = LoadSettings(line.settings);
   if (!settings) return kSettingsExitCode;
   if (line.check) return 0;
--- a/src/libhawthorndrum/gateway/event_cutter.cpp
+++ b/src/libhawthorndrum/gateway/event_cutter.cpp
@@ -23,7 +23,8 @@
   rest_.append(bytes);
   std::size_t taken = 0;
   for (;;) {
-    const std::string_view open = std::string_view(rest_).substr(taken);
+    std::string_view open = rest_;
+    open.remove_prefix(taken);
     const std::size_t end = EndOfEvent(open);
     if (end == std::string_view::npos) break;
     NoteId(open.substr(0, end));
--- a/src/libhawthorndrum/gateway/stage_plan.cpp
+++ b/src/libhawthorndrum/gateway/stage_plan.cpp
@@ -46,7 +46,8 @@
           return a->id < b->id;
         });
     changes.push_back({(*best)->id, to});
-    reading_in[(*best)->data_centre] += more ? 1 : std::size_t(-1);
+    std::size_t& in_data_centre = reading_in[(*best)->data_centre];
+    in_data_centre = more ? in_data_centre + 1 : in_data_centre - 1;
     candidates.erase(best);
   }
   return changes;
