Never say not run of a request that may have run before

Cause: reading the change: a resumable stream whose first run was lost and whose second reading found no place was refused with 503, although the first run may have happened. Change: a refusal of a request with a run behind it is a 502; one function gives such answers.

--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -159,6 +159,8 @@
   DropHandle(each);
   // The caller has a part of a stream, whose end must not look like another answer.
   if (each.head_sent) return CutOff(each);
+  // Only what certainly never ran may be called so.
+  if (each.runs > 0) return FailUnknown(each, reason, 502);
   ports_.metrics->Counter("gateway_refused_total", MetricLabel("reason", reason)).Add();
   ports_.callers->Answer(each.id, ProblemAnswer(503, reason, retry_after));
   ports_.log->Write(log_importance::kNotable,
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -111,6 +111,8 @@
   void Recover(exchange& each, const call_problem& problem, time_point now);
   bool MayTryAgain(const exchange& each, const call_problem& problem, time_point now);
   void RunWithoutReader(exchange& each, std::string_view reason, time_point now);
+  /** The final answer of a request that may have run. */
+  void FailUnknown(exchange& each, std::string_view reason, int status);
   void GiveUp(exchange& each, const call_problem& problem, time_point now);
   void Expire(exchange& each, time_point now);
   void Stall(exchange& each, time_point now);
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -24,10 +24,11 @@
 constexpr duration kFirstAvoidance = milliseconds(250);
 constexpr duration kLongestAvoidance = seconds(3);
 /** A full upstream has room again soon. */
+constexpr duration kFullAvoidance = milliseconds(60);
 /** The host list tells within about a second that another upstream has the address. */
 constexpr duration kAnotherAvoidance = seconds(2);
+/** How much one refusal counts in the share of refusals that is remembered. */
 constexpr double kRefusalWeight = 0.3;
-constexpr duration kFullAvoidance = milliseconds(60);
 /** Engines that may be asked to read a prompt for another one. */
 constexpr int kMostReadings = 2;
 constexpr duration kRetryAfterFailure = milliseconds(300);
@@ -146,15 +147,16 @@
   DropHandle(each);
   if (each.head_sent) return CutOff(each);
   if (problem.has_answer) return Deliver(each);
-  // Only what certainly never ran may be called so.
   if (each.runs == 0) return Refuse(each, problem.reason, kRetryAfterFailure);
-  const int status = each.TimeLeft(now) < kLeastTimeForTry ? 504 : 502;
-  ports_.callers->Answer(each.id, ProblemAnswer(status, problem.reason, duration(0)));
+  FailUnknown(each, problem.reason, each.TimeLeft(now) < kLeastTimeForTry ? 504 : 502);
+}
+
+void gateway::FailUnknown(exchange& each, std::string_view reason, int status) {
+  ports_.callers->Answer(each.id, ProblemAnswer(status, reason, duration(0)));
   Close(each, "failed", status);
 }
 
 void gateway::Expire(exchange& each, time_point now) {
-  const bool unsent = each.state == exchange_state::kReading || each.runs == 0;
   ports_.log->Write(log_importance::kNotable,
                     log_record("deadline_passed")
                         .Text("request", each.terms.caller_id)
@@ -167,9 +169,8 @@
   Cancel(each);
   DropHandle(each);
   if (each.head_sent) return CutOff(each);
-  if (unsent && each.runs == 0) return Refuse(each, "deadline", kRetryAfterFailure);
-  ports_.callers->Answer(each.id, ProblemAnswer(504, "deadline", duration(0)));
-  Close(each, "failed", 504);
+  if (each.runs == 0) return Refuse(each, "deadline", kRetryAfterFailure);
+  FailUnknown(each, "deadline", 504);
 }
 
 void gateway::Stall(exchange& each, time_point now) {
--- a/tests/gateway/streams.cpp
+++ b/tests/gateway/streams.cpp
@@ -88,6 +88,20 @@
   EXPECT_EQ(served.fleet().Find(reader)->own.running, 0u);
 }
 
+TEST_F(StreamsTest, NotRunIsNeverSaidOfAStreamThatMayHaveRunBefore) {
+  Add("d", "llm", engine_stage::kDecode);
+  Add("e", "llm", engine_stage::kDecode);
+  Add("p", "llm", engine_stage::kPrefill);
+  Add("q", "llm", engine_stage::kPrefill);
+  const request_id id = AskPrompt("/tell/x", "aa", 9000, 5000);
+  HandleMade();
+  Lost();
+  ASSERT_EQ(SentHeader("X-Hawthorndrum-Stage"), "prefill") << "tried again, read anew";
+  for (const char* each : {"d", "e", "p", "q"}) served.fleet().Remove(each, clock.Now());
+  Lost();
+  EXPECT_EQ(CallerOf(id).status, 502);
+}
+
 TEST_F(StreamsTest, LongPromptsAreReadAtOneEngineAndGeneratedAtAnother) {
   Add("d", "llm", engine_stage::kDecode);
   Add("p", "llm", engine_stage::kPrefill);
