Give an upstream that was replaced no work until it is listed again

Change: a 421 that names another upstream ends the former start; it is no sign of life; a refused run whose prompt was read before is charged to the retry budget.

--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -105,6 +105,8 @@
   void Deliver(exchange& each);
   /** Closes the caller's connection in the middle of its stream. */
   void CutOff(exchange& each);
+  /** Another upstream answered at the address of that one. */
+  void NoteAnother(const fleet_upstream& row, const answer_terms& terms, time_point now);
   bool IsDeliverable(const exchange& each) const;
 
   // When something went wrong.
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -43,7 +43,8 @@
   each->answer.body.clear();
   // An engine that runs the request has taken the prompt that was read for it.
   if (each->state == exchange_state::kRunning && !each->answer.terms.not_run) each->handle.reset();
-  if (fleet_upstream* row = fleet_.Find(each->call.upstream)) {
+  fleet_upstream* row = fleet_.Find(each->call.upstream);
+  if (row != nullptr && !each->answer.terms.is_another) {
     row->alive_at = now;
     row->failures = 0;
     if (!each->answer.terms.not_run) row->refusal_share *= 1 - kRefusalFades;
@@ -134,6 +135,16 @@
   Close(each, "answered", each.answer.terms.status);
 }
 
+void gateway::NoteAnother(const fleet_upstream& row, const answer_terms& terms, time_point now) {
+  if (terms.upstream.empty() || terms.upstream == row.entry.id) return;
+  ports_.log->Write(log_importance::kImportant, log_record("upstream_replaced")
+                                                    .Text("upstream", row.entry.id)
+                                                    .Text("by", terms.upstream)
+                                                    .Text("address", row.entry.address));
+  // Whatever start that was, it is over; the host list brings it back if it is not.
+  fleet_.Remove(row.entry.id, now);
+}
+
 bool gateway::IsDeliverable(const exchange& each) const {
   const answer_terms& terms = each.answer.terms;
   if (terms.not_run || PromisesNotRun(terms.status)) return false;
@@ -149,6 +160,7 @@
     if (!each.is_engine()) service_placement::Observe(*row, now - each.call.sent_at);
   }
   if (terms.not_run) {
+    if (row != nullptr && terms.is_another) NoteAnother(*row, terms, now);
     // The host list tells of the change later; until then nothing else should go there.
     return Recover(each, {kRefusedByUpstream, false, terms.is_another, false}, now);
   }
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -102,6 +102,10 @@
   if (!problem.may_have_run) {
     each.runs -= 1;
     (problem.reason == kRefusedByUpstream ? each.refusals : each.unreached) += 1;
+    // A refused run counts as an extra call where the prompt was read before.
+    if (problem.reason == kRefusedByUpstream && each.sent_to_read) {
+      allowance_.Charge(each.service->name);
+    }
   }
   if (each.caller_gone) return Close(each, "caller_gone", 0);
   // A run that ended may have taken the prompt; one that was refused twice may have found it gone.
--- a/src/libhawthorndrum/gateway/wire_dialect.h
+++ b/src/libhawthorndrum/gateway/wire_dialect.h
@@ -57,6 +57,8 @@
   bool not_run = false;
   /** The upstream that was meant is not at the address any more, or does something else now. */
   bool is_another = false;
+  /** The name of the upstream that answered, where the answer tells it. */
+  std::string upstream;
 };
 
 /**
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -197,6 +197,21 @@
   EXPECT_TRUE(upstreams.sent.empty());
 }
 
+// Found by hunts: while the store was silent, engines that had started anew were asked again and
+// again under their former names, and each refusal counted against the retry budget.
+TEST_F(GatewayTest, AnUpstreamWhoseAddressAnotherHasGetsNothingUntilItIsListedAgain) {
+  Add("a", "desk");
+  Ask("/pay/x");
+  served.OnAttemptHead({last().call.attempt, 421, {{"X-Hawthorndrum-Instance-Id", "b"}}});
+  Done();
+  clock.Advance(seconds(10));
+  EXPECT_EQ(CallerOf(Ask("/pay/y")).status, 503);
+  EXPECT_EQ(upstreams.sent.size(), 1u);
+  Add("a", "desk");
+  Ask("/pay/z");
+  EXPECT_EQ(upstreams.sent.size(), 2u);
+}
+
 TEST_F(GatewayTest, ARequestThatCrashesUpstreamsIsRefusedAfterTheThird) {
   for (const char* id : {"a", "b", "c", "d", "e"}) Add(id, "desk");
   const auto crash = [this] {
