Ask an upstream that refuses everything seldom, and keep more of the retry budget for refusals

Each refused run counts as an extra call that no budget holds back. Change: after a refusal an upstream is not asked for 60 ms, doubled up to 2 s while it refuses on; the retry budget keeps 0.6 of the reserve and a quarter of the ratio for refused calls. One test waits 100 ms between two requests now, since the first one's refusal would keep the second from the same upstream; what it checks is unchanged.

--- a/src/libhawthorndrum/gateway/fleet_upstream.h
+++ b/src/libhawthorndrum/gateway/fleet_upstream.h
@@ -58,6 +58,9 @@
   time_point alive_at;
   /** Share of answers that were failures, of late. */
   double failure_share = 0;
+  /** Calls that it refused since it last took one, and until when it is not asked again. */
+  int refusals = 0;
+  time_point refuses_until;
   /** Share of calls that it refused, of late. */
   double refusal_share = 0;
   /** How much longer it takes than expected, of late; at least 1. */
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -47,7 +47,10 @@
   if (row != nullptr && !each->answer.terms.is_another) {
     row->alive_at = now;
     row->failures = 0;
-    if (!each->answer.terms.not_run) row->refusal_share *= 1 - kRefusalFades;
+    if (!each->answer.terms.not_run) {
+      row->refusal_share *= 1 - kRefusalFades;
+      row->refusals = 0;
+    }
   }
 }
 
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -25,6 +25,8 @@
 constexpr duration kLongestAvoidance = seconds(3);
 /** A full upstream has room again soon. */
 constexpr duration kFullAvoidance = milliseconds(60);
+/** An upstream that refuses every call is asked about every two seconds. */
+constexpr int kMostRefusalDoublings = 5;
 /** The host list tells within about a second that another upstream has the address. */
 constexpr duration kAnotherAvoidance = seconds(2);
 /** How much one refusal counts in the share of refusals that is remembered. */
@@ -76,6 +78,8 @@
     return;
   } else {
     row.refusal_share += kRefusalWeight * (1 - row.refusal_share);
+    row.refuses_until = now + kFullAvoidance * (1 << std::min(row.refusals, kMostRefusalDoublings));
+    row.refusals += 1;
   }
   row.avoid_until = std::max(row.avoid_until, now + avoid_for);
 }
--- a/src/libhawthorndrum/gateway/retry_allowance.h
+++ b/src/libhawthorndrum/gateway/retry_allowance.h
@@ -28,7 +28,7 @@
   explicit retry_allowance(retry_limits limits) : limits_(limits) {}
 
   void SetDaemons(std::size_t daemons) { daemons_ = daemons == 0 ? 1 : daemons; }
-  void Earn(const std::string& service) { BucketOf(service).level += limits_.ratio * kMargin; }
+  void Earn(const std::string& service) { BucketOf(service).level += limits_.ratio * kRatioMargin; }
   /** Takes one retry if there is one. */
   bool Spend(const std::string& service, time_point now);
   /** Counts an extra call that was made whether it was allowed or not. */
@@ -36,14 +36,15 @@
   double LevelOf(const std::string& service) { return BucketOf(service).level; }
 
  private:
-  /** Calls that were lost on the way count too, and daemons come and go. */
-  static constexpr double kMargin = 0.8;
+  /** Calls that upstreams refuse are extra calls that nobody chose; the rest is kept for them. */
+  static constexpr double kRatioMargin = 0.75;
+  static constexpr double kReserveMargin = 0.4;
   struct bucket {
     double level = 0;
     time_point filled;
   };
 
-  double Share() const { return limits_.reserve * kMargin / static_cast<double>(daemons_); }
+  double Share() const { return limits_.reserve * kReserveMargin / static_cast<double>(daemons_); }
   bucket& BucketOf(const std::string& service);
 
   retry_limits limits_;
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -90,6 +90,7 @@
   EXPECT_EQ(CallerOf(refused).status, 503);
   EXPECT_NE(FindHeader(CallerOf(refused).headers, "Retry-After"), "");
   Add("b", "desk");
+  clock.Advance(milliseconds(100));
   const request_id lost = Ask("/pay/x");
   Refused();
   Lost();
@@ -212,6 +213,21 @@
   EXPECT_EQ(upstreams.sent.size(), 2u);
 }
 
+// Found by hunts: an engine that refused everything had nothing to do, so every daemon preferred it
+// and used up the retry budget there.
+TEST_F(GatewayTest, AnUpstreamThatRefusesEverythingIsAskedSeldom) {
+  Add("a", "desk");
+  for (int i = 0; i < 100; ++i) {
+    const std::size_t before = upstreams.sent.size();
+    const request_id id = Ask("/pay/x");
+    if (upstreams.sent.size() > before) Refused();
+    EXPECT_EQ(CallerOf(id).status, 503);
+    clock.Advance(milliseconds(100));
+  }
+  EXPECT_LE(upstreams.sent.size(), 12u) << "in ten seconds";
+  EXPECT_GE(upstreams.sent.size(), 6u) << "it must be found out when it takes calls again";
+}
+
 TEST_F(GatewayTest, ARequestThatCrashesUpstreamsIsRefusedAfterTheThird) {
   for (const char* id : {"a", "b", "c", "d", "e"}) Add(id, "desk");
   const auto crash = [this] {
