--- a/src/libhawthorndrum/systems/event.h
+++ b/src/libhawthorndrum/systems/event.h
@@ -58,7 +58,7 @@
 };
 
 using event = std::variant<request_arrived, caller_gone, attempt_head, attempt_bytes,
-                           attempt_finished, attempt_lost, probe_ended, store_answered, order_answered,
-                           load_reported, load_failed, hosts_listed>;
+                           attempt_finished, attempt_lost, probe_ended, store_answered,
+                           order_answered, load_reported, load_failed, hosts_listed>;
 
 }  // namespace hawthorndrum
