Note an engine's refusal of a reading, so that it is not asked again at once

Cause: a refused reading went past NoteFailure. An engine that refused every reading (it had changed its stage, and the daemon was cut off from the store) kept its low cost, looked idle and was asked again with the next prompt. Ruled out: retries, which stayed within the allowance; most of the extra calls were second readings 4 ms after the first.

Change: a refused reading is noted like a refused run; an engine that says it is another one, or in another stage, gets nothing for two seconds.

--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -109,7 +109,9 @@
   const answer_terms& terms = each.answer.terms;
   auto name = ports_.dialect->ReadHandleName(each.answer.body);
   if (!IsSuccess(terms.status) || !name || reader == nullptr) {
-    return RunWithoutReader(each, terms.not_run ? "reader_refused" : "reader_failed", now);
+    if (!terms.not_run) return Recover(each, {"reader_failed", true, false, false}, now);
+    if (terms.is_another && reader != nullptr) NoteAnother(*reader, terms, now);
+    return Recover(each, {kRefusedByUpstream, false, terms.is_another, false}, now);
   }
   const std::string address = reader->entry.address;
   Release(each);
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -79,8 +79,11 @@
   if (problem.upstream_failed) {
     const int doublings = std::min(row.failures, 4);
     avoid_for = std::min<duration>(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
-    if (!problem.may_have_run && problem.reason == kRefusedByUpstream)
+    if (problem.reason == kRefusedByUpstream) {
+      // Not the one that is listed, or in another stage: it will refuse until the list says so.
       avoid_for = kAnotherAvoidance;
+      row.refuses_until = now + kAnotherAvoidance;
+    }
     row.failures += 1;
   } else if (problem.may_have_run) {
     return;
--- a/tests/reach/test_reach.cpp
+++ b/tests/reach/test_reach.cpp
@@ -1,6 +1,7 @@
 /// Upstreams that cannot be connected to: crashed engines, cut data centres.
 #include <gtest/gtest.h>
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -124,5 +125,30 @@
   EXPECT_NE(first, second);
 }
 
+// On the bench a daemon that was cut off from the store sent prompts to an engine that had changed
+// its stage, which refused each of them and looked idle: 410 extra calls in ten seconds of 283.
+TEST_F(ReachTest, AnEngineThatRefusesReadingsIsLeftAloneWhateverItSays) {
+  Add("d1", "llm", engine_stage::kDecode);
+  const upstream_id one = Add("p1", "llm", engine_stage::kPrefill);
+  const upstream_id other = Add("p2", "llm", engine_stage::kPrefill);
+  std::map<upstream_id, int> refused;
+  for (int i = 0; i < 100; ++i) {
+    const std::size_t before = upstreams.sent.size();
+    AskPrompt("/tell/", "a" + std::to_string(i), 4000, 1500);
+    const bool sent = upstreams.sent.size() > before;
+    if (sent && (last().call.upstream == one || last().call.upstream == other)) {
+      const upstream_id at = last().call.upstream;
+      ++refused[at];
+      const int status = at == one ? 421 : 503;
+      served.OnAttemptHead({last().call.attempt, status, {{"X-Hawthorndrum-Not-Executed", "1"}}});
+      Done();
+    }
+    Pass(milliseconds(20));
+  }
+  // Asked again every two seconds at most, or ever more seldom.
+  EXPECT_LE(refused[one], 2);
+  EXPECT_LE(refused[other], 8);
+}
+
 }  // namespace
 }  // namespace hawthorndrum
