Draw the engine that generates from a few near the reader

Cause: all daemons chose the engine with the least running requests, and their view of it is some hundred milliseconds old. Engines with slow links were no dearer than others.

Change: the best of two engines in the reader's data centre and two of all is taken. Notices tell the tokens that are on their way to each engine, and what waits for its link is part of its cost.

Left: bodies between data centres, reading of shared parts again after crashes and cuts.

--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -10,6 +10,7 @@
 #include "gateway/fleet_table.h"
 #include "gateway/gateway_config.h"
 #include "gateway/prompt.h"
+#include "ports/random_source.h"
 
 namespace hawthorndrum {
 
@@ -43,6 +44,9 @@
  */
 constexpr double kReadAgainAtSecond = 1.5;
 constexpr double kReadAgain = 8;
+/** Engines that are drawn for a generation: a daemon's view is as old as many generations take. */
+constexpr std::size_t kDrawnNear = 2;
+constexpr std::size_t kDrawnOfAll = 2;
 /** Reading more than that makes each stream that runs there late. */
 constexpr double kLatePausesMs = 400;
 constexpr duration kShortestRetry = milliseconds(250);
@@ -56,12 +60,15 @@
 }  // namespace
 
 engine_placement::engine_placement(fleet_table& fleet, const engine_speeds& speeds,
-                                   std::string own_data_centre)
-    : fleet_(fleet), speeds_(speeds), own_data_centre_(std::move(own_data_centre)) {}
+                                   random_source& random, std::string own_data_centre)
+    : fleet_(fleet),
+      speeds_(speeds),
+      random_(random),
+      own_data_centre_(std::move(own_data_centre)) {}
 
 double engine_placement::RunCost(const fleet_upstream& row, const placement_query& query) const {
   const upstream_work work = row.all_work();
-  double cost = kRunningMs * work.running;
+  double cost = kRunningMs * work.running + TransferMs(work.fetching_tokens, *query.service);
   if (row.entry.data_centre != own_data_centre_) cost += kOtherDataCentreMs;
   if (work.running >= row.entry.slots) {
     cost += kBeyondSlotsMs * (work.running - row.entry.slots + 1);
@@ -72,16 +79,16 @@
   return cost;
 }
 
+double engine_placement::TransferMs(std::uint64_t tokens, const gateway_service& service) {
+  if (service.link_mbps <= 0) return 0;
+  return 8.0 * static_cast<double>(tokens * service.token_bytes) / (service.link_mbps * 1000);
+}
+
 double engine_placement::TransferCost(const fleet_upstream& from, const fleet_upstream& to,
                                       const placement_query& query) const {
-  double cost = kSplitMs;
-  if (query.service->link_mbps > 0) {
-    const double bits =
-        8.0 * static_cast<double>(query.asked->tokens() * query.service->token_bytes);
-    const double way = bits / (query.service->link_mbps * 1000);
-    cost += from.entry.data_centre == to.entry.data_centre ? way : 2 * way;
-  }
-  return cost;
+  const double way = TransferMs(query.asked->tokens(), *query.service);
+  const bool near = from.entry.data_centre == to.entry.data_centre;
+  return kSplitMs + (near ? way : 2 * way + kOtherDataCentreMs);
 }
 
 engine_placement::homes engine_placement::HomesOf(std::uint64_t key, engine_stage stage,
@@ -149,10 +156,45 @@
   }
 }
 
+const engine_placement::candidate* engine_placement::DrawRunner(
+    const std::vector<candidate>& among, const fleet_upstream* reader,
+    const placement_query& query) const {
+  std::vector<const candidate*> near;
+  std::vector<const candidate*> all;
+  for (const candidate& each : among) {
+    if (each.row->entry.stage == engine_stage::kPrefill) continue;
+    all.push_back(&each);
+    const std::string& place = reader == nullptr ? own_data_centre_ : reader->entry.data_centre;
+    if (each.row->entry.data_centre == place) near.push_back(&each);
+  }
+  const candidate* best = nullptr;
+  double best_ms = std::numeric_limits<double>::infinity();
+  const auto draw = [&](const std::vector<const candidate*>& from, std::size_t count) {
+    // Few enough to look at all: drawing would only miss some.
+    const bool whole = from.size() <= count;
+    for (std::size_t i = 0; i < std::min(count, from.size()); ++i) {
+      const candidate* each = from[whole ? i : random_.Below(from.size())];
+      const double way = reader == nullptr ? 0 : TransferCost(*reader, *each->row, query);
+      if (each->RunnerMs() + way >= best_ms) continue;
+      best_ms = each->RunnerMs() + way;
+      best = each;
+    }
+  };
+  draw(near, kDrawnNear);
+  draw(all, kDrawnOfAll);
+  // Those drawn may all be in trouble.
+  if (best == nullptr || best->risk_ms >= kAvoidedMs) draw(all, all.size());
+  return best;
+}
+
 tl::expected<placement, no_place> engine_placement::Choose(const placement_query& query,
                                                            time_point now) const {
   const std::vector<candidate> found = Candidates(query, now);
-  const candidate* runner = nullptr;
+  if (query.is_read) {
+    const candidate* runner = DrawRunner(found, query.read_at, query);
+    if (runner == nullptr) return tl::make_unexpected(no_place{"no_engine", seconds(1)});
+    return placement{runner->row->id, {}, 0, Milliseconds(runner->wait_ms + runner->run_ms)};
+  }
   placement best;
   double best_ms = std::numeric_limits<double>::infinity();
   const auto consider = [&](const placement& place, double expected_ms, double price_ms) {
@@ -161,19 +203,22 @@
     best = place;
     best.expected = Milliseconds(expected_ms);
   };
+  const candidate* reader = nullptr;
   for (const candidate& each : found) {
-    if (each.row->entry.stage == engine_stage::kPrefill) continue;
-    if (runner == nullptr || each.RunnerMs() < runner->RunnerMs()) runner = &each;
+    if (each.row->entry.stage == engine_stage::kPrefill) {
+      if (reader == nullptr || each.ReaderMs() < reader->ReaderMs()) reader = &each;
+      continue;
+    }
     consider({each.row->id, {}, each.unread, {}}, each.wait_ms + each.read_ms + each.run_ms,
              each.price_ms + each.risk_ms);
   }
+  const candidate* runner = DrawRunner(found, reader == nullptr ? nullptr : reader->row, query);
   if (runner == nullptr) return tl::make_unexpected(no_place{"no_engine", seconds(1)});
-  for (const candidate& each : found) {
-    if (each.row->entry.stage != engine_stage::kPrefill) continue;
-    const double transfer_ms = TransferCost(*each.row, *runner->row, query);
-    consider({runner->row->id, each.row->id, each.unread, {}},
-             each.wait_ms + each.read_ms + transfer_ms + runner->run_ms,
-             each.price_ms + each.risk_ms + runner->risk_ms);
+  if (reader != nullptr) {
+    consider({runner->row->id, reader->row->id, reader->unread, {}},
+             reader->wait_ms + reader->read_ms + runner->run_ms +
+                 TransferCost(*reader->row, *runner->row, query),
+             reader->price_ms + reader->risk_ms + runner->risk_ms);
   }
   if (best.expected > query.time_left) {
     // The queue is read at the engines' own speed; coming back sooner finds it as long.
--- a/src/libhawthorndrum/gateway/engine_placement.h
+++ b/src/libhawthorndrum/gateway/engine_placement.h
@@ -15,19 +15,23 @@
 namespace hawthorndrum {
 
 class engine_speeds;
+class random_source;
 class fleet_table;
 struct fleet_upstream;
+struct gateway_service;
 
 /**
  * Weighs all engines of the service by the expected time to the first token: what waits there to
  * be read, what of the prompt is not in its cache, and the way of the KV cache if the prompt is
  * read elsewhere. Each group of prompts with the same shared parts has a home in each stage by
  * rendezvous hash, the same at every daemon, which is taken to hold the shared parts. Engines that
- * generate read only what fits into the pauses of the streams that run there.
+ * generate read only what fits into the pauses of the streams that run there. The engine that
+ * generates is the best of a few that are drawn, since all daemons know of the same idle one.
  */
 class engine_placement {
  public:
-  engine_placement(fleet_table& fleet, const engine_speeds& speeds, std::string own_data_centre);
+  engine_placement(fleet_table& fleet, const engine_speeds& speeds, random_source& random,
+                   std::string own_data_centre);
 
   tl::expected<placement, no_place> Choose(const placement_query& query, time_point now) const;
 
@@ -50,6 +54,8 @@
 
     /** What it costs to generate there a prompt that was read elsewhere. */
     double RunnerMs() const { return run_ms + wait_ms + risk_ms; }
+    /** What it costs to read the prompt there. */
+    double ReaderMs() const { return wait_ms + read_ms + price_ms + risk_ms; }
   };
 
   std::vector<candidate> Candidates(const placement_query& query, time_point now) const;
@@ -62,12 +68,21 @@
     const fleet_upstream* second = nullptr;
   };
   static homes HomesOf(std::uint64_t key, engine_stage stage, const std::vector<candidate>& among);
+  /**
+   * The best of a few engines that generate, drawn from those near the reader and from all; null
+   * when there is none.
+   */
+  const candidate* DrawRunner(const std::vector<candidate>& among, const fleet_upstream* reader,
+                              const placement_query& query) const;
   double RunCost(const fleet_upstream& row, const placement_query& query) const;
+  /** How long the link needs for so many tokens of KV cache, in milliseconds. */
+  static double TransferMs(std::uint64_t tokens, const gateway_service& service);
   double TransferCost(const fleet_upstream& from, const fleet_upstream& to,
                       const placement_query& query) const;
 
   fleet_table& fleet_;
   const engine_speeds& speeds_;
+  random_source& random_;
   std::string own_data_centre_;
 };
 
--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -69,6 +69,8 @@
   upstream_answer answer;
   /** The prompt as an engine read it, until another one has taken it. */
   std::optional<kv_handle> handle;
+  /** The engine that read it. */
+  upstream_id read_by;
   bool sent_to_read = false;
 
   /** Upstreams that the request was sent to, those that refused included. */
--- a/src/libhawthorndrum/gateway/fleet_upstream.h
+++ b/src/libhawthorndrum/gateway/fleet_upstream.h
@@ -20,11 +20,14 @@
   std::uint64_t unread_tokens = 0;
   /** Tokens of KV cache that the running requests may need. */
   std::uint64_t memory_tokens = 0;
+  /** Tokens of KV cache that are on their way there from engines that read them. */
+  std::uint64_t fetching_tokens = 0;
 
   upstream_work& operator+=(const upstream_work& more) {
     running += more.running;
     unread_tokens += more.unread_tokens;
     memory_tokens += more.memory_tokens;
+    fetching_tokens += more.fetching_tokens;
     return *this;
   }
   /** Takes off what is there of it; for sums whose parts may be of different ages. */
@@ -32,11 +35,13 @@
     running -= std::min(running, less.running);
     unread_tokens -= std::min(unread_tokens, less.unread_tokens);
     memory_tokens -= std::min(memory_tokens, less.memory_tokens);
+    fetching_tokens -= std::min(fetching_tokens, less.fetching_tokens);
   }
   upstream_work& operator-=(const upstream_work& less) {
     running -= less.running;
     unread_tokens -= less.unread_tokens;
     memory_tokens -= less.memory_tokens;
+    fetching_tokens -= less.fetching_tokens;
     return *this;
   }
 };
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -44,7 +44,7 @@
 
 gateway::gateway(const gateway_ports& ports)
     : ports_(ports),
-      engines_(fleet_, speeds_, ports.data_centre),
+      engines_(fleet_, speeds_, *ports.random, ports.data_centre),
       services_(fleet_, ports.data_centre),
       allowance_(ports.retries),
       reach_(fleet_, *ports.upstreams, *ports.random, *ports.log),
@@ -115,6 +115,7 @@
   query.tried = &each.tried;
   query.failure_is_final = !each.matched->is_idempotent();
   query.is_read = each.handle.has_value();
+  if (query.is_read) query.read_at = fleet_.Find(each.read_by);
   query.may_split = each.may_split && !query.is_read;
   query.longest_pause = each.matched->longest_pause;
   query.time_left = each.TimeLeft(now);
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -114,6 +114,7 @@
     return Recover(each, {kRefusedByUpstream, false, terms.is_another, false}, now);
   }
   const std::string address = reader->entry.address;
+  each.read_by = reader->id;
   Release(each);
   if (each.caller_gone) {
     each.handle = kv_handle{address, std::move(*name)};
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -79,6 +79,7 @@
     each.call.booked.memory_tokens = asked.tokens() + asked.output_tokens;
     row->cache.NotePrompt(asked, now);
     terms.fetch_from = each.handle;
+    if (each.handle) each.call.booked.fetching_tokens = asked.tokens();
     each.call.patience =
         std::max(Times(expected, kStallFactor) + kStallSlack, each.matched->objective);
   } else {
@@ -156,7 +157,9 @@
     speeds_.Observe(*row, each.call.queued_tokens, taken, now);
   }
   row->own.unread_tokens -= each.call.booked.unread_tokens;
+  row->own.fetching_tokens -= each.call.booked.fetching_tokens;
   each.call.booked.unread_tokens = 0;
+  each.call.booked.fetching_tokens = 0;
   if (each.state == exchange_state::kRunning) {
     MetersOf(*each.matched).first_byte.Record(now - each.arrived);
   }
--- a/src/libhawthorndrum/gateway/load_notice.cpp
+++ b/src/libhawthorndrum/gateway/load_notice.cpp
@@ -11,9 +11,9 @@
 
 namespace {
 
-constexpr std::uint64_t kFormat = 5;
+constexpr std::uint64_t kFormat = 6;
 /**
- * Bound a datagram to 6 KB: an upstream's work takes up to 34 bytes, a covered notice 19, an
+ * Bound a datagram to 6 KB: an upstream's work takes up to 39 bytes, a covered notice 19, an
  * avoided upstream 14.
  */
 constexpr std::size_t kMostWork = 80;
@@ -40,6 +40,7 @@
     work.work.running = static_cast<std::uint32_t>(fields.Unsigned(UINT32_MAX));
     work.work.unread_tokens = fields.Unsigned(UINT32_MAX);
     work.work.memory_tokens = fields.Unsigned(UINT32_MAX);
+    work.work.fetching_tokens = fields.Unsigned(UINT32_MAX);
     work.heard_ago = milliseconds(fields.Unsigned(kLongestAgoMs));
     if (!fields.AtEnd()) return false;
     notice.work.push_back(work);
@@ -93,11 +94,13 @@
   nlohmann::json work = nlohmann::json::array();
   std::vector<noted_work> sorted = notice.work;
   std::sort(sorted.begin(), sorted.end(), [](const noted_work& a, const noted_work& b) {
-    return a.work.unread_tokens > b.work.unread_tokens;
+    return a.work.unread_tokens + a.work.fetching_tokens >
+           b.work.unread_tokens + b.work.fetching_tokens;
   });
   for (const noted_work& each : First(sorted, kMostWork)) {
     work.push_back(
         {each.upstream.value(), each.work.running, each.work.unread_tokens, each.work.memory_tokens,
+         each.work.fetching_tokens,
          std::min(static_cast<std::uint64_t>(ToMilliseconds(each.heard_ago)), kLongestAgoMs)});
   }
   nlohmann::json avoided = nlohmann::json::array();
--- a/src/libhawthorndrum/gateway/placement.h
+++ b/src/libhawthorndrum/gateway/placement.h
@@ -10,6 +10,7 @@
 
 namespace hawthorndrum {
 
+struct fleet_upstream;
 struct gateway_service;
 struct prompt;
 
@@ -24,6 +25,8 @@
   bool failure_is_final = false;
   /** The prompt was read; only tokens are to be generated. */
   bool is_read = false;
+  /** The engine that read it; null when it is not known any more. */
+  const fleet_upstream* read_at = nullptr;
   /** Whether the prompt may be read at one engine and the tokens generated at another. */
   bool may_split = true;
   /** The longest pause between events that is on time; zero when none is given. */
--- a/tests/placement/test_placement.cpp
+++ b/tests/placement/test_placement.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "fake_random_source.h"
 #include "gateway/engine_placement.h"
 #include "gateway/engine_speeds.h"
 #include "gateway/fleet_table.h"
@@ -16,7 +17,7 @@
 
 class PlacementTest : public testing::Test {
  protected:
-  PlacementTest() : engines(fleet, speeds, "north"), services(fleet, "north") {
+  PlacementTest() : engines(fleet, speeds, random, "north"), services(fleet, "north") {
     llm.name = "llm";
     llm.is_engine = true;
     llm.memory_tokens = 500000;
@@ -46,6 +47,13 @@
     query.time_left = seconds(4);
     return query;
   }
+  /** The prompt was read by an engine that is not known any more. */
+  placement_query ReadQuery(const prompt& asked) {
+    read_prompt = asked;
+    placement_query query = Query(read_prompt);
+    query.is_read = true;
+    return query;
+  }
   placement_query Call() {
     placement_query query;
     query.service = &desk;
@@ -56,11 +64,13 @@
 
   fleet_table fleet;
   engine_speeds speeds;
+  fake_random_source random;
   engine_placement engines;
   service_placement services;
   gateway_service llm;
   gateway_service desk;
   std::vector<upstream_id> tried;
+  prompt read_prompt;
   time_point now{seconds(100)};
 };
 
@@ -145,6 +155,54 @@
   EXPECT_GT(speeds.Of(slow, now + seconds(30)), before * 0.8);
 }
 
+// All daemons know of the same idle engine for some hundred milliseconds. On the bench its link was
+// busy all the time then, and first tokens took 600 ms there against 50 ms at the others.
+TEST_F(PlacementTest, GenerationsDoNotAllGoToTheOneEngineThatLooksIdle) {
+  Add("p", "llm", engine_stage::kPrefill);
+  for (int i = 0; i < 20; ++i) {
+    Add("d" + std::to_string(i), "llm", engine_stage::kDecode).peers.running = i == 0 ? 0 : 12;
+  }
+  placement_query query = ReadQuery(Prompt(1, 9000, 2000));
+  std::map<upstream_id, int> chosen;
+  for (int i = 0; i < 1000; ++i) chosen[engines.Choose(query, now)->runs_at] += 1;
+  int most = 0;
+  for (const auto& [engine, count] : chosen) most = std::max(most, count);
+  // Twice what a draw of four engines of twenty brings it at least.
+  EXPECT_LT(most, 400);
+  EXPECT_GE(chosen.size(), 15u);
+}
+
+TEST_F(PlacementTest, AnEngineThatIsFetchingMuchGetsLess) {
+  for (int i = 0; i < 4; ++i) {
+    Add("d" + std::to_string(i), "llm", engine_stage::kDecode).peers.fetching_tokens =
+        i == 0 ? 800'000 : 20'000;
+  }
+  const upstream_id busy = fleet.FindEntry("d0")->id;
+  placement_query query = ReadQuery(Prompt(1, 9000, 2000));
+  for (int i = 0; i < 100; ++i) EXPECT_NE(engines.Choose(query, now)->runs_at, busy);
+}
+
+TEST_F(PlacementTest, AReadPromptStaysInTheDataCentreOfItsReaderWhileThatIsNotBusy) {
+  fleet_upstream& reader = Add("p", "llm", engine_stage::kPrefill, "south");
+  const upstream_id near = Add("d0", "llm", engine_stage::kDecode, "south").id;
+  const upstream_id far = Add("d1", "llm", engine_stage::kDecode).id;
+  placement_query query = ReadQuery(Prompt(1, 9000, 2000));
+  query.read_at = &reader;
+  EXPECT_EQ(engines.Choose(query, now)->runs_at, near);
+  fleet.Find(near)->peers.fetching_tokens = 800'000;
+  EXPECT_EQ(engines.Choose(query, now)->runs_at, far);
+}
+
+TEST_F(PlacementTest, TroubledEnginesAreDrawnOnlyWhenAllAre) {
+  for (int i = 0; i < 20; ++i) {
+    Add("d" + std::to_string(i), "llm", engine_stage::kDecode).avoid_until = now + seconds(1);
+  }
+  placement_query query = ReadQuery(Prompt(1, 9000, 2000));
+  EXPECT_TRUE(engines.Choose(query, now));
+  const upstream_id sound = Add("e", "llm", engine_stage::kDecode).id;
+  for (int i = 0; i < 50; ++i) EXPECT_EQ(engines.Choose(query, now)->runs_at, sound);
+}
+
 TEST_F(PlacementTest, CallsPreferTheUpstreamNearbyUntilItIsBusy) {
   const upstream_id near = Add("a", "desk", engine_stage::kNone).id;
   const upstream_id far = Add("b", "desk", engine_stage::kNone, "south").id;
