--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -27,6 +27,8 @@
 constexpr duration kSweepPeriod = seconds(1);
 /** Others need not hear of an upstream that was quiet for longer. */
 constexpr duration kHeardOfTold = seconds(1);
+/** Daemons' own lists tell of a leaving upstream after that; notices repeat it meanwhile. */
+constexpr duration kLeavingTold = milliseconds(500);
 /** How long others look elsewhere first while they try the upstream themselves. */
 constexpr duration kLossTold = milliseconds(300);
 /** How long crashes are repeated in the notices, which may be lost. */
@@ -197,6 +199,8 @@
     if (row.own.running > 0 || ago < kHeardOfTold) notice.work.push_back({row.id, row.own, ago});
     if (row.changes_until > now) {
       notice.avoided.push_back({row.id, row.changes_until - now, avoidance_reason::kChanges});
+    } else if (!row.takes_work(now)) {
+      notice.avoided.push_back({row.id, kLeavingTold, avoidance_reason::kLeaves});
     } else if (row.reach.is_lost) {
       notice.avoided.push_back({row.id, kLossTold, avoidance_reason::kLost});
     } else if (row.failures > 0 && row.avoid_until > now) {
--- a/src/libhawthorndrum/gateway/gateway_settings.cpp
+++ b/src/libhawthorndrum/gateway/gateway_settings.cpp
@@ -38,6 +38,8 @@
   fields.Address("metrics", settings.metrics_address);
   fields.Address("store", settings.store_address);
   fields.Duration("stop_grace", settings.stop_grace, milliseconds(100), std::chrono::minutes(10));
+  fields.Duration("leaving_known_within", settings.leaving_known_within, milliseconds(500),
+                  std::chrono::minutes(1));
   fields.Whole("file_limit", settings.file_limit, 64, 1'000'000);
   ReadRetries(fields, settings.retries, found);
   fields.Require("host", "the name of this host");
--- a/src/libhawthorndrum/gateway/gateway_settings.h
+++ b/src/libhawthorndrum/gateway/gateway_settings.h
@@ -28,6 +28,8 @@
   std::string store_address;
   /** From SIGTERM to SIGKILL. */
   duration stop_grace = seconds(8);
+  /** Upstreams get no new work so long after the store was told that they leave. */
+  duration leaving_known_within = seconds(2);
   std::uint32_t file_limit = 4096;
   retry_limits retries;
 };
--- a/src/libhawthorndrum/gateway/load_notice.h
+++ b/src/libhawthorndrum/gateway/load_notice.h
@@ -25,6 +25,8 @@
 enum class avoidance_reason : std::uint8_t {
   /** The sender is about to change its stage. */
   kChanges,
+  /** The host list says that it leaves, or has left. */
+  kLeaves,
   /** The sender cannot connect to it. */
   kLost,
   /** It failed calls of the sender. */
--- a/src/libhawthorndrum/gateway/peer_board.cpp
+++ b/src/libhawthorndrum/gateway/peer_board.cpp
@@ -53,9 +53,10 @@
   for (const noted_avoidance& avoided : notice.avoided) {
     fleet_upstream* row = fleet_.Find(avoided.upstream);
     if (row == nullptr) continue;
-    // An engine that is about to change answers until then.
-    const bool changes = avoided.reason == avoidance_reason::kChanges;
-    if (!changes && now - row->alive_at < kSurelyAlive) continue;
+    // An engine that is about to change, or to leave, answers until then.
+    const bool is_planned =
+        avoided.reason == avoidance_reason::kChanges || avoided.reason == avoidance_reason::kLeaves;
+    if (!is_planned && now - row->alive_at < kSurelyAlive) continue;
     if (avoided.reason == avoidance_reason::kLost) reach_.OnWordOfLoss(*row, now);
     const duration avoid_for = std::min(avoided.avoid_for, kLongestAvoidance);
     row->avoid_until = std::max(row->avoid_until, now + avoid_for);
--- a/tests/notices/test_notices.cpp
+++ b/tests/notices/test_notices.cpp
@@ -175,6 +175,15 @@
   EXPECT_GT(fleet.Find(engine)->avoid_until, now);
 }
 
+// A daemon's own list may tell two seconds later, while notices come several times a second.
+TEST_F(BoardTest, AnUpstreamThatLeavesIsAvoidedOnAnothersWord) {
+  load_notice notice = Notice(1, 1);
+  notice.avoided = {{engine, milliseconds(500), avoidance_reason::kLeaves}};
+  fleet.Find(engine)->alive_at = now;
+  board.OnNotice(notice, now);
+  EXPECT_GT(fleet.Find(engine)->avoid_until, now);
+}
+
 TEST_F(BoardTest, WordOfALostUpstreamIsTriedAndProvesNothing) {
   load_notice notice = Notice(1, 1);
   notice.avoided = {{engine, milliseconds(300), avoidance_reason::kLost}};
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -132,11 +132,13 @@
       "s.yaml",
       "host: \"front-1\"\ndata_centre: \"north\"\ncallers: \"10.1.0.38:8149\"\n"
       "readiness: \"10.1.0.38:8141\"\nnotices: \"10.1.0.38:7380\"\nmetrics: \"10.1.0.38:9464\"\n"
-      "store: \"10.200.1.7:8142\"\nstop_grace: 8s\nfile_limit: 4100\n"
+      "store: \"10.200.1.7:8142\"\nstop_grace: 8s\nleaving_known_within: 3000ms\n"
+      "file_limit: 4100\n"
       "retries:\n  ratio: 0.2\n  reserve: 56\n  window: 10s\n",
       found);
   EXPECT_TRUE(found.empty()) << found.ToText();
   EXPECT_EQ(settings.stop_grace, seconds(8));
+  EXPECT_EQ(settings.leaving_known_within, seconds(3));
   EXPECT_EQ(settings.retries.reserve, 56);
 }
 
