--- a/tests/notices/exchange.cpp
+++ b/tests/notices/exchange.cpp
@@ -91,8 +91,10 @@
     }
   }
   void Deliver(const std::string& address, const load_notice& notice) {
+    const auto read = DecodeLoadNotice(EncodeLoadNotice(notice));
+    ASSERT_TRUE(read);
     for (std::size_t i = 0; i < records.size(); ++i) {
-      if (records[i].name == address && daemons[i]->alive) daemons[i]->served.OnNotice(notice);
+      if (records[i].name == address && daemons[i]->alive) daemons[i]->served.OnNotice(*read);
     }
   }
   /** Every daemon runs one request at the engine. */
@@ -139,5 +141,22 @@
   for (std::size_t i = 1; i < daemons.size(); ++i) EXPECT_EQ(SeenBy(i), 6u) << i;
 }
 
+TEST_F(ExchangeOfNoticesTest, AnAnnouncedChangeIsHeardInEveryDataCentreUntilItIsOver) {
+  Build(3, 4);
+  Work();
+  Run(seconds(1));
+  // A daemon that is not the collector of its data centre holds the lease.
+  fleet_upstream* changing = daemons[6]->served.fleet().Find(engine);
+  changing->changes_until = time.Now() + seconds(8);
+  Run(milliseconds(400));
+  for (int step = 0; step < 30; ++step) {
+    Run(milliseconds(100));
+    for (std::size_t i = 0; i < daemons.size(); ++i) {
+      if (i == 6) continue;
+      EXPECT_GT(daemons[i]->served.fleet().Find(engine)->avoid_until, time.Now()) << i;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace hawthorndrum
