Share the scaling and fading of durations, and weigh no homes for prompts that were read

Behaviour stays as it is.

Seen and left: half of each backoff is drawn alike in object_watch and reach_keeper; SetClientOptions stands beside connection_probe and belongs to client_connection; gateway_service's max_connections and handle_lifetime are read by nobody; gateway_ports are filled alike in three places of the tests.

--- /dev/null
+++ b/src/libhawthorndrum/base/scaled.h
@@ -0,0 +1,14 @@
+/// Durations times a factor that is no whole number.
+#pragma once
+
+#include <cstdint>
+
+#include "base/units.h"
+
+namespace hawthorndrum {
+
+inline duration Scaled(duration time, double factor) {
+  return duration(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
+}
+
+}  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -126,8 +126,10 @@
     found.push_back(each);
   }
   const std::uint64_t key = query.asked->shared_key();
-  const homes readers = HomesOf(key, engine_stage::kPrefill, found);
-  const homes runners = HomesOf(key, engine_stage::kDecode, found);
+  // Where a prompt belongs is of no weight once it was read.
+  const bool weighs_homes = !query.is_read;
+  const homes readers = weighs_homes ? HomesOf(key, engine_stage::kPrefill, found) : homes{};
+  const homes runners = weighs_homes ? HomesOf(key, engine_stage::kDecode, found) : homes{};
   for (candidate& each : found) {
     const bool is_home = each.row == readers.first || each.row == runners.first;
     const bool is_second = each.row == readers.second || each.row == runners.second;
@@ -139,14 +141,14 @@
 
 void engine_placement::WeighReading(const placement_query& query, bool is_home, double read_again,
                                     time_point now, candidate& each) const {
+  const double speed = speeds_.Of(*each.row, now);
+  each.wait_ms = static_cast<double>(each.row->all_work().unread_tokens) / speed;
+  if (query.is_read) return;
   const std::uint64_t tokens = query.asked->tokens();
   const std::uint64_t shared = tokens - query.asked->parts.back().tokens;
   const std::uint64_t held = is_home ? shared : each.row->cache.HeldTokens(*query.asked, now);
-  const double speed = speeds_.Of(*each.row, now);
-  each.unread = query.is_read ? 0 : tokens - held;
-  each.wait_ms = static_cast<double>(each.row->all_work().unread_tokens) / speed;
+  each.unread = tokens - held;
   each.read_ms = static_cast<double>(each.unread) / speed;
-  if (query.is_read) return;
   // What others hold need not be read again; doing so takes the engine's time from the next ones.
   each.price_ms += read_again * static_cast<double>(shared - held) / speed;
   if (each.row->entry.stage == engine_stage::kPrefill) return;
--- a/src/libhawthorndrum/gateway/engine_speeds.cpp
+++ b/src/libhawthorndrum/gateway/engine_speeds.cpp
@@ -25,12 +25,16 @@
 /** Slowness fades by half in this time, so that an engine that recovered is tried again. */
 constexpr double kFadeSeconds = 3;
 
+/** What is left of the slowness, tolerated or not. */
+double Faded(const fleet_upstream& row, time_point now) {
+  const double age = ToSeconds(now - row.slowness_at);
+  return 1 + (row.slowness - 1) * std::exp2(-std::max(0.0, age) / kFadeSeconds);
+}
+
 }  // namespace
 
 double engine_speeds::SlownessOf(const fleet_upstream& row, time_point now) {
-  if (row.slowness < kTolerated) return 1;
-  const double age = ToSeconds(now - row.slowness_at);
-  return 1 + (row.slowness - 1) * std::exp2(-std::max(0.0, age) / kFadeSeconds);
+  return row.slowness < kTolerated ? 1 : Faded(row, now);
 }
 
 double engine_speeds::Of(const fleet_upstream& row, time_point now) const {
@@ -47,8 +51,7 @@
   // What waits is counted whole although some of it was read already, so an engine at its usual
   // speed seems fast at times; only a reading that took longer says that it is slow.
   const double ratio = std::clamp(took / std::max(20.0, expected), 1.0, kMostSlowness);
-  const double age = ToSeconds(now - row.slowness_at);
-  const double before = 1 + (row.slowness - 1) * std::exp2(-std::max(0.0, age) / kFadeSeconds);
+  const double before = Faded(row, now);
   row.slowness = before + kSlownessWeight * (ratio - before);
   row.slowness_at = now;
   if (tokens < kFewestTokens || ratio > 2) return;
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/log_record.h"
+#include "base/scaled.h"
 #include "gateway/gateway.h"
 #include "gateway/gateway_meters.h"
 #include "gateway/upstream_calls.h"
@@ -35,10 +36,6 @@
   return text;
 }
 
-duration Times(duration time, double factor) {
-  return duration(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
-}
-
 }  // namespace
 
 int gateway::UpstreamPriority(const exchange& each, bool fetches) const {
@@ -55,7 +52,7 @@
   each.call.booked.running = 1;
   each.call.booked.unread_tokens = place.unread_tokens;
   each.call.booked.memory_tokens = each.terms.asked->tokens();
-  each.call.patience = Times(place.expected, kStallFactor) + kStallSlack;
+  each.call.patience = Scaled(place.expected, kStallFactor) + kStallSlack;
   each.call.stalls_at = now + each.call.patience;
   row->cache.NotePrompt(*each.terms.asked, now);
   run_terms terms;
@@ -81,9 +78,9 @@
     terms.fetch_from = each.handle;
     if (each.handle) each.call.booked.fetching_tokens = asked.tokens();
     each.call.patience =
-        std::max(Times(expected, kStallFactor) + kStallSlack, each.matched->objective);
+        std::max(Scaled(expected, kStallFactor) + kStallSlack, each.matched->objective);
   } else {
-    const duration usual = Times(row->answer_time, kPlainStallFactor);
+    const duration usual = Scaled(row->answer_time, kPlainStallFactor);
     each.call.patience = std::max(usual, each.matched->objective / 2);
   }
   each.call.stalls_at = now + each.call.patience;
--- a/src/libhawthorndrum/gateway/object_watch.cpp
+++ b/src/libhawthorndrum/gateway/object_watch.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/log_record.h"
+#include "base/scaled.h"
 #include "gateway/object_reader.h"
 #include "ports/event_log.h"
 #include "ports/random_source.h"
@@ -48,8 +49,7 @@
   if (phase_ == phase::kWatching) {
     // Watches that one change ended together should not end together the next time.
     const double share = kShortestWait + (1 - kShortestWait) * random_.Fraction();
-    const auto wait = static_cast<std::int64_t>(static_cast<double>(wait_.count()) * share);
-    return reader_.Watch(kind_, revision_, duration(wait), call_);
+    return reader_.Watch(kind_, revision_, Scaled(wait_, share), call_);
   }
   if (after_.empty()) listener_.OnListBegins();
   reader_.List(kind_, after_, call_);
--- a/src/libhawthorndrum/gateway/reach_keeper.cpp
+++ b/src/libhawthorndrum/gateway/reach_keeper.cpp
@@ -37,7 +37,7 @@
                                              .Number("running", row.own.running));
 }
 
-void reach_keeper::Regain(fleet_upstream& row, time_point now) {
+void reach_keeper::OnAnswer(fleet_upstream& row, time_point now) {
   watched_.erase(row.id);
   if (!row.reach.is_lost) return;
   log_.Write(log_importance::kImportant,
@@ -61,14 +61,12 @@
   watched_.insert(row.id);
 }
 
-void reach_keeper::OnAnswer(fleet_upstream& row, time_point now) { Regain(row, now); }
-
 void reach_keeper::OnProbeEnded(upstream_id upstream, bool connected, time_point now) {
   fleet_upstream* row = fleet_.Find(upstream);
   if (row == nullptr) return;
   reach_state& reach = row->reach;
   reach.probing = false;
-  if (connected) return Regain(*row, now);
+  if (connected) return OnAnswer(*row, now);
   Lose(*row, now);
   const int doublings = std::min(reach.failed_probes, kMostDoublings);
   const duration pause = std::min(kFirstProbePause * (1 << doublings), kLongestProbePause);
--- a/src/libhawthorndrum/gateway/reach_keeper.h
+++ b/src/libhawthorndrum/gateway/reach_keeper.h
@@ -33,7 +33,7 @@
   void OnNotConnected(fleet_upstream& row, time_point now);
   /** Another daemon cannot reach the upstream. */
   void OnWordOfLoss(fleet_upstream& row, time_point now);
-  /** The upstream answered something. */
+  /** The upstream answered something, or took a connection. */
   void OnAnswer(fleet_upstream& row, time_point now);
   void OnProbeEnded(upstream_id upstream, bool connected, time_point now);
   /** Starts the probes that are due. */
@@ -41,7 +41,6 @@
 
  private:
   void Lose(fleet_upstream& row, time_point now);
-  void Regain(fleet_upstream& row, time_point now);
 
   fleet_table& fleet_;
   upstream_calls& calls_;
