--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -2,6 +2,7 @@
 #include "gateway/engine_placement.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <utility>
 
@@ -26,6 +27,8 @@
 constexpr std::uint32_t kMaxRequestsPerSlot = 2;
 /** Expected wait for a slot per request beyond the engine's slots, in milliseconds. */
 constexpr double kBeyondSlotsMs = 25;
+/** How long a request may wait, in objectives; everything behind it would be as late. */
+constexpr double kLongestWait = 2;
 /** An engine preempts requests beyond this share of its KV cache. */
 constexpr double kMemoryShare = 0.9;
 constexpr double kPreemptionMs = 600;
@@ -34,10 +37,10 @@
 /** Puts engines that failed recently last. */
 constexpr double kAvoidedMs = 4000;
 /**
- * Share of the longest pause between events that a prefill may take at a decode engine. An event
- * holds several tokens, and each of them waits for a chunk of the prompt that is being prefilled.
+ * Share of the time between a usual event and the longest pause that prefills at a decode engine
+ * may take; load data is some hundred milliseconds old, and other daemons place prompts there too.
  */
-constexpr double kPrefillShareOfPause = 0.1;
+constexpr double kPrefillShareOfSlack = 0.15;
 /**
  * Penalty factors for prefilling shared parts again, on top of the time that it takes the request
  * itself. The factor is lower at the second affinity engine, which is the same at every daemon, so
@@ -45,10 +48,11 @@
  */
 constexpr double kRepeatPrefillAtSecond = 1.5;
 constexpr double kRepeatPrefill = 8;
-/** Sample sizes for the decode engine; a daemon's load data is as old as many generations last. */
+/** Sample sizes for decode engines; a daemon's load data is as old as many generations last. */
 constexpr std::size_t kSampledNear = 2;
 constexpr std::size_t kSampledOverall = 2;
-/** Penalty for each stream that a longer prefill would make late. */
+constexpr std::size_t kExaminedAll = 6;
+/** Penalty for each stream that longer prefills would make late. */
 constexpr double kLateStreamMs = 400;
 constexpr duration kMinRetryAfter = milliseconds(250);
 
@@ -71,9 +75,6 @@
   const upstream_work work = row.all_work();
   double cost = kRunningMs * work.running + TransferMs(work.fetching_tokens, *query.service);
   if (row.entry.data_centre != own_data_centre_) cost += kOtherDataCentreMs;
-  if (work.running >= row.entry.slots) {
-    cost += kBeyondSlotsMs * (work.running - row.entry.slots + 1);
-  }
   const double memory = static_cast<double>(query.service->memory_tokens) * kMemoryShare;
   const std::uint64_t needed = query.asked->tokens() + query.asked->output_tokens;
   if (memory > 0 && static_cast<double>(work.memory_tokens + needed) > memory)
@@ -81,6 +82,11 @@
   return cost;
 }
 
+double engine_placement::SlotWaitMs(const fleet_upstream& row) {
+  const std::uint32_t running = row.all_work().running;
+  return running < row.entry.slots ? 0 : kBeyondSlotsMs * (running - row.entry.slots + 1);
+}
+
 double engine_placement::TransferMs(std::uint64_t tokens, const gateway_service& service) {
   if (service.link_mbps <= 0) return 0;
   return 8.0 * static_cast<double>(tokens * service.token_bytes) / (service.link_mbps * 1000);
@@ -123,6 +129,7 @@
     candidate each;
     each.row = row;
     each.run_ms = RunCost(*row, query);
+    each.slot_wait_ms = SlotWaitMs(*row);
     each.risk_ms = kRefusalMs * row->refusal_share;
     if (now < row->avoid_until) each.risk_ms += kAvoidedMs;
     found.push_back(each);
@@ -130,17 +137,13 @@
   const std::uint64_t key = query.asked->shared_key();
   // Affinity no longer matters once the prompt is prefilled.
   const bool uses_affinity = !query.is_prefilled;
-  const affinity_engines prefill_affinity =
+  const affinity_engines affinity =
       uses_affinity ? AffinityOf(key, engine_stage::kPrefill, found) : affinity_engines{};
-  const affinity_engines decode_affinity =
-      uses_affinity ? AffinityOf(key, engine_stage::kDecode, found) : affinity_engines{};
   for (candidate& each : found) {
-    const bool has_affinity =
-        each.row == prefill_affinity.first || each.row == decode_affinity.first;
-    const bool is_second =
-        each.row == prefill_affinity.second || each.row == decode_affinity.second;
-    EstimatePrefill(query, has_affinity && key != 0,
-                    is_second ? kRepeatPrefillAtSecond : kRepeatPrefill, now, each);
+    const bool spreads =
+        each.row->entry.stage == engine_stage::kPrefill && each.row != affinity.second;
+    EstimatePrefill(query, each.row == affinity.first && key != 0,
+                    spreads ? kRepeatPrefill : kRepeatPrefillAtSecond, now, each);
   }
   return found;
 }
@@ -159,35 +162,39 @@
   // Prefilling parts that other engines hold takes engine time away from later requests.
   each.penalty_ms += repeat_factor * static_cast<double>(shared - held) / speed;
   if (each.row->entry.stage == engine_stage::kPrefill) return;
+  each.penalty_ms += LateStreams(query, each) * kLateStreamMs;
+}
+
+double engine_placement::LateStreams(const placement_query& query, const candidate& each) const {
+  // The tokens of an event wait for the chunks of all prompts that are prefilled meanwhile.
   const double pause_ms = ToSeconds(query.longest_pause) * 1000;
-  if (pause_ms > 0 && each.wait_ms + each.prefill_ms > pause_ms * kPrefillShareOfPause) {
-    each.penalty_ms += kLateStreamMs * (1 + each.row->all_work().running);
-  }
+  if (pause_ms <= 0) return 0;
+  const double usual_ms = ToSeconds(speeds_.EventInterval(query.service->name)) * 1000;
+  const double slack_ms = kPrefillShareOfSlack * std::max(0.0, pause_ms - usual_ms);
+  const double excess_ms = each.wait_ms + each.prefill_ms - slack_ms;
+  return each.row->all_work().running * std::clamp(excess_ms / pause_ms, 0.0, 1.0);
 }
 
 const engine_placement::candidate* engine_placement::SampleDecodeEngine(
-    const std::vector<candidate>& among, const fleet_upstream* prefill_engine,
-    const placement_query& query) const {
+    const std::vector<candidate>& among, const std::string& near_data_centre,
+    const std::function<double(const candidate&)>& cost_ms) const {
   std::vector<const candidate*> near;
   std::vector<const candidate*> all;
   for (const candidate& each : among) {
     if (each.row->entry.stage == engine_stage::kPrefill) continue;
     all.push_back(&each);
-    const std::string& data_centre =
-        prefill_engine == nullptr ? own_data_centre_ : prefill_engine->entry.data_centre;
-    if (each.row->entry.data_centre == data_centre) near.push_back(&each);
+    if (each.row->entry.data_centre == near_data_centre) near.push_back(&each);
   }
   const candidate* best = nullptr;
   double best_ms = std::numeric_limits<double>::infinity();
   const auto sample = [&](const std::vector<const candidate*>& from, std::size_t count) {
     // With this few, all are examined; sampling would only miss some.
-    const bool take_all = from.size() <= count;
-    for (std::size_t i = 0; i < std::min(count, from.size()); ++i) {
+    const bool take_all = from.size() <= std::max(count, kExaminedAll);
+    for (std::size_t i = 0; i < (take_all ? from.size() : count); ++i) {
       const candidate* each = from[take_all ? i : random_.Below(from.size())];
-      const double transfer_ms =
-          prefill_engine == nullptr ? 0 : TransferCost(*prefill_engine, *each->row, query);
-      if (each->DecodeCostMs() + transfer_ms >= best_ms) continue;
-      best_ms = each->DecodeCostMs() + transfer_ms;
+      const double each_ms = cost_ms(*each);
+      if (each_ms >= best_ms) continue;
+      best_ms = each_ms;
       best = each;
     }
   };
@@ -198,53 +205,84 @@
   return best;
 }
 
+engine_placement::option engine_placement::RunThere(const candidate& at,
+                                                    const placement_query& query) const {
+  option here;
+  here.place = {at.row->id, {}, at.unread, {}};
+  here.wait_ms = at.wait_ms + at.slot_wait_ms;
+  here.work_ms =
+      at.prefill_ms + at.run_ms + speeds_.OverheadMs(query.service->name, engine_stage::kDecode);
+  here.penalty_ms = at.penalty_ms + at.risk_ms;
+  return here;
+}
+
+engine_placement::option engine_placement::Split(const candidate& prefill_engine,
+                                                 const candidate& decode_engine,
+                                                 const placement_query& query) const {
+  const std::string& service = query.service->name;
+  option both;
+  both.place = {decode_engine.row->id, prefill_engine.row->id, prefill_engine.unread, {}};
+  both.wait_ms = prefill_engine.wait_ms + prefill_engine.slot_wait_ms + decode_engine.slot_wait_ms;
+  both.work_ms = prefill_engine.prefill_ms + decode_engine.run_ms +
+                 TransferCost(*prefill_engine.row, *decode_engine.row, query) +
+                 std::max(speeds_.OverheadMs(service, engine_stage::kPrefill),
+                          speeds_.OverheadMs(service, engine_stage::kDecode));
+  both.penalty_ms = prefill_engine.penalty_ms + prefill_engine.risk_ms + decode_engine.risk_ms;
+  return both;
+}
+
+double engine_placement::UsefulWaitMs(const option& best, const placement_query& query) {
+  return kLongestWait * ToSeconds(query.objective) * 1000;
+}
+
 tl::expected<placement, placement_failure> engine_placement::Choose(const placement_query& query,
                                                                     time_point now) const {
   const std::vector<candidate> found = Candidates(query, now);
-  if (query.is_prefilled) {
-    const candidate* decode_engine = SampleDecodeEngine(found, query.prefilled_at, query);
-    if (decode_engine == nullptr)
-      return tl::make_unexpected(placement_failure{"no_engine", seconds(1)});
-    return placement{decode_engine->row->id,
-                     {},
-                     0,
-                     Milliseconds(decode_engine->wait_ms + decode_engine->run_ms)};
-  }
-  placement best;
-  double best_ms = std::numeric_limits<double>::infinity();
-  const auto consider = [&](const placement& place, double expected_ms, double penalty_ms) {
-    if (expected_ms + penalty_ms >= best_ms) return;
-    best_ms = expected_ms + penalty_ms;
-    best = place;
-    best.expected = Milliseconds(expected_ms);
-  };
   const candidate* prefill_engine = nullptr;
   for (const candidate& each : found) {
-    if (each.row->entry.stage == engine_stage::kPrefill) {
-      if (prefill_engine == nullptr || each.PrefillCostMs() < prefill_engine->PrefillCostMs())
-        prefill_engine = &each;
-      continue;
-    }
-    consider({each.row->id, {}, each.unread, {}}, each.wait_ms + each.prefill_ms + each.run_ms,
-             each.penalty_ms + each.risk_ms);
+    if (query.is_prefilled || each.row->entry.stage != engine_stage::kPrefill) continue;
+    if (prefill_engine == nullptr || each.PrefillCostMs() < prefill_engine->PrefillCostMs())
+      prefill_engine = &each;
   }
-  const candidate* decode_engine =
-      SampleDecodeEngine(found, prefill_engine == nullptr ? nullptr : prefill_engine->row, query);
+  const fleet_upstream* fetches_from = query.is_prefilled          ? query.prefilled_at
+                                       : prefill_engine == nullptr ? nullptr
+                                                                   : prefill_engine->row;
+  const candidate* decode_engine = SampleDecodeEngine(
+      found, fetches_from == nullptr ? own_data_centre_ : fetches_from->entry.data_centre,
+      [&](const candidate& each) {
+        return each.DecodeCostMs() +
+               (fetches_from == nullptr ? 0 : TransferCost(*fetches_from, *each.row, query));
+      });
   if (decode_engine == nullptr)
     return tl::make_unexpected(placement_failure{"no_engine", seconds(1)});
-  if (prefill_engine != nullptr) {
-    consider({decode_engine->row->id, prefill_engine->row->id, prefill_engine->unread, {}},
-             prefill_engine->wait_ms + prefill_engine->prefill_ms + decode_engine->run_ms +
-                 TransferCost(*prefill_engine->row, *decode_engine->row, query),
-             prefill_engine->penalty_ms + prefill_engine->risk_ms + decode_engine->risk_ms);
+  if (query.is_prefilled) {
+    placement place{decode_engine->row->id, {}, 0, {}};
+    place.expected = Milliseconds(decode_engine->DecodeCostMs() - decode_engine->risk_ms);
+    return place;
   }
-  if (best.expected > query.time_left) {
-    // The prefill queue drains at the engines' speed; an earlier retry would still find it too
-    // long.
-    return tl::make_unexpected(placement_failure{
-        "engines_behind", std::max<duration>(kMinRetryAfter, best.expected - query.time_left)});
+  option best = RunThere(
+      *SampleDecodeEngine(found, own_data_centre_,
+                          [&](const candidate& each) { return RunThere(each, query).CostMs(); }),
+      query);
+  for (const candidate& each : found) {
+    const bool holds_most = 2 * each.unread < query.asked->tokens();
+    if (each.row->entry.stage == engine_stage::kPrefill || !holds_most) continue;
+    const option here = RunThere(each, query);
+    if (here.CostMs() < best.CostMs()) best = here;
   }
-  return best;
+  if (prefill_engine != nullptr) {
+    const option both = Split(*prefill_engine, *decode_engine, query);
+    if (both.CostMs() < best.CostMs()) best = both;
+  }
+  best.place.expected = Milliseconds(best.ExpectedMs());
+  const double useful_wait_ms = UsefulWaitMs(best, query);
+  const bool is_late = query.objective > duration(0) && best.wait_ms > useful_wait_ms;
+  if (!is_late && best.place.expected <= query.time_left) return best.place;
+  // The queue drains at the engines' speed; an earlier retry would still find it too long.
+  const double too_long_ms = is_late ? best.wait_ms - useful_wait_ms / 2
+                                     : best.ExpectedMs() - ToSeconds(query.time_left) * 1000;
+  return tl::make_unexpected(placement_failure{
+      "engines_behind", std::max<duration>(kMinRetryAfter, Milliseconds(too_long_ms))});
 }
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/engine_placement.h
+++ b/src/libhawthorndrum/gateway/engine_placement.h
@@ -5,6 +5,7 @@
 /// prefilled before, unless the wait there costs more than another prefill.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -46,6 +47,8 @@
     double wait_ms = 0;
     /** Time to prefill the prompt. */
     double prefill_ms = 0;
+    /** Time until a slot is free. */
+    double slot_wait_ms = 0;
     /** Time that running there takes besides the prefill. */
     double run_ms = 0;
     /** Penalty for the time that other requests lose to the prefill; not part of the latency. */
@@ -54,15 +57,19 @@
     double risk_ms = 0;
 
     /** Returns the cost of decoding there after a prefill elsewhere. */
-    double DecodeCostMs() const { return run_ms + wait_ms + risk_ms; }
+    double DecodeCostMs() const { return run_ms + slot_wait_ms + wait_ms + risk_ms; }
     /** Returns the cost of the prefill there. */
-    double PrefillCostMs() const { return wait_ms + prefill_ms + penalty_ms + risk_ms; }
+    double PrefillCostMs() const {
+      return wait_ms + slot_wait_ms + prefill_ms + penalty_ms + risk_ms;
+    }
   };
 
   std::vector<candidate> Candidates(const placement_query& query, time_point now) const;
   /** Estimates the time and the penalty of the prefill there. */
   void EstimatePrefill(const placement_query& query, bool has_affinity, double repeat_factor,
                        time_point now, candidate& each) const;
+  /** Returns how many streams at a decode engine would be late for the prefill there. */
+  double LateStreams(const placement_query& query, const candidate& each) const;
   /** The first and second affinity engine of a shared key in one stage. */
   struct affinity_engines {
     const fleet_upstream* first = nullptr;
@@ -71,13 +78,29 @@
   static affinity_engines AffinityOf(std::uint64_t key, engine_stage stage,
                                      const std::vector<candidate>& among);
   /**
-   * Returns the best of a few decode engines, sampled from the prefill engine's data centre and
-   * from all; null when there is none.
+   * Returns the cheapest of a few decode engines, sampled from one data centre and from all; null
+   * when there is none.
    */
   const candidate* SampleDecodeEngine(const std::vector<candidate>& among,
-                                      const fleet_upstream* prefill_engine,
-                                      const placement_query& query) const;
+                                      const std::string& near_data_centre,
+                                      const std::function<double(const candidate&)>& cost_ms) const;
   double RunCost(const fleet_upstream& row, const placement_query& query) const;
+  static double SlotWaitMs(const fleet_upstream& row);
+  /** A place for a request, and its estimated times and costs in milliseconds. */
+  struct option {
+    placement place;
+    double wait_ms = 0;
+    double work_ms = 0;
+    double penalty_ms = 0;
+
+    double ExpectedMs() const { return wait_ms + work_ms; }
+    double CostMs() const { return wait_ms + work_ms + penalty_ms; }
+  };
+  option RunThere(const candidate& at, const placement_query& query) const;
+  option Split(const candidate& prefill_engine, const candidate& decode_engine,
+               const placement_query& query) const;
+  /** Returns how long the request may wait so that its answer is useful and others' are too. */
+  static double UsefulWaitMs(const option& best, const placement_query& query);
   /** Returns the time to transfer the KV cache of `tokens`, in milliseconds. */
   static double TransferMs(std::uint64_t tokens, const gateway_service& service);
   double TransferCost(const fleet_upstream& from, const fleet_upstream& to,
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -24,7 +24,7 @@
 constexpr duration kRetryUnavailable = milliseconds(500);
 /** Retry-After of requests that crash upstreams. */
 constexpr duration kRetryConvicted = seconds(30);
-constexpr duration kSweepPeriod = seconds(1);
+constexpr duration kSweepPeriod = milliseconds(500);
 /** Notices report no work for upstreams that run nothing here and were silent for longer. */
 constexpr duration kMaxReportedSilence = seconds(1);
 /**
@@ -123,6 +123,8 @@
   query.is_prefilled = each.handle.has_value();
   if (query.is_prefilled) query.prefilled_at = fleet_.Find(each.prefilled_by);
   query.may_split = each.may_split && !query.is_prefilled;
+  // A request that has been sent already is not refused for being late: its work would be lost.
+  if (each.call.sent_at == time_point()) query.objective = each.matched->objective;
   query.longest_pause = each.matched->longest_pause;
   query.time_left = each.TimeLeft(now);
   return each.is_engine() ? engines_.Choose(query, now) : services_.Choose(query, now);
@@ -214,10 +216,22 @@
   });
   if (now - own_crashes_at_ > kCrashReportTime) own_crashes_.clear();
   notice.crashes = own_crashes_;
+  notice.demand = demand_.Report(now);
+  for (reported_demand& each : notice.demand) {
+    each.speed_count = static_cast<std::uint64_t>(speeds_.Confidence(each.service));
+    each.speed_sum = static_cast<std::uint64_t>(speeds_.PrefillTokensPerMs(each.service) * 1000) *
+                     each.speed_count;
+  }
   peers_.RecordOwnNotice(notice);
   return notice;
 }
 
+double gateway::PrefillLoad(const std::string& service, time_point now) const {
+  const std::uint64_t tokens =
+      demand_.PrefillTokensPerSecond(service, now) + peers_.PrefillTokensPerSecond(service);
+  return static_cast<double>(tokens) / (speeds_.PrefillTokensPerMs(service) * 1000);
+}
+
 void gateway::Run(time_point now) {
   peers_.Run(now);
   reachability_.Run(now);
@@ -238,6 +252,11 @@
   if (now - last_sweep_ < kSweepPeriod) return;
   last_sweep_ = now;
   fleet_.Sweep(now);
+  if (!config_) return;
+  for (const gateway_service& service : config_->services) {
+    if (service.is_engine)
+      speeds_.SetReportedSpeed(service.name, peers_.MeanPrefillTokensPerMs(service.name));
+  }
 }
 
 exchange* gateway::FindByAttempt(attempt_id attempt) {
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -11,6 +11,7 @@
 
 #include "base/http_message.h"
 #include "gateway/crash_record.h"
+#include "gateway/demand_meter.h"
 #include "gateway/engine_placement.h"
 #include "gateway/engine_speeds.h"
 #include "gateway/exchange.h"
@@ -64,6 +65,9 @@
   /** Builds the next notice to the other daemons. */
   load_notice MakeNotice();
 
+  /** Returns the prefill demand of all daemons, in engines that it would keep fully busy. */
+  double PrefillLoad(const std::string& service, time_point now) const;
+
   fleet_table& fleet() { return fleet_; }
   peer_load_table& peers() { return peers_; }
   std::uint64_t config_version() const { return config_ ? config_->version : 0; }
@@ -144,6 +148,7 @@
   gateway_ports ports_;
   fleet_table fleet_;
   engine_speeds speeds_;
+  demand_meter demand_;
   engine_placement engines_;
   service_placement services_;
   retry_allowance allowance_;
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -87,7 +87,9 @@
     each.first_event_at = now;
     ports_.callers->Begin(each.id, each.answer.terms.status, each.answer.headers);
   } else {
-    each.longest_pause = std::max(each.longest_pause, now - each.last_event_at);
+    const duration interval = now - each.last_event_at;
+    each.longest_pause = std::max(each.longest_pause, interval);
+    speeds_.ObserveInterval(each.service->name, interval);
   }
   each.last_event_at = now;
   ports_.callers->Write(each.id, complete_events);
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -178,6 +178,9 @@
   const bool is_free = refused || !sent;
   each.may_split =
       each.failed_prefills < kMaxPrefills && (is_free || allowance_.Spend(each.service->name, now));
+  // Each further call counts as an extra one if it is refused as well.
+  if (refused && allowance_.Remaining(each.service->name, now) < 0)
+    return Refuse(each, kRefusedByUpstream, kRetryAfterFailure);
   const auto place = Place(each, now);
   if (!place) return Refuse(each, place.error().reason, place.error().retry_after);
   Send(each, *place, now);
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -55,6 +55,7 @@
   each.call.stall_timeout = Scaled(place.expected, kStallFactor) + kStallSlack;
   each.call.stalls_at = now + each.call.stall_timeout;
   row->cache.RecordPrompt(*each.terms.asked, now);
+  demand_.AddPrefill(each.service->name, place.unread_tokens, now);
   run_terms terms;
   terms.prefill_only = true;
   Open(each, *row, terms, now);
@@ -113,6 +114,7 @@
           .Number("waiting_tokens", static_cast<std::int64_t>(before.unread_tokens))
           .Number("running", before.running)
           .Number("peers_running", row.peers.running)
+          .Decimal("tokens_per_ms", speeds_.TokensPerMs(row, now))
           .Text("prompt_group", PromptGroup(each))
           .Flag("fetches", terms.fetch_from.has_value())
           .Number("config", static_cast<std::int64_t>(each.config->version)));
@@ -151,7 +153,12 @@
   if (row == nullptr) return;
   const duration taken = now - each.call.sent_at;
   if (each.call.reserved.unread_tokens > 0) {
-    speeds_.Observe(*row, each.call.queued_tokens, taken, now);
+    observed_prefill prefill;
+    prefill.tokens = each.call.reserved.unread_tokens;
+    prefill.queued = each.call.queued_tokens - prefill.tokens;
+    prefill.certain_tokens = each.terms.asked->parts.back().tokens;
+    prefill.possible_tokens = each.terms.asked->tokens();
+    speeds_.Observe(*row, prefill, taken, now);
   }
   row->own.unread_tokens -= each.call.reserved.unread_tokens;
   row->own.fetching_tokens -= each.call.reserved.fetching_tokens;
--- a/src/libhawthorndrum/gateway/gateway_settings.cpp
+++ b/src/libhawthorndrum/gateway/gateway_settings.cpp
@@ -19,6 +19,18 @@
   fields.ReportUnknown();
 }
 
+void ReadStages(yaml_fields& parent, stage_plan_limits& target, findings& found) {
+  const yaml_node* node = parent.Child("stages");
+  if (node == nullptr) return;
+  yaml_fields fields(*node, found);
+  if (!fields.valid()) return;
+  fields.Number("change_price", target.change_price, 0, 1e6);
+  fields.Duration("horizon", target.horizon, seconds(1), std::chrono::hours(24));
+  fields.Number("initial_prefill_share", target.initial_prefill_share, 0, 1);
+  fields.Number("max_prefill_share", target.max_prefill_share, 0, 1);
+  fields.ReportUnknown();
+}
+
 }  // namespace
 
 gateway_settings ReadGatewaySettings(const std::string& file, std::string_view text,
@@ -42,6 +54,7 @@
                   std::chrono::minutes(1));
   fields.Whole("file_limit", settings.file_limit, 64, 1'000'000);
   ReadRetries(fields, settings.retries, found);
+  ReadStages(fields, settings.stages, found);
   fields.Require("host", "the name of this host");
   fields.Require("data_centre", "the name of this daemon's data centre");
   fields.Require("callers", "the address for callers, ip:port");
--- a/src/libhawthorndrum/gateway/gateway_settings.h
+++ b/src/libhawthorndrum/gateway/gateway_settings.h
@@ -9,6 +9,7 @@
 #include "base/findings.h"
 #include "base/units.h"
 #include "gateway/retry_allowance.h"
+#include "gateway/stage_planner.h"
 
 namespace hawthorndrum {
 
@@ -32,6 +33,7 @@
   duration leaving_known_within = seconds(2);
   std::uint32_t file_limit = 4096;
   retry_limits retries;
+  stage_plan_limits stages;
 };
 
 /** Reads the settings from YAML and adds every fault to `found`. */
--- a/src/libhawthorndrum/gateway/load_notice.cpp
+++ b/src/libhawthorndrum/gateway/load_notice.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint64_t kFormatVersion = 6;
+constexpr std::uint64_t kFormatVersion = 7;
 /**
  * These limits keep a datagram below 6 KB: an upstream's work takes up to 39 bytes, a covered
  * notice 19 and an avoided upstream 14.
@@ -22,6 +22,7 @@
 constexpr std::uint64_t kMaxSinceAnswerMs = 60000;
 constexpr std::size_t kMaxAvoided = 64;
 constexpr std::size_t kMaxCrashes = 8;
+constexpr std::size_t kMaxDemands = 2;
 
 constexpr auto kLastReason = static_cast<std::uint64_t>(avoidance_reason::kFailing);
 
@@ -88,6 +89,22 @@
   return true;
 }
 
+bool ReadDemand(cbor_reader& from, load_notice& notice) {
+  const nlohmann::json* items = from.Array(kMaxDemands);
+  if (items == nullptr) return false;
+  for (const nlohmann::json& item : *items) {
+    cbor_reader fields(item);
+    reported_demand demand;
+    demand.service = fields.Text(kMaxNameLength);
+    demand.prefill_tokens_per_second = fields.Unsigned(UINT32_MAX);
+    demand.speed_sum = fields.Unsigned(UINT32_MAX);
+    demand.speed_count = fields.Unsigned(UINT32_MAX);
+    if (!fields.AtEnd()) return false;
+    notice.demand.push_back(std::move(demand));
+  }
+  return true;
+}
+
 }  // namespace
 
 std::vector<std::uint8_t> EncodeLoadNotice(const load_notice& notice) {
@@ -120,10 +137,15 @@
   for (const covered_notice& each : First(notice.covers, kMaxCovered)) {
     covers.push_back({each.sender.value(), each.sequence});
   }
+  nlohmann::json demand = nlohmann::json::array();
+  for (const reported_demand& each : First(notice.demand, kMaxDemands)) {
+    demand.push_back(
+        {each.service, each.prefill_tokens_per_second, each.speed_sum, each.speed_count});
+  }
   return EncodeCbor(nlohmann::json::array(
       {kFormatVersion, notice.sender.value(), notice.sequence, notice.host, notice.data_centre,
        notice.config_version, notice.fleet_revision, std::move(covers), std::move(work),
-       std::move(avoided), std::move(crashes)}));
+       std::move(avoided), std::move(crashes), std::move(demand)}));
 }
 
 expected<load_notice> DecodeLoadNotice(boost::span<const std::uint8_t> bytes) {
@@ -139,8 +161,8 @@
   notice.config_version = fields.Unsigned();
   notice.fleet_revision = fields.Unsigned();
   if (known && fields.ok() && ReadCovers(fields, notice) && ReadWork(fields, notice) &&
-      ReadAvoided(fields, notice) && ReadCrashes(fields, notice) && fields.AtEnd() &&
-      notice.sender) {
+      ReadAvoided(fields, notice) && ReadCrashes(fields, notice) && ReadDemand(fields, notice) &&
+      fields.AtEnd() && notice.sender) {
     return notice;
   }
   return tl::make_unexpected(error{error_code::kInvalid, "not a load notice"});
--- a/src/libhawthorndrum/gateway/load_notice.h
+++ b/src/libhawthorndrum/gateway/load_notice.h
@@ -10,6 +10,7 @@
 #include "base/ids.h"
 #include "base/units.h"
 #include "gateway/crash_record.h"
+#include "gateway/demand_meter.h"
 #include "gateway/fleet_upstream.h"
 
 namespace hawthorndrum {
@@ -69,6 +70,7 @@
   std::vector<reported_work> work;
   std::vector<reported_avoidance> avoided;
   std::vector<crash_report> crashes;
+  std::vector<reported_demand> demand;
 };
 
 /**
--- a/src/libhawthorndrum/gateway/peer_load_table.cpp
+++ b/src/libhawthorndrum/gateway/peer_load_table.cpp
@@ -16,6 +16,29 @@
 /** Digests include notices that are a few periods old at most. */
 constexpr std::size_t kMaxOwnNotices = 12;
 
+std::uint64_t DemandIn(const load_notice& notice, const std::string& service) {
+  for (const reported_demand& each : notice.demand) {
+    if (each.service == service) return each.prefill_tokens_per_second;
+  }
+  return 0;
+}
+
+/** Adds the demands of `more` to those of the same services in `sums`. */
+void AddDemand(std::vector<reported_demand>& sums, const std::vector<reported_demand>& more) {
+  for (const reported_demand& each : more) {
+    const auto same = std::find_if(sums.begin(), sums.end(), [&](const reported_demand& sum) {
+      return sum.service == each.service;
+    });
+    if (same == sums.end()) {
+      sums.push_back(each);
+    } else {
+      same->prefill_tokens_per_second += each.prefill_tokens_per_second;
+      same->speed_sum += each.speed_sum;
+      same->speed_count += each.speed_count;
+    }
+  }
+}
+
 }  // namespace
 
 peer_load_table::peer_load_table(fleet_table& fleet, crash_record& crashes,
@@ -103,6 +126,7 @@
     }
     const auto& crashes = member.last.crashes;
     digest.crashes.insert(digest.crashes.end(), crashes.begin(), crashes.end());
+    AddDemand(digest.demand, member.last.demand);
   }
   digest.avoided.clear();
   for (const auto& [upstream, each] : avoided) digest.avoided.push_back(each);
@@ -126,20 +150,54 @@
   }
 }
 
-void peer_load_table::SubtractOwnWork(const load_notice& digest) {
+const load_notice* peer_load_table::OwnNoticeIn(const load_notice& digest) const {
   const auto covered =
       std::find_if(digest.covers.begin(), digest.covers.end(),
                    [this](const covered_notice& each) { return each.sender == self_; });
-  if (covered == digest.covers.end()) return;
+  if (covered == digest.covers.end()) return nullptr;
   for (const load_notice& own : own_notices_) {
-    if (own.sequence != covered->sequence) continue;
-    for (const reported_work& reported : own.work) {
-      if (fleet_upstream* row = fleet_.Find(reported.upstream))
-        row->peers.SubtractClamped(reported.work);
-    }
+    if (own.sequence == covered->sequence) return &own;
+  }
+  return nullptr;
+}
+
+void peer_load_table::SubtractOwnWork(const load_notice& digest) {
+  const load_notice* own = OwnNoticeIn(digest);
+  if (own == nullptr) return;
+  for (const reported_work& reported : own->work) {
+    if (fleet_upstream* row = fleet_.Find(reported.upstream))
+      row->peers.SubtractClamped(reported.work);
   }
 }
 
+std::uint64_t peer_load_table::PrefillTokensPerSecond(const std::string& service) const {
+  std::uint64_t sum = 0;
+  for (const auto& [data_centre, digest] : digests_) {
+    // A collector has the notices of its data centre itself.
+    if (data_centre == own_data_centre_ && HasMembers()) continue;
+    const load_notice* own = OwnNoticeIn(digest.last);
+    const std::uint64_t all = DemandIn(digest.last, service);
+    sum += all - std::min(all, own == nullptr ? 0 : DemandIn(*own, service));
+  }
+  for (const auto& [sender, member] : members_) sum += DemandIn(member.last, service);
+  return sum;
+}
+
+double peer_load_table::MeanPrefillTokensPerMs(const std::string& service) const {
+  double sum = 0;
+  double count = 0;
+  const auto add = [&](const load_notice& notice) {
+    for (const reported_demand& each : notice.demand) {
+      if (each.service != service) continue;
+      sum += static_cast<double>(each.speed_sum);
+      count += static_cast<double>(each.speed_count);
+    }
+  };
+  for (const auto& [data_centre, digest] : digests_) add(digest.last);
+  for (const auto& [sender, member] : members_) add(member.last);
+  return count == 0 ? 0 : sum / count / 1000;
+}
+
 void peer_load_table::Run(time_point now) {
   RemoveExpired(members_, now);
   RemoveExpired(digests_, now);
--- a/src/libhawthorndrum/gateway/peer_load_table.h
+++ b/src/libhawthorndrum/gateway/peer_load_table.h
@@ -40,6 +40,12 @@
   void RecordOwnNotice(const load_notice& own);
   /** Returns the sum of this daemon's notice and its members' notices. */
   load_notice MakeDigest(const load_notice& own, time_point now) const;
+  /**
+   * Returns the rate of prompt tokens to prefill that the other daemons reported for a service.
+   */
+  std::uint64_t PrefillTokensPerSecond(const std::string& service) const;
+  /** Returns the mean of the speeds that daemons estimated; zero when none did. */
+  double MeanPrefillTokensPerMs(const std::string& service) const;
   /** Returns whether daemons of this data centre send this one their notices. */
   bool HasMembers() const { return !members_.empty(); }
   /** The latest versions that any received notice has named. */
@@ -59,6 +65,8 @@
   void ApplyAvoidances(const load_notice& notice, time_point now);
   void AddPeerWork(const load_notice& notice);
   void SubtractOwnWork(const load_notice& digest);
+  /** Returns this daemon's notice that the digest includes; null when it is not known. */
+  const load_notice* OwnNoticeIn(const load_notice& digest) const;
   template <typename Rows>
   void RemoveExpired(Rows& rows, time_point now);
 
--- a/src/libhawthorndrum/gateway/placement.h
+++ b/src/libhawthorndrum/gateway/placement.h
@@ -29,6 +29,8 @@
   const fleet_upstream* prefilled_at = nullptr;
   /** Whether prefill and decode may run at different engines. */
   bool may_split = true;
+  /** Time until the first event that meets the objective; zero when a late answer is as good. */
+  duration objective{0};
   /** The longest pause between events that meets the objective; zero when none is set. */
   duration longest_pause{0};
   /** Time until the caller's deadline. */
--- a/src/libhawthorndrum/gateway/stage_controller.cpp
+++ b/src/libhawthorndrum/gateway/stage_controller.cpp
@@ -6,6 +6,7 @@
 
 #include "base/log_record.h"
 #include "gateway/gateway.h"
+#include "gateway/gateway_config.h"
 #include "ports/clock.h"
 #include "ports/event_log.h"
 #include "ports/random_source.h"
@@ -25,12 +26,18 @@
 constexpr duration kLateOrderTime = seconds(14);
 constexpr duration kRetryRefused = seconds(2);
 constexpr duration kSendWithin = milliseconds(500);
-/**
- * Limit the changes in progress to a part of a service's engines: another engine may change while
- * fewer than a third are changing if it is idle, as after a start, or fewer than an eighth if not.
- */
-constexpr std::size_t kIdleDivisor = 3;
-constexpr std::size_t kBusyDivisor = 8;
+/** The largest share of a service's engines that may be changing. */
+constexpr double kMaxChangingShare = 1.0 / 3;
+/** The highest utilisation of a stage's other engines at which a busy one may leave it. */
+constexpr double kMaxUtilisationOfRest = 0.8;
+/** Caps the time since the last plan; a pause of this process is no time under the present load. */
+constexpr duration kMaxPlanned = 2 * kPlanPeriod;
+/** Requests that wait for slots count up to this many times the slots. */
+constexpr double kMaxOccupied = 1.5;
+/** Engines that start together are all listed once none was added for this long. */
+constexpr duration kListingTime = milliseconds(1500);
+/** Below this, in engines, a load is stray requests and no mix to follow. */
+constexpr double kMinLoad = 0.02;
 
 std::string_view NameOf(order_outcome outcome) {
   switch (outcome) {
@@ -51,14 +58,23 @@
 }  // namespace
 
 stage_controller::stage_controller(gateway& served, const lease_system& lease, engine_port& engines,
-                                   const clock& time, random_source& random, event_log& log)
-    : gateway_(served), lease_(lease), engines_(engines), time_(time), random_(random), log_(log) {}
+                                   const clock& time, random_source& random, event_log& log,
+                                   const stage_plan_limits& limits)
+    : gateway_(served),
+      lease_(lease),
+      engines_(engines),
+      time_(time),
+      random_(random),
+      log_(log),
+      limits_(limits) {}
 
 void stage_controller::Run(time_point now) {
   const bool holds = lease_.Holds();
   if (holds != held_) {
     held_ = holds;
     held_since_ = now;
+    // What was observed under an earlier lease may be long past.
+    plans_.clear();
     log_.Write(log_importance::kImportant,
                log_record(holds ? "lease_gained" : "lease_lost")
                    .Number("term", static_cast<std::int64_t>(lease_.term().value()))
@@ -68,9 +84,9 @@
   if (!holds) return;
   // The first holder has no predecessor.
   const bool first = lease_.term() == kFirstTerm;
-  if (!first && now - held_since_ < kTakeoverPause) return;
-  OpenNew(now);
-  SendDue(now);
+  const bool may_order = first || now - held_since_ >= kTakeoverPause;
+  Plan(may_order, now);
+  if (may_order) SendDue(now);
 }
 
 void stage_controller::CloseEnded(time_point now) {
@@ -93,36 +109,120 @@
   }
 }
 
-void stage_controller::OpenNew(time_point now) {
+void stage_controller::Plan(bool may_order, time_point now) {
   const auto config = gateway_.config();
-  if (!config || now < next_plan_) return;
-  next_plan_ = now + kPlanPeriod;
+  if (!config || now - planned_at_ < kPlanPeriod) return;
+  const duration elapsed = std::min<duration>(now - planned_at_, kMaxPlanned);
+  planned_at_ = now;
   for (const gateway_service& service : config->services) {
-    if (!service.is_engine) continue;
-    std::vector<planned_engine> engines;
-    for (const fleet_upstream* row : gateway_.fleet().OfService(service.name)) {
-      if (!row->takes_work(now) || row->entry.stage == engine_stage::kNone) continue;
-      planned_engine each{row->id, row->entry.stage, row->entry.data_centre,
-                          row->all_work().running, false};
-      const auto open = open_.find(row->id);
-      each.changing = open != open_.end();
-      if (each.changing) each.stage = open->second.stage;
-      engines.push_back(std::move(each));
-    }
-    const std::size_t idle_limit = std::max<std::size_t>(1, engines.size() / kIdleDivisor);
-    const std::size_t busy_limit = std::max<std::size_t>(1, engines.size() / kBusyDivisor);
-    for (const stage_change& change : PlanStages(engines, {}, 1)) {
-      const bool idle = gateway_.fleet().Find(change.engine)->all_work().running == 0;
-      if (open_.size() >= (idle ? idle_limit : busy_limit)) break;
-      open_change opened;
-      opened.stage = change.stage;
-      opened.send_at = now + kAnnouncementTime;
-      opened.timeout_at = now + kChangeTime;
-      open_[change.engine] = opened;
-      fleet_upstream* row = gateway_.fleet().Find(change.engine);
-      row->changes_until = row->avoid_until = opened.timeout_at;
-    }
+    if (service.is_engine) PlanService(service, elapsed, may_order, now);
+  }
+}
+
+std::vector<planned_engine> stage_controller::EnginesOf(const gateway_service& service,
+                                                        time_point now) const {
+  std::vector<planned_engine> engines;
+  for (const fleet_upstream* row : gateway_.fleet().OfService(service.name)) {
+    if (!row->takes_work(now) || row->entry.stage == engine_stage::kNone) continue;
+    planned_engine each{row->id, row->entry.stage, row->entry.data_centre, row->all_work().running,
+                        false};
+    const auto open = open_.find(row->id);
+    each.changing = open != open_.end();
+    if (each.changing) each.stage = open->second.stage;
+    engines.push_back(std::move(each));
+  }
+  return engines;
+}
+
+stage_load stage_controller::LoadOf(const gateway_service& service, time_point now) const {
+  stage_load load;
+  load.prefill = gateway_.PrefillLoad(service.name, now);
+  for (const fleet_upstream* row : gateway_.fleet().OfService(service.name)) {
+    if (!row->takes_work(now) || row->entry.stage != engine_stage::kDecode) continue;
+    const double occupied =
+        static_cast<double>(row->all_work().running) / std::max<std::uint32_t>(1, row->entry.slots);
+    load.decode += std::min(occupied, kMaxOccupied);
+  }
+  return load;
+}
+
+std::size_t stage_controller::WantedPrefill(service_plan& plan,
+                                            const std::vector<planned_engine>& engines,
+                                            stage_load load, duration elapsed,
+                                            time_point now) const {
+  const std::size_t present = PrefillCount(engines);
+  if (engines.size() != plan.engines) {
+    plan.engines = engines.size();
+    plan.complete_at = now + kListingTime;
   }
+  plan.saw_load = plan.saw_load || load.prefill + load.decode > kMinLoad;
+  if (plan.saw_load) {
+    plan.planner.Observe(engines.size(), load, elapsed);
+    return plan.planner.HasObserved() ? plan.planner.Wanted(engines.size(), present) : present;
+  }
+  // The first holder's fleet is new; a later one's stages were planned under load.
+  const bool is_new = lease_.term() == kFirstTerm && now >= plan.complete_at;
+  return is_new ? plan.planner.Initial(engines.size()) : present;
+}
+
+void stage_controller::PlanService(const gateway_service& service, duration elapsed, bool may_order,
+                                   time_point now) {
+  service_plan& plan = plans_.try_emplace(service.name, limits_).first->second;
+  std::vector<planned_engine> engines = EnginesOf(service, now);
+  const stage_load load = LoadOf(service, now);
+  const std::size_t present = PrefillCount(engines);
+  const std::size_t wanted = WantedPrefill(plan, engines, load, elapsed, now);
+  if (!may_order || wanted == present) return;
+  if (wanted != plan.logged) {
+    plan.logged = wanted;
+    log_.Write(log_importance::kImportant,
+               log_record("stages_planned")
+                   .Text("service", service.name)
+                   .Number("engines", static_cast<std::int64_t>(engines.size()))
+                   .Number("prefill", static_cast<std::int64_t>(present))
+                   .Number("wanted", static_cast<std::int64_t>(wanted))
+                   .Decimal("prefill_load", plan.planner.prefill_load().mean)
+                   .Decimal("prefill_deviation", plan.planner.prefill_load().deviation)
+                   .Decimal("decode_load", plan.planner.decode_load().mean)
+                   .Decimal("decode_deviation", plan.planner.decode_load().deviation));
+  }
+  OpenChanges(PlanStages(engines, wanted), engines, load, now);
+}
+
+void stage_controller::OpenChanges(const std::vector<stage_change>& changes,
+                                   std::vector<planned_engine>& engines, stage_load load,
+                                   time_point now) {
+  const auto limit =
+      static_cast<std::size_t>(static_cast<double>(engines.size()) * kMaxChangingShare);
+  for (const stage_change& change : changes) {
+    if (!open_.empty() && open_.size() >= limit) return;
+    const auto changing =
+        std::find_if(engines.begin(), engines.end(),
+                     [&](const planned_engine& each) { return each.id == change.engine; });
+    const engine_stage from = changing->stage;
+    const auto staying =
+        static_cast<double>(std::count_if(engines.begin(), engines.end(),
+                                          [&](const planned_engine& each) {
+                                            return each.stage == from && !each.changing;
+                                          }) -
+                            1);
+    const double load_from = from == engine_stage::kPrefill ? load.prefill : load.decode;
+    const bool rest_carries = load_from <= staying * kMaxUtilisationOfRest;
+    if (!open_.empty() && changing->running > 0 && !rest_carries) return;
+    changing->stage = change.stage;
+    changing->changing = true;
+    Open(change, now);
+  }
+}
+
+void stage_controller::Open(const stage_change& change, time_point now) {
+  open_change opened;
+  opened.stage = change.stage;
+  opened.send_at = now + kAnnouncementTime;
+  opened.timeout_at = now + kChangeTime;
+  open_[change.engine] = opened;
+  fleet_upstream* row = gateway_.fleet().Find(change.engine);
+  row->changes_until = row->avoid_until = opened.timeout_at;
 }
 
 void stage_controller::SendDue(time_point now) {
--- a/src/libhawthorndrum/gateway/stage_controller.h
+++ b/src/libhawthorndrum/gateway/stage_controller.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "gateway/stage_plan.h"
+#include "gateway/stage_planner.h"
 #include "ports/engine_port.h"
 #include "systems/system.h"
 
@@ -13,6 +14,7 @@
 class clock;
 class event_log;
 class gateway;
+struct gateway_service;
 class lease_system;
 class random_source;
 
@@ -30,7 +32,8 @@
   static constexpr duration kTakeoverPause = milliseconds(3500);
 
   stage_controller(gateway& served, const lease_system& lease, engine_port& engines,
-                   const clock& time, random_source& random, event_log& log);
+                   const clock& time, random_source& random, event_log& log,
+                   const stage_plan_limits& limits);
 
   void Run(time_point now) override;
   void OnOrderAnswer(const order_answer& answer) override;
@@ -49,8 +52,32 @@
     bool sent = false;
   };
 
+  /** The plan for one service. */
+  struct service_plan {
+    explicit service_plan(const stage_plan_limits& limits) : planner(limits) {}
+
+    stage_planner planner;
+    bool saw_load = false;
+    /** The engines of the last plan, and when they can be taken for all engines of a new fleet. */
+    std::size_t engines = 0;
+    time_point complete_at;
+    /** The last number of prefill engines that was logged. */
+    std::size_t logged = 0;
+  };
+
   void CloseEnded(time_point now);
-  void OpenNew(time_point now);
+  /** Plans every service, and opens the changes unless it is too early for orders. */
+  void Plan(bool may_order, time_point now);
+  void PlanService(const gateway_service& service, duration elapsed, bool may_order,
+                   time_point now);
+  /** Returns how many engines should prefill. */
+  std::size_t WantedPrefill(service_plan& plan, const std::vector<planned_engine>& engines,
+                            stage_load load, duration elapsed, time_point now) const;
+  std::vector<planned_engine> EnginesOf(const gateway_service& service, time_point now) const;
+  stage_load LoadOf(const gateway_service& service, time_point now) const;
+  void OpenChanges(const std::vector<stage_change>& changes, std::vector<planned_engine>& engines,
+                   stage_load load, time_point now);
+  void Open(const stage_change& change, time_point now);
   void SendDue(time_point now);
   void Send(upstream_id engine, open_change& change, time_point now);
 
@@ -60,10 +87,12 @@
   const clock& time_;
   random_source& random_;
   event_log& log_;
+  stage_plan_limits limits_;
+  std::map<std::string, service_plan> plans_;
   std::map<upstream_id, open_change> open_;
   time_point held_since_;
   bool held_ = false;
-  time_point next_plan_;
+  time_point planned_at_;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/stage_plan.cpp
+++ b/src/libhawthorndrum/gateway/stage_plan.cpp
@@ -2,32 +2,26 @@
 #include "gateway/stage_plan.h"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <string>
 
 namespace hawthorndrum {
 
-std::size_t PrefillEngineCount(std::size_t engines, const stage_shares& shares) {
-  if (engines < 2 * shares.min_per_stage) return engines / 2;
-  const auto wanted =
-      static_cast<std::size_t>(std::lround(static_cast<double>(engines) * shares.prefill_share));
-  return std::clamp(wanted, shares.min_per_stage, engines - shares.min_per_stage);
+std::size_t PrefillCount(const std::vector<planned_engine>& engines) {
+  return static_cast<std::size_t>(std::count_if(
+      engines.begin(), engines.end(),
+      [](const planned_engine& each) { return each.stage == engine_stage::kPrefill; }));
 }
 
 std::vector<stage_change> PlanStages(const std::vector<planned_engine>& engines,
-                                     const stage_shares& shares, std::size_t slack) {
-  const std::size_t wanted = PrefillEngineCount(engines.size(), shares);
-  std::size_t prefill_count = 0;
+                                     std::size_t wanted) {
+  const std::size_t prefill_count = PrefillCount(engines);
   std::map<std::string, std::size_t> prefill_count_in;
   for (const planned_engine& each : engines) {
-    if (each.stage != engine_stage::kPrefill) continue;
-    ++prefill_count;
-    ++prefill_count_in[each.data_centre];
+    if (each.stage == engine_stage::kPrefill) ++prefill_count_in[each.data_centre];
   }
   const std::size_t deviation =
       prefill_count < wanted ? wanted - prefill_count : prefill_count - wanted;
-  if (deviation == 0 || deviation < slack) return {};
   const bool more = prefill_count < wanted;
   const engine_stage from = more ? engine_stage::kDecode : engine_stage::kPrefill;
   const engine_stage to = more ? engine_stage::kPrefill : engine_stage::kDecode;
--- a/src/libhawthorndrum/gateway/stage_plan.h
+++ b/src/libhawthorndrum/gateway/stage_plan.h
@@ -1,7 +1,4 @@
-/// Plans how many engines prefill and how many decode.
-///
-/// Prompts are far longer than answers. Decode engines can prefill only what fits into the pauses
-/// of their streams, so most engines should only prefill.
+/// Chooses the engines that change so that a given number of them prefill.
 #pragma once
 
 #include <cstddef>
@@ -30,20 +27,14 @@
   engine_stage stage = engine_stage::kPrefill;
 };
 
-/** The share of prefill engines, and the minimum number in each stage. */
-struct stage_shares {
-  double prefill_share = 0.78;
-  std::size_t min_per_stage = 2;
-};
-
-/** Returns how many of `engines` should prefill. */
-std::size_t PrefillEngineCount(std::size_t engines, const stage_shares& shares);
+/** Returns the number of engines that prefill, or will after their change. */
+std::size_t PrefillCount(const std::vector<planned_engine>& engines);
 
 /**
- * Returns the changes that bring the fleet to its shares, spread evenly over the data centres and
- * with the least busy engines first. Returns nothing while the count is off by less than `slack`.
+ * Returns the changes after which `wanted` engines prefill, spread evenly over the data centres and
+ * with the least busy engines first.
  */
 std::vector<stage_change> PlanStages(const std::vector<planned_engine>& engines,
-                                     const stage_shares& shares, std::size_t slack);
+                                     std::size_t wanted);
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/systems/role_planner.cpp
+++ b/src/libhawthorndrum/systems/role_planner.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "systems/split_cost.h"
+
 namespace hawthorndrum {
 namespace {
 
@@ -15,6 +17,22 @@
 
 double Work(double tokens, double rate) { return rate > 0 ? tokens / rate : 0; }
 
+/** The engines' worth of work that is lost under a demand. */
+class lost_work_cost : public split_cost {
+ public:
+  lost_work_cost(const role_fleet& fleet, const role_demand& demand, double headroom)
+      : fleet_(fleet), demand_(demand), headroom_(headroom) {}
+
+  double PerSecond(std::size_t prefill, std::size_t decode) const override {
+    return LostWork(fleet_, prefill, decode, demand_, headroom_);
+  }
+
+ private:
+  const role_fleet& fleet_;
+  const role_demand& demand_;
+  double headroom_;
+};
+
 }  // namespace
 
 double ServedShare(const role_fleet& fleet, std::size_t prefill, std::size_t decode,
@@ -47,13 +65,15 @@
 }
 
 void role_planner::Observe(const role_fleet& fleet, const role_demand& demand, duration elapsed) {
-  const std::size_t movable = fleet.prefill + fleet.decode;
+  Observe(fleet.prefill + fleet.decode, lost_work_cost(fleet, demand, prices_.headroom), elapsed);
+}
+
+void role_planner::Observe(std::size_t movable, const split_cost& cost, duration elapsed) {
   Resize(movable + 1);
   const double decay = std::exp(-ToSeconds(elapsed) / prices_.horizon_seconds);
   for (std::size_t prefill = 0; prefill <= movable; ++prefill) {
     cost_[prefill] *= decay;
-    cost_[prefill] +=
-        ToSeconds(elapsed) * LostWork(fleet, prefill, movable - prefill, demand, prices_.headroom);
+    cost_[prefill] += ToSeconds(elapsed) * cost.PerSecond(prefill, movable - prefill);
   }
   Relax();
 }
--- a/src/libhawthorndrum/systems/role_planner.h
+++ b/src/libhawthorndrum/systems/role_planner.h
@@ -8,6 +8,8 @@
 
 namespace hawthorndrum {
 
+class split_cost;
+
 /**
  * The engines of one model: how many have each role (a change under way counts as done), and the
  * rates of one engine, in tokens a second.
@@ -59,7 +61,9 @@
  public:
   explicit role_planner(role_prices prices) : prices_(prices) {}
 
-  /** Adds the cost of `elapsed` under that demand to every split. */
+  /** Adds the cost of `elapsed` to every split of `movable` engines. */
+  void Observe(std::size_t movable, const split_cost& cost, duration elapsed);
+  /** Adds the work that each split loses in `elapsed` under that demand. */
   void Observe(const role_fleet& fleet, const role_demand& demand, duration elapsed);
   /** How many engines should do prefill; the present number while no change pays. */
   std::size_t WantedPrefill(const role_fleet& fleet) const;
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -272,5 +272,24 @@
   EXPECT_NE(log.LastOf("request_refused").find("\"reason\":\"no_route\""), std::string::npos);
 }
 
+// Guards against more calls than the retry budget allows: prefill calls that full engines refused
+// were charged to it, and the next engine was asked all the same.
+TEST_F(GatewayTest, APromptThatEnginesRefuseIsNotSentOnWithoutRetryBudget) {
+  for (const char* id : {"p", "q", "r"}) Add(id, "llm", engine_stage::kPrefill);
+  served.fleet().Find(Add("d", "llm", engine_stage::kDecode))->own.running = 20;
+  request_id id;
+  std::size_t calls = 0;
+  for (int i = 0; i < 100; ++i) {
+    // Each request finds engines that take work again.
+    served.fleet().ForEach([](fleet_upstream& row) { row.refuses_until = time_point(); });
+    const std::size_t before = upstreams.sent.size();
+    id = AskPrompt("/tell/", "a" + std::to_string(i), 9000, 4000);
+    while (CallerOf(id).answers == 0 && upstreams.sent.size() - before < 10) Refused();
+    calls = upstreams.sent.size() - before;
+  }
+  EXPECT_EQ(calls, 1u);
+  EXPECT_EQ(CallerOf(id).status, 503);
+}
+
 }  // namespace
 }  // namespace hawthorndrum
--- a/tests/notices/test_notices.cpp
+++ b/tests/notices/test_notices.cpp
@@ -26,6 +26,7 @@
   notice.work = {{upstream_id(5), {2, 700, 900}, milliseconds(40)}};
   notice.avoided = {{upstream_id(6), milliseconds(250)}};
   notice.crashes = {{77, upstream_id(5)}};
+  notice.demand = {{"llm", 120'000, 90'000, 2}};
   const auto read = DecodeLoadNotice(EncodeLoadNotice(notice));
   ASSERT_TRUE(read);
   EXPECT_EQ(read->sender, notice.sender);
@@ -33,6 +34,10 @@
   EXPECT_EQ(read->work[0].since_last_answer, milliseconds(40));
   EXPECT_EQ(read->avoided[0].avoid_for, milliseconds(250));
   EXPECT_EQ(read->crashes[0].fingerprint, 77u);
+  EXPECT_EQ(read->demand[0].service, "llm");
+  EXPECT_EQ(read->demand[0].prefill_tokens_per_second, 120'000u);
+  EXPECT_EQ(read->demand[0].speed_sum, 90'000u);
+  EXPECT_EQ(read->demand[0].speed_count, 2u);
 }
 
 TEST(Notices, FitIntoOneDatagramHoweverManyEnginesThereAre) {
@@ -42,6 +47,7 @@
     notice.avoided.push_back({upstream_id(UINT64_MAX - i), seconds(60)});
     notice.covers.push_back({incarnation_id(UINT64_MAX - i), UINT64_MAX});
     notice.crashes.push_back({UINT64_MAX - i, upstream_id(UINT64_MAX - i)});
+    notice.demand.push_back({std::string(60, 'x'), UINT32_MAX, UINT32_MAX, 8});
   }
   EXPECT_LE(EncodeLoadNotice(notice).size(), 4096u);
 }
@@ -109,6 +115,45 @@
   EXPECT_EQ(PeersWork().unread_tokens, 30u);
 }
 
+// The fleet's demand decides on the stages of all engines, so none of it may count twice.
+TEST_F(BoardTest, TheDemandOfTheOthersCountsOnce) {
+  load_notice own = Notice(99, 4);
+  own.demand = {{"llm", 1000, 0, 0}};
+  table.RecordOwnNotice(own);
+  load_notice near = Notice(1, 1);
+  near.data_centre = "north";
+  near.covers = {{incarnation_id(1), 1}, {incarnation_id(99), 4}};
+  near.demand = {{"llm", 5000, 200'000, 2}};
+  table.OnNotice(near, now);
+  load_notice far = Notice(2, 1);
+  far.data_centre = "south";
+  far.covers = {{incarnation_id(2), 1}};
+  far.demand = {{"llm", 300, 40'000, 1}, {"other", 7, 0, 0}};
+  table.OnNotice(far, now);
+  EXPECT_EQ(table.PrefillTokensPerSecond("llm"), 4300u);
+  EXPECT_EQ(table.PrefillTokensPerSecond("other"), 7u);
+  EXPECT_EQ(table.PrefillTokensPerSecond("none"), 0u);
+  EXPECT_NEAR(table.MeanPrefillTokensPerMs("llm"), 80, 0.01);
+  EXPECT_EQ(table.MeanPrefillTokensPerMs("other"), 0);
+  table.Run(now + peer_load_table::kNoticeExpiry + milliseconds(1));
+  EXPECT_EQ(table.PrefillTokensPerSecond("llm"), 0u);
+}
+
+TEST_F(BoardTest, ADigestSumsUpTheDemandOfItsMembers) {
+  for (std::uint64_t sender : {1, 2}) {
+    load_notice notice = Notice(sender, 1);
+    notice.demand = {{"llm", 100 * sender, 50'000, 1}};
+    table.OnNotice(notice, now);
+  }
+  load_notice own = Notice(99, 7);
+  own.demand = {{"llm", 1000, 70'000, 1}};
+  const load_notice digest = table.MakeDigest(own, now);
+  ASSERT_EQ(digest.demand.size(), 1u);
+  EXPECT_EQ(digest.demand[0].prefill_tokens_per_second, 1300u);
+  EXPECT_EQ(digest.demand[0].speed_sum, 170'000u);
+  EXPECT_EQ(digest.demand[0].speed_count, 3u);
+}
+
 TEST_F(BoardTest, ACollectorsDigestSumsUpItsMembers) {
   for (std::uint64_t sender : {1, 2}) {
     load_notice notice = Notice(sender, 1);
--- a/tests/placement/test_placement.cpp
+++ b/tests/placement/test_placement.cpp
@@ -84,14 +84,65 @@
 }
 
 TEST_F(PlacementTest, AFewTokensArePrefilledAtTheDecodeEngine) {
-  Add("d", "llm", engine_stage::kDecode);
+  fleet_upstream& decode_engine = Add("d", "llm", engine_stage::kDecode);
+  Add("p", "llm", engine_stage::kPrefill);
+  const prompt asked = Prompt(1, 9000, 60);
+  decode_engine.cache.RecordPrompt(asked, now);
+  const auto place = engines.Choose(Query(asked), now);
+  ASSERT_TRUE(place);
+  EXPECT_FALSE(place->prefills_at);
+}
+
+// Guards against long prefills beside streams: decode engines were assumed to hold the shared parts
+// of the groups that hash to them, which nobody had sent there.
+TEST_F(PlacementTest, SharedPartsThatNoOneSentToADecodeEngineArePrefilledApart) {
+  Add("d", "llm", engine_stage::kDecode).own.running = 20;
   Add("p", "llm", engine_stage::kPrefill);
   const prompt asked = Prompt(1, 9000, 60);
   const auto place = engines.Choose(Query(asked), now);
   ASSERT_TRUE(place);
+  EXPECT_TRUE(place->prefills_at);
+}
+
+TEST_F(PlacementTest, ShortPromptsAreNotPrefilledApartForTheSakeOfAnIdleEngine) {
+  Add("d", "llm", engine_stage::kDecode).own.running = 20;
+  Add("p", "llm", engine_stage::kPrefill);
+  const prompt asked = Prompt(1, 90, 100);
+  const auto place = engines.Choose(Query(asked), now);
+  ASSERT_TRUE(place);
   EXPECT_FALSE(place->prefills_at);
 }
 
+// Guards against the collapse of a burst of long prompts: with queues as long as the time limit,
+// every prompt was admitted and nearly all ran out of time.
+TEST_F(PlacementTest, APromptThatWouldWaitForLongerThanItsObjectiveIsRefused) {
+  Add("d", "llm", engine_stage::kDecode).own.running = 20;
+  fleet_upstream& prefill_engine = Add("p", "llm", engine_stage::kPrefill);
+  const prompt asked = Prompt(3, 9000, 2000);
+  placement_query query = Query(asked);
+  query.objective = milliseconds(400);
+  prefill_engine.peers.unread_tokens = 10'000;  // 250 ms at the initial estimate of the speed
+  EXPECT_TRUE(engines.Choose(query, now));
+  prefill_engine.peers.unread_tokens = 40'000;
+  const auto place = engines.Choose(query, now);
+  ASSERT_FALSE(place);
+  EXPECT_EQ(place.error().reason, "engines_behind");
+  EXPECT_GT(place.error().retry_after, milliseconds(500));
+  EXPECT_LT(place.error().retry_after, milliseconds(1200));
+  // A request that has been sent already is not given up for being late.
+  query.objective = duration(0);
+  EXPECT_TRUE(engines.Choose(query, now));
+}
+
+TEST_F(PlacementTest, StreamsThatStillHaveTimeDoNotKeepAPromptFromTheirEngine) {
+  Add("d", "llm", engine_stage::kDecode).own.running = 60;
+  Add("p", "llm", engine_stage::kPrefill).peers.unread_tokens = 60'000;
+  const prompt asked = Prompt(3, 100, 300);
+  placement_query query = Query(asked);
+  query.longest_pause = seconds(1);
+  EXPECT_FALSE(engines.Choose(query, now)->prefills_at);
+}
+
 // Guards against a group spreading over all engines as soon as their waits differ slightly: three
 // quarters of all prefill work on the bench was then repeated work.
 TEST_F(PlacementTest, AGroupStaysAtItsAffinityEngineUnderUnevenWaits) {
@@ -150,7 +201,7 @@
 TEST_F(PlacementTest, ASlowEngineIsDetectedAndItsEstimateRecovers) {
   fleet_upstream& slow = Add("p", "llm", engine_stage::kPrefill);
   const double before = speeds.TokensPerMs(slow, now);
-  for (int i = 0; i < 10; ++i) speeds.Observe(slow, 10000, seconds(2), now);
+  for (int i = 0; i < 10; ++i) speeds.Observe(slow, {10000, 0, 10000, 10000}, seconds(2), now);
   EXPECT_LT(speeds.TokensPerMs(slow, now), before / 2);
   EXPECT_GT(speeds.TokensPerMs(slow, now + seconds(30)), before * 0.8);
 }
@@ -172,6 +223,23 @@
   EXPECT_GE(chosen.size(), 15u);
 }
 
+// The same for prompts that are short enough to be prefilled where they are decoded: in a burst,
+// all of 77 daemons sent theirs to the engine that had looked idle, which refused them.
+TEST_F(PlacementTest, ShortPromptsDoNotAllGoToTheOneEngineThatLooksIdle) {
+  for (int i = 0; i < 20; ++i) {
+    Add("d" + std::to_string(i), "llm", engine_stage::kDecode).peers.running = i == 0 ? 0 : 12;
+  }
+  std::map<upstream_id, int> chosen;
+  for (std::uint64_t i = 1; i <= 1000; ++i) {
+    const prompt asked = Prompt(i, 90, 200);
+    chosen[engines.Choose(Query(asked), now)->runs_at] += 1;
+  }
+  int most = 0;
+  for (const auto& [engine, count] : chosen) most = std::max(most, count);
+  EXPECT_LT(most, 400);
+  EXPECT_GE(chosen.size(), 15u);
+}
+
 TEST_F(PlacementTest, AnEngineThatIsFetchingMuchGetsLess) {
   for (int i = 0; i < 4; ++i) {
     Add("d" + std::to_string(i), "llm", engine_stage::kDecode).peers.fetching_tokens =
--- a/tests/stages/test_stages.cpp
+++ b/tests/stages/test_stages.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -27,40 +28,48 @@
   return engines;
 }
 
-/** Set here so that the tests do not depend on the default shares. */
-constexpr stage_shares kFiveSixths{0.83, 2};
+/** Set here so that the tests do not depend on the default share. */
+stage_plan_limits FiveSixths() {
+  stage_plan_limits limits;
+  limits.initial_prefill_share = 0.83;
+  limits.max_prefill_share = 1;
+  return limits;
+}
 
 TEST(StagePlan, KeepsSomeOfEachStage) {
-  EXPECT_EQ(PrefillEngineCount(18, kFiveSixths), 15u);
-  EXPECT_EQ(PrefillEngineCount(4, kFiveSixths), 2u);
-  EXPECT_EQ(PrefillEngineCount(2, kFiveSixths), 1u);
-  EXPECT_EQ(PrefillEngineCount(1, kFiveSixths), 0u);
+  const stage_planner planner(FiveSixths());
+  EXPECT_EQ(planner.Initial(18), 15u);
+  EXPECT_EQ(planner.Initial(4), 2u);
+  EXPECT_EQ(planner.Initial(2), 1u);
+  EXPECT_EQ(planner.Initial(1), 0u);
 }
 
-TEST(StagePlan, NothingToDoOnceTheSharesAreMet) {
-  EXPECT_TRUE(PlanStages(Engines(18, 15), kFiveSixths, 1).empty());
+TEST(StagePlan, NothingToDoOnceTheCountIsMet) {
+  EXPECT_TRUE(PlanStages(Engines(18, 15), 15).empty());
 }
 
 TEST(StagePlan, SpreadsReadersOverTheDataCentres) {
   std::map<std::string, int> prefill_count;
   const auto engines = Engines(18, 0);
-  for (const stage_change& change : PlanStages(engines, kFiveSixths, 1)) {
+  for (const stage_change& change : PlanStages(engines, 15)) {
     EXPECT_EQ(change.stage, engine_stage::kPrefill);
     prefill_count[engines[change.engine.value() - 1].data_centre] += 1;
   }
   for (const auto& [data_centre, count] : prefill_count) EXPECT_EQ(count, 5) << data_centre;
 }
 
-RC_GTEST_PROP(StagePlanProperties, OnePlanMeetsTheSharesAndNeverFlaps, ()) {
+RC_GTEST_PROP(StagePlanProperties, OnePlanMeetsTheCountAndNeverFlaps, ()) {
   const auto count = *rc::gen::inRange<std::size_t>(1, 120);
   auto engines = Engines(count, *rc::gen::inRange<std::size_t>(0, count + 1));
-  for (const stage_change& change : PlanStages(engines, {}, 1)) {
+  const auto wanted = *rc::gen::inRange<std::size_t>(0, count + 1);
+  for (const stage_change& change : PlanStages(engines, wanted)) {
     engines[change.engine.value() - 1].stage = change.stage;
   }
   std::size_t prefill_count = 0;
   for (const auto& each : engines) prefill_count += each.stage == engine_stage::kPrefill;
-  RC_ASSERT(prefill_count == PrefillEngineCount(count, {}));
-  RC_ASSERT(PlanStages(engines, {}, 1).empty());
+  RC_ASSERT(prefill_count == wanted);
+  RC_ASSERT(PrefillCount(engines) == wanted);
+  RC_ASSERT(PlanStages(engines, wanted).empty());
 }
 
 class recording_engines : public engine_port {
@@ -82,7 +91,7 @@
         directory("host" + std::to_string(number)),
         peers(directory, peer_id(number)),
         lease(client, peers, time, random, metrics, "fleet", incarnation_id(number), Timing()),
-        controller(served, lease, engines, time, random, log) {}
+        controller(served, lease, engines, time, random, log, {}) {}
 
   static lease_timing Timing() {
     lease_timing timing;
@@ -114,19 +123,46 @@
   void Tick(duration length, bool with_first, bool with_second) {
     for (duration passed{0}; passed < length; passed += milliseconds(50)) {
       clock.Advance(milliseconds(50));
+      if (prefill_demand > 0) ReportDemand();
       if (with_first) first.Run(clock.Now());
       if (with_second) second.Run(clock.Now());
       store.RunAll();
     }
   }
 
+  /** Makes another daemon report `prefill_demand` for the service. */
+  void ReportDemand() {
+    load_notice notice;
+    notice.sender = incarnation_id(99);
+    notice.sequence = ++demand_sequence;
+    notice.data_centre = "north";
+    notice.demand = {{"llm", prefill_demand, 0, 0}};
+    served.OnNotice(notice);
+    served.Run(clock.Now());
+  }
+  void SetStages(engine_stage stage) {
+    for (const char* id : {"a", "b", "c", "d", "e", "f"})
+      served.fleet().FindEntry(id)->entry.stage = stage;
+  }
+  std::size_t Ordered(const controller_daemon& by, engine_role role) {
+    return static_cast<std::size_t>(
+        std::count_if(by.engines.orders.begin(), by.engines.orders.end(),
+                      [&](const engine_order& order) { return order.role == role; }));
+  }
+
   fake_object_store store;
   controller_daemon first;
   controller_daemon second;
+  /** Prompt tokens a second that the other daemon reports. */
+  std::uint64_t prefill_demand = 0;
+  std::uint64_t demand_sequence = 0;
 };
 
+/** Tokens a second that one engine prefills, before any speed was observed. */
+constexpr std::uint64_t kEngineTokens = 40'000;
+
 TEST_F(StageKeeperTest, OneDaemonOrdersAndNamesTheStartOfTheEngine) {
-  Tick(seconds(2), true, true);
+  Tick(seconds(3), true, true);
   EXPECT_EQ(first.engines.orders.size() + second.engines.orders.size(), 2u)
       << "a third of six idle engines at once";
   EXPECT_TRUE(first.engines.orders.empty() || second.engines.orders.empty());
@@ -137,11 +173,12 @@
 }
 
 TEST_F(StageKeeperTest, ChangesAreAnnouncedBeforeTheOrderLeaves) {
-  first.Run(clock.Now());
-  store.RunAll();
-  first.Run(clock.Now());
+  // The engines of a new fleet count as listed after 1,500 ms without another one.
+  Tick(milliseconds(1900), true, false);
   EXPECT_TRUE(first.engines.orders.empty());
   EXPECT_EQ(served.MakeNotice().avoided.size(), 2u);
+  Tick(milliseconds(500), true, false);
+  EXPECT_EQ(first.engines.orders.size(), 2u);
 }
 
 TEST_F(StageKeeperTest, NoOrdersWithoutTheLease) {
@@ -154,7 +191,8 @@
 }
 
 TEST_F(StageKeeperTest, ASuccessorWaitsOutTheTurnOfTheHolderBefore) {
-  Tick(seconds(2), true, false);
+  prefill_demand = 3 * kEngineTokens;
+  Tick(seconds(5), true, false);
   ASSERT_FALSE(first.engines.orders.empty());
   // The holder is paused; its lease expires and the other daemon acquires it.
   for (int i = 0; i < 400 && !second.lease.Holds(); ++i) Tick(milliseconds(50), false, true);
@@ -167,7 +205,7 @@
 }
 
 TEST_F(StageKeeperTest, AHolderThatWakesAfterItsLeaseOrdersNothing) {
-  Tick(seconds(2), true, false);
+  Tick(seconds(3), true, false);
   const std::size_t before = first.engines.orders.size();
   clock.Advance(seconds(30));
   first.Run(clock.Now());
@@ -178,7 +216,7 @@
 // their initial stage: changing those one at a time left the fleet short for most of such a day.
 TEST_F(StageKeeperTest, IdleEnginesChangeTogetherWhileOthersAreBusy) {
   for (const char* id : {"a", "b", "c"}) served.fleet().FindEntry(id)->peers.running = 5;
-  Tick(seconds(2), true, false);
+  Tick(seconds(3), true, false);
   ASSERT_EQ(first.engines.orders.size(), 2u);
   for (const engine_order& order : first.engines.orders) {
     EXPECT_EQ(served.fleet().Find(order.engine)->peers.running, 0u);
@@ -186,7 +224,7 @@
 }
 
 TEST_F(StageKeeperTest, AnEngineHasOneOpenOrder) {
-  Tick(seconds(2), true, false);
+  Tick(seconds(3), true, false);
   const std::size_t before = first.engines.orders.size();
   Tick(seconds(4), true, false);
   EXPECT_EQ(first.engines.orders.size(), before) << "the engines have not changed yet";
@@ -198,5 +236,51 @@
   EXPECT_GT(first.engines.orders.size(), before);
 }
 
+TEST_F(StageKeeperTest, EnginesFollowTheLoad) {
+  SetStages(engine_stage::kPrefill);
+  for (const char* id : {"a", "b"}) {
+    served.fleet().FindEntry(id)->entry.stage = engine_stage::kDecode;
+    served.fleet().FindEntry(id)->own.running = 90;
+  }
+  prefill_demand = kEngineTokens / 2;
+  Tick(seconds(5), true, false);
+  EXPECT_GT(Ordered(first, engine_role::kDecode), 0u);
+  EXPECT_EQ(Ordered(first, engine_role::kPrefill), 0u);
+}
+
+// A daemon that takes over, as after a failure, knows no load yet; the engines are where its
+// predecessor needed them.
+TEST_F(StageKeeperTest, ASuccessorWithoutLoadLeavesTheStages) {
+  Tick(milliseconds(500), true, false);
+  first.lease.Stop();
+  Tick(seconds(1), true, false);
+  SetStages(engine_stage::kDecode);
+  Tick(seconds(20), false, true);
+  ASSERT_TRUE(second.lease.Holds());
+  EXPECT_TRUE(second.engines.orders.empty());
+}
+
+// Guards against orders on a part of the host list: at the start entries appear one after another,
+// and the first few had the wrong share of stages.
+TEST_F(StageKeeperTest, ANewFleetIsPlannedOnceItsEnginesAreListed) {
+  SetStages(engine_stage::kPrefill);
+  for (int i = 0; i < 6; ++i) {
+    Tick(seconds(1), true, false);
+    Add("late" + std::to_string(i), "llm", engine_stage::kDecode);
+  }
+  EXPECT_TRUE(first.engines.orders.empty());
+  Tick(seconds(3), true, false);
+  EXPECT_EQ(Ordered(first, engine_role::kDecode), 0u) << "8 of 12 are wanted, 6 prefill";
+  EXPECT_EQ(Ordered(first, engine_role::kPrefill), 2u);
+}
+
+TEST_F(StageKeeperTest, BusyEnginesLeaveOneAtATimeWhereTheRestCannotCarryTheLoad) {
+  for (const char* id : {"a", "b", "c", "d", "e", "f"})
+    served.fleet().FindEntry(id)->own.running = 60;
+  prefill_demand = 4 * kEngineTokens;
+  Tick(seconds(5), true, false);
+  EXPECT_EQ(first.engines.orders.size(), 1u);
+}
+
 }  // namespace
 }  // namespace hawthorndrum
