Keep one lease holder and rising terms over a restore of the store

Cause: the store may come back from a copy some seconds old, without a lease that its holder still trusts. A missing lease was taken at once, and terms rose only from the highest that a daemon had seen: two daemons could hold the lease, and one number could be given out twice. Change: answers carry the store's era. A record drops what it knew in a former era and resolves a write that is answered in a new one by reading; a lease is lost with its era and taken only a whole length after the era was first seen; the first term of an era is its number shifted by 24 bits. A store without eras is served as before. Only a lease that was taken where none was, in the only era seen, counts as the fleet's first. Not done: watches, entries of workers and daemons' records over a restore, the claims of hawthorndrumd.

--- a/src/libhawthorndrum/gateway/stage_controller.cpp
+++ b/src/libhawthorndrum/gateway/stage_controller.cpp
@@ -161,7 +161,7 @@
     return plan.planner.HasObserved() ? plan.planner.Wanted(engines.size(), present) : present;
   }
   // The first holder's fleet is new; a later one's stages were planned under load.
-  const bool is_new = lease_.term() == kFirstTerm && now >= plan.complete_at;
+  const bool is_new = lease_.took_missing() && now >= plan.complete_at;
   return is_new ? plan.planner.Initial(engines.size()) : present;
 }
 
--- a/src/libhawthorndrum/ports/store_call.h
+++ b/src/libhawthorndrum/ports/store_call.h
@@ -47,6 +47,11 @@
   object_version version;
   std::string value;
   std::vector<store_entry> entries;
+  /**
+   * Rises whenever the store comes back from an older copy, in which versions are given out again;
+   * 0 where the store has no such number, or if no answer was received.
+   */
+  std::uint64_t era = 0;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/systems/lease_system.cpp
+++ b/src/libhawthorndrum/systems/lease_system.cpp
@@ -90,7 +90,17 @@
   highest_ = std::max(highest_, seen_.term);
 }
 
+void lease_system::NoteStoreEra(std::uint64_t era) {
+  if (era <= era_) return;
+  saw_former_era_ = era_ != 0;
+  era_ = era;
+  era_since_ = clock_.Now();
+  has_seen_ = false;
+  Lose();
+}
+
 void lease_system::TakeIfAvailable(time_point now) {
+  if (era_ != 0 && now - era_since_ < std::max(timing_.length, seen_.length)) return;
   const bool released = seen_version_ && seen_.term && !seen_.holder;
   const bool own = seen_version_ && seen_.incarnation == self_;
   const bool never_held = timing_.take_missing_at_once && !seen_version_;
@@ -100,7 +110,10 @@
 
 void lease_system::Take() {
   if (highest_.value() >= kLargestTerm) return;
-  WriteRecord(lease_term(highest_.value() + 1), peers_.self(), write_purpose::kTake);
+  const std::uint64_t first_of_era = era_ << kEraShift;
+  took_missing_ = !seen_version_ && !saw_former_era_;
+  WriteRecord(lease_term(std::max(highest_.value() + 1, first_of_era)), peers_.self(),
+              write_purpose::kTake);
 }
 
 void lease_system::Renew() { WriteRecord(term_, peers_.self(), write_purpose::kRenew); }
--- a/src/libhawthorndrum/systems/lease_system.h
+++ b/src/libhawthorndrum/systems/lease_system.h
@@ -38,7 +38,9 @@
  *
  * Invariants: Holds() is true only before valid_until_, which is the send time of a confirmed
  * write plus the lease's length minus the margin, on this daemon's clock. A lease that another
- * incarnation holds is taken only after its version has been unchanged for its whole length.
+ * incarnation holds is taken only after its version has been unchanged for its whole length. In an
+ * era of the store, a lease is taken only a whole length after the era was first seen here: writes
+ * of the former era were sent before that, so their holders no longer trust them.
  */
 class lease_system : public system, public peer_listener, public admin_section, record_listener {
  public:
@@ -61,6 +63,15 @@
   lease_term highest_term() const { return highest_; }
   peer_id known_holder() const { return known_holder_; }
 
+  /**
+   * Notes the store's era, which any call to the store may show. A later one means that the store
+   * came back from an older copy, which may lack the lease of a daemon that still trusts it: a
+   * lease held here is lost, and none is taken before such a daemon has ceased to trust its own.
+   */
+  void NoteStoreEra(std::uint64_t era);
+  /** Whether the lease was taken where no record was, in the only era that this daemon has seen. */
+  bool took_missing() const { return took_missing_; }
+
   /** Notes a term seen outside the lease object (journal, engine, peer). */
   void NoteTerm(lease_term seen);
   /** Makes Run() release the lease once no store call is open, and takes none afterwards. */
@@ -75,6 +86,7 @@
 
   void OnRecordRead(const record_state& state) override;
   void OnRecordWritten(const record_state& state, time_point sent) override;
+  void OnStoreEra(std::uint64_t era) override { NoteStoreEra(era); }
 
   void TakeIfAvailable(time_point now);
   void Take();
@@ -106,6 +118,11 @@
   bool release_requested_ = false;
   lease_term term_;
   lease_term highest_;
+  /** The latest era of the store, and when this daemon first saw it. */
+  std::uint64_t era_ = 0;
+  time_point era_since_;
+  bool saw_former_era_ = false;
+  bool took_missing_ = false;
   time_point valid_until_;
   time_point renew_at_;
   write_purpose write_purpose_ = write_purpose::kNothing;
--- a/src/libhawthorndrum/systems/stored_record.cpp
+++ b/src/libhawthorndrum/systems/stored_record.cpp
@@ -76,10 +76,32 @@
 void stored_record::OnStoreAnswer(store_call_id id, const store_answer& answer) {
   if (id != call_) return;
   call_ = store_call_id();
+  if (!AcceptEra(answer)) return;
   if (operation_ == store_operation::kGet) return OnReadAnswer(answer);
   OnWriteAnswer(answer);
 }
 
+bool stored_record::AcceptEra(const store_answer& answer) {
+  if (answer.era == 0 || answer.era == era_) return true;
+  if (answer.era < era_) {
+    // A late answer of the store before its restore. A write in it is lost, or was undone.
+    settling_ = goal_ == goal::kWrite;
+    RetryLater();
+    return false;
+  }
+  const bool is_first = era_ == 0;
+  era_ = answer.era;
+  listener_.OnStoreEra(era_);
+  const bool was_write = operation_ != store_operation::kGet;
+  // Nothing was known of the object before the first era, so no version can be mistaken.
+  if (is_first && !(was_write && state_.version)) return true;
+  state_ = {};
+  if (!was_write && goal_ == goal::kRead) return true;
+  goal_ = goal::kRead;
+  Submit(store_operation::kGet);
+  return false;
+}
+
 void stored_record::OnReadAnswer(const store_answer& answer) {
   const bool read =
       answer.outcome == store_outcome::kDone || answer.outcome == store_outcome::kMissing;
--- a/src/libhawthorndrum/systems/stored_record.h
+++ b/src/libhawthorndrum/systems/stored_record.h
@@ -30,6 +30,11 @@
   virtual void OnRecordRead(const record_state& state) = 0;
   /** `sent` is the earliest time at which a call that may have written it was sent. */
   virtual void OnRecordWritten(const record_state& state, time_point sent) = 0;
+  /**
+   * The store names an era that this record has not seen: everything known of the object is void.
+   * Called before the notifications that follow from the answer; also for the first era.
+   */
+  virtual void OnStoreEra(std::uint64_t era) {}
 };
 
 /**
@@ -37,6 +42,10 @@
  * reading back: every value written must be unique (hold a nonce), so that an equal value proves
  * that the write took effect, and an unchanged version lets the same value be written again.
  *
+ * In a later era of the store, versions of the era before mean other contents. A write that is
+ * answered in a later era than that of state() is resolved by reading, whatever the answer says; an
+ * answer of an earlier era changes nothing.
+ *
  * Invariant: at most one call is in flight; a written value replaces exactly `state()`.
  */
 class stored_record : public store_listener {
@@ -61,6 +70,8 @@
  private:
   enum class goal { kNone, kRead, kWrite };
 
+  /** Returns whether the answer may be used; starts a new era if it names one. */
+  bool AcceptEra(const store_answer& answer);
   void Submit(store_operation operation);
   void OnReadAnswer(const store_answer& answer);
   void OnWriteAnswer(const store_answer& answer);
@@ -84,6 +95,8 @@
   time_point first_sent_;
   std::string new_value_;
   record_state state_;
+  /** The latest era of the store; state_ is of this era. */
+  std::uint64_t era_ = 0;
   store_call_id call_;
   store_operation operation_ = store_operation::kGet;
   int consecutive_failures_ = 0;
--- a/tests/fakes/fake_object_store.h
+++ b/tests/fakes/fake_object_store.h
@@ -39,7 +39,27 @@
   }
 
   /** Applies the call to the objects and returns its answer. */
-  store_answer Apply(const store_call& call);
+  store_answer Apply(const store_call& call) {
+    store_answer answer = ApplyToObjects(call);
+    answer.era = era_;
+    return answer;
+  }
+
+  /** Makes the store name its era in its answers. */
+  void BeginEras() { era_ = 1; }
+  /** Keeps a copy of the present objects for Restore(). */
+  void Copy() {
+    copy_ = objects_;
+    copy_revision_ = revision_;
+  }
+  /** Comes back from the last copy: what was written since is lost, revisions are given out again.
+   */
+  void Restore() {
+    objects_ = copy_;
+    revision_ = copy_revision_;
+    changes_.clear();
+    if (era_ != 0) era_ += 1;
+  }
 
   /** Applies and answers calls until only watches without a change are left waiting. */
   void RunAll() {
@@ -116,6 +136,7 @@
            operation == store_operation::kRemove;
   }
 
+  store_answer ApplyToObjects(const store_call& call);
   store_answer List(const store_call& call) const;
   store_answer Write(const store_call& call);
 
@@ -130,6 +151,9 @@
   /** Every change, oldest first, for watches. */
   std::vector<store_entry> changes_;
   std::uint64_t revision_ = 0;
+  std::uint64_t era_ = 0;
+  std::map<std::string, object> copy_;
+  std::uint64_t copy_revision_ = 0;
   std::uint64_t last_call_ = 0;
   std::uint64_t calls_ = 0;
   std::uint64_t writes_ = 0;
@@ -174,7 +198,7 @@
   return answer;
 }
 
-inline store_answer fake_object_store::Apply(const store_call& call) {
+inline store_answer fake_object_store::ApplyToObjects(const store_call& call) {
   store_answer answer;
   switch (call.operation) {
     case store_operation::kGet: {
--- /dev/null
+++ b/tests/lease/store_restores.cpp
@@ -0,0 +1,188 @@
+/// Tests of the lease while the store comes back from an older copy of itself.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "base/metrics_registry.h"
+#include "fake_clock.h"
+#include "fake_object_store.h"
+#include "fake_random_source.h"
+#include "gateway/daemon_directory.h"
+#include "gateway/directory_peers.h"
+#include "systems/lease_system.h"
+
+namespace hawthorndrum {
+namespace {
+
+constexpr duration kStep = milliseconds(50);
+
+lease_timing Timing() {
+  lease_timing timing;
+  timing.length = seconds(4);
+  timing.margin = milliseconds(500);
+  timing.take_missing_at_once = true;
+  return timing;
+}
+
+/** Daemons that compete for one lease, and a record of who held it with which term. */
+class restored_store_run {
+ public:
+  explicit restored_store_run(int daemons) {
+    store.BeginEras();
+    for (int i = 0; i < daemons; ++i) all.push_back(std::make_unique<daemon>(*this, i + 1));
+  }
+
+  struct daemon {
+    daemon(restored_store_run& run, int number)
+        : client(run.store, number),
+          directory("host" + std::to_string(number)),
+          peers(directory, peer_id(number)),
+          lease(client, peers, run.clock, run.random, run.metrics, "fleet", incarnation_id(number),
+                Timing()) {}
+
+    fake_store_client client;
+    daemon_directory directory;
+    directory_peers peers;
+    lease_system lease;
+    /** A paused or cut daemon neither runs nor receives answers; its clock goes on. */
+    bool is_silent = false;
+  };
+
+  /** Lets time pass; returns the first violation, or an empty string. */
+  std::string Run(duration length) {
+    for (duration passed{0}; passed < length; passed += kStep) {
+      clock.Advance(kStep);
+      for (auto& each : all) {
+        if (!each->is_silent) each->lease.Run(clock.Now());
+      }
+      DeliverAnswers();
+      const std::string violation = Check();
+      if (!violation.empty()) return violation;
+    }
+    return {};
+  }
+  int Holder() const {
+    for (std::size_t i = 0; i < all.size(); ++i) {
+      if (all[i]->lease.Holds()) return static_cast<int>(i);
+    }
+    return -1;
+  }
+
+  fake_clock clock;
+  fake_random_source random;
+  metrics_registry metrics;
+  fake_object_store store;
+  std::vector<std::unique_ptr<daemon>> all;
+
+ private:
+  void DeliverAnswers() {
+    for (std::size_t i = 0; i < store.waiting().size();) {
+      const int client = store.waiting()[i].client;
+      if (all[static_cast<std::size_t>(client - 1)]->is_silent) {
+        ++i;
+      } else {
+        store.RunAt(i);
+        i = 0;
+      }
+    }
+  }
+  std::string Check() {
+    int holders = 0;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+      const lease_system& lease = all[i]->lease;
+      if (!lease.Holds()) continue;
+      holders += 1;
+      const bool is_new = holder_ != static_cast<int>(i) || term_ != lease.term();
+      if (!is_new) continue;
+      if (!(term_ < lease.term())) return "a term does not exceed the ones before";
+      holder_ = static_cast<int>(i);
+      term_ = lease.term();
+    }
+    return holders > 1 ? "two daemons hold the lease" : "";
+  }
+
+  int holder_ = -1;
+  lease_term term_;
+};
+
+// The restored store has no lease, and the holder still trusts its own for up to 3.5 s.
+TEST(StoreRestores, ALostLeaseIsNotTakenWhileItsHolderTrustsIt) {
+  restored_store_run run(2);
+  run.store.Copy();
+  ASSERT_EQ(run.Run(seconds(20)), "");
+  const int first = run.Holder();
+  ASSERT_GE(first, 0);
+  run.all[static_cast<std::size_t>(first)]->is_silent = true;
+  run.store.Restore();
+  EXPECT_EQ(run.Run(seconds(20)), "");
+  EXPECT_EQ(run.Holder(), 1 - first);
+}
+
+// The copy names a holder of before, whose term was followed by others that are lost.
+TEST(StoreRestores, TermsRiseOverARestoreForADaemonThatSawNothingOfThem) {
+  restored_store_run run(2);
+  ASSERT_EQ(run.Run(seconds(20)), "");
+  const int first = run.Holder();
+  ASSERT_GE(first, 0);
+  run.store.Copy();
+  run.all[static_cast<std::size_t>(first)]->is_silent = true;
+  ASSERT_EQ(run.Run(seconds(20)), "");
+  ASSERT_EQ(run.Holder(), 1 - first);
+  run.all[static_cast<std::size_t>(1 - first)]->is_silent = true;
+  run.all[static_cast<std::size_t>(first)]->is_silent = false;
+  run.store.Restore();
+  EXPECT_EQ(run.Run(seconds(20)), "");
+  EXPECT_EQ(run.Holder(), first);
+}
+
+// A renewal that the restored store accepts has met its condition on another content.
+TEST(StoreRestores, ARenewalInANewEraIsNoRenewal) {
+  restored_store_run run(1);
+  ASSERT_EQ(run.Run(seconds(20)), "");
+  ASSERT_EQ(run.Holder(), 0);
+  run.store.Copy();
+  run.store.Restore();
+  ASSERT_EQ(run.Run(seconds(2)), "");
+  EXPECT_EQ(run.Holder(), -1);
+  ASSERT_EQ(run.Run(seconds(10)), "");
+  EXPECT_EQ(run.Holder(), 0);
+}
+
+TEST(StoreRestores, OnlyALeaseOfTheFirstEraWasNeverHeldBefore) {
+  restored_store_run run(1);
+  run.store.Copy();
+  ASSERT_EQ(run.Run(seconds(20)), "");
+  EXPECT_TRUE(run.all[0]->lease.took_missing());
+  run.store.Restore();
+  ASSERT_EQ(run.Run(seconds(20)), "");
+  ASSERT_EQ(run.Holder(), 0);
+  EXPECT_FALSE(run.all[0]->lease.took_missing());
+}
+
+RC_GTEST_PROP(StoreRestoresProperties, AtMostOneHolderAndRisingTermsUnderAnySeries, ()) {
+  restored_store_run run(3);
+  run.store.Copy();
+  const auto events = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
+  for (const int event : events) {
+    const auto who = static_cast<std::size_t>(event % 3);
+    if (event < 30) {
+      run.all[who]->is_silent = !run.all[who]->is_silent;
+    } else if (event < 45) {
+      run.store.Copy();
+    } else if (event < 65) {
+      run.store.Restore();
+    } else if (event < 72 && !run.store.waiting().empty()) {
+      run.store.RunAtLosingAnswer(0);
+    }
+    RC_ASSERT(run.Run(milliseconds(50 + 60 * (event % 40))) == "");
+  }
+  for (auto& each : run.all) each->is_silent = false;
+  RC_ASSERT(run.Run(seconds(60)) == "");
+  RC_ASSERT(run.Holder() >= 0);
+}
+
+}  // namespace
+}  // namespace hawthorndrum
