Leave the fencing numbers of orders as wide as before

Cause: the term's limit was raised for the store's eras, but the own daemon's fencing numbers shift the term by 20 bits and would have overflowed beyond 2^44. Change: terms of a store without eras keep their limit of 2^32; those of a store with eras go up to 2^52, which a JSON number holds exactly, with 20 bits for the leases of an era. An era without room gives no lease instead of a repeated term. Measured: tests of the lease (2 cases added), orders and stages pass.

--- a/src/libhawthorndrum/systems/lease_record.cpp
+++ b/src/libhawthorndrum/systems/lease_record.cpp
@@ -26,7 +26,7 @@
   const nlohmann::json object = nlohmann::json::parse(text, nullptr, false);
   json_fields fields(object);
   lease_record record;
-  record.term = lease_term(fields.Unsigned("term", kLargestTerm));
+  record.term = lease_term(fields.Unsigned("term", kLargestTermOfEras));
   record.holder = peer_id(fields.Unsigned("holder"));
   record.incarnation = incarnation_id(fields.Unsigned("incarnation"));
   record.nonce = fields.Unsigned("nonce");
--- a/src/libhawthorndrum/systems/lease_record.h
+++ b/src/libhawthorndrum/systems/lease_record.h
@@ -11,13 +11,18 @@
 
 namespace hawthorndrum {
 
-/** The largest term; leaves room in a fencing number for the order's number within the term. */
-constexpr std::uint64_t kLargestTerm = std::uint64_t{1} << 48;
+/**
+ * The largest term of a store without eras; leaves room in a fencing number for the order's number
+ * within the term.
+ */
+constexpr std::uint64_t kLargestTerm = std::uint64_t{1} << 32;
+/** The largest term of a store with eras; a JSON number holds it exactly. */
+constexpr std::uint64_t kLargestTermOfEras = std::uint64_t{1} << 52;
 /**
  * The first term of an era is the era's number shifted by this much. An era has fewer leases than
  * that, so each of its terms exceeds all terms of the eras before, whatever was lost with them.
  */
-constexpr int kEraShift = 24;
+constexpr int kEraShift = 20;
 
 /**
  * The lease as it is stored. `holder` is 0 once the lease has been released. `nonce` makes every
--- a/src/libhawthorndrum/systems/lease_system.cpp
+++ b/src/libhawthorndrum/systems/lease_system.cpp
@@ -109,11 +109,12 @@
 }
 
 void lease_system::Take() {
-  if (highest_.value() >= kLargestTerm) return;
-  const std::uint64_t first_of_era = era_ << kEraShift;
+  const std::uint64_t largest = era_ == 0 ? kLargestTerm : kLargestTermOfEras;
+  if (era_ > (largest >> kEraShift)) return;
+  const std::uint64_t next = std::max(highest_.value() + 1, era_ << kEraShift);
+  if (next > largest) return;
   took_missing_ = !seen_version_ && !saw_former_era_;
-  WriteRecord(lease_term(std::max(highest_.value() + 1, first_of_era)), peers_.self(),
-              write_purpose::kTake);
+  WriteRecord(lease_term(next), peers_.self(), write_purpose::kTake);
 }
 
 void lease_system::Renew() { WriteRecord(term_, peers_.self(), write_purpose::kRenew); }
--- a/tests/fakes/fake_object_store.h
+++ b/tests/fakes/fake_object_store.h
@@ -47,6 +47,7 @@
 
   /** Makes the store name its era in its answers. */
   void BeginEras() { era_ = 1; }
+  void SetEra(std::uint64_t era) { era_ = era; }
   /** Keeps a copy of the present objects for Restore(). */
   void Copy() {
     copy_ = objects_;
--- a/tests/lease/store_restores.cpp
+++ b/tests/lease/store_restores.cpp
@@ -162,6 +162,21 @@
   EXPECT_FALSE(run.all[0]->lease.took_missing());
 }
 
+// An era beyond the numbers that JSON holds exactly gives no terms, rather than repeated ones.
+TEST(StoreRestores, AnEraThatLeavesNoRoomForTermsGivesNoLease) {
+  restored_store_run run(1);
+  run.store.SetEra(UINT64_MAX);
+  EXPECT_EQ(run.Run(seconds(30)), "");
+  EXPECT_EQ(run.Holder(), -1);
+}
+
+TEST(StoreRestores, TheLargestEraStillGivesTerms) {
+  restored_store_run run(1);
+  run.store.SetEra(std::uint64_t{1} << 31);
+  EXPECT_EQ(run.Run(seconds(30)), "");
+  EXPECT_EQ(run.Holder(), 0);
+}
+
 RC_GTEST_PROP(StoreRestoresProperties, AtMostOneHolderAndRisingTermsUnderAnySeries, ()) {
   restored_store_run run(3);
   run.store.Copy();
