--- a/src/libhawthorndrum/gateway/stage_planner.h
+++ b/src/libhawthorndrum/gateway/stage_planner.h
@@ -29,8 +29,8 @@
   double max_prefill_share = 0.78;
   /** The minimum number of engines in each stage, if there are at least twice as many. */
   std::size_t min_per_stage = 2;
-  /** The waiting that a change of an engine's stage must save. */
-  double change_price = 1;
+  /** The waiting that a change of an engine's stage must save, in requests times seconds. */
+  double change_price = 4;
   /** The time constant of the average load; the mix may swing faster without a change. */
   duration averaging = seconds(8);
   /** How long the past counts: a change must pay within about that time. */
