Format a comment and name the longest wait of a request

Change: comment shortened, UsefulWaitMs is LongestWaitMs of the query alone. No change of behaviour.

--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -231,7 +231,7 @@
   return both;
 }
 
-double engine_placement::UsefulWaitMs(const option& best, const placement_query& query) {
+double engine_placement::LongestWaitMs(const placement_query& query) {
   return kLongestWait * ToSeconds(query.objective) * 1000;
 }
 
@@ -275,11 +275,11 @@
     if (both.CostMs() < best.CostMs()) best = both;
   }
   best.place.expected = Milliseconds(best.ExpectedMs());
-  const double useful_wait_ms = UsefulWaitMs(best, query);
-  const bool is_late = query.objective > duration(0) && best.wait_ms > useful_wait_ms;
+  const double longest_wait_ms = LongestWaitMs(query);
+  const bool is_late = query.objective > duration(0) && best.wait_ms > longest_wait_ms;
   if (!is_late && best.place.expected <= query.time_left) return best.place;
   // The queue drains at the engines' speed; an earlier retry would still find it too long.
-  const double too_long_ms = is_late ? best.wait_ms - useful_wait_ms / 2
+  const double too_long_ms = is_late ? best.wait_ms - longest_wait_ms / 2
                                      : best.ExpectedMs() - ToSeconds(query.time_left) * 1000;
   return tl::make_unexpected(placement_failure{
       "engines_behind", std::max<duration>(kMinRetryAfter, Milliseconds(too_long_ms))});
--- a/src/libhawthorndrum/gateway/engine_placement.h
+++ b/src/libhawthorndrum/gateway/engine_placement.h
@@ -99,8 +99,8 @@
   option RunThere(const candidate& at, const placement_query& query) const;
   option Split(const candidate& prefill_engine, const candidate& decode_engine,
                const placement_query& query) const;
-  /** Returns how long the request may wait so that its answer is useful and others' are too. */
-  static double UsefulWaitMs(const option& best, const placement_query& query);
+  /** Returns how long a new request may wait before an engine starts on it. */
+  static double LongestWaitMs(const placement_query& query);
   /** Returns the time to transfer the KV cache of `tokens`, in milliseconds. */
   static double TransferMs(std::uint64_t tokens, const gateway_service& service);
   double TransferCost(const fleet_upstream& from, const fleet_upstream& to,
--- a/src/libhawthorndrum/gateway/engine_speeds.h
+++ b/src/libhawthorndrum/gateway/engine_speeds.h
@@ -65,9 +65,9 @@
     /** Observations of the speed so far; the first ones weigh more. */
     int observations = 0;
     double interval_ms = 0;
-    /** Observations in a row that were left out as those of slow engines, and the first of those.
-     */
+    /** Observations in a row that were left out as those of slow engines. */
     int left_out = 0;
+    /** The engine of the first of those. */
     upstream_id first_left_out;
     double prefill_overhead_ms = kInitialOverheadMs;
     double decode_overhead_ms = kInitialOverheadMs;
--- a/src/libhawthorndrum/systems/lease_timing.h
+++ b/src/libhawthorndrum/systems/lease_timing.h
@@ -13,7 +13,7 @@
   duration length = seconds(10);
   duration margin = seconds(1);
   duration announce_every = seconds(2);
-  /** Set where the store loses records only with its era: one that is missing was not held in it. */
+  /** Set where the store loses records only with its era: a missing one was not held in it. */
   bool take_missing_at_once = false;
 
   duration renew_after() const { return length / 4; }
