--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -25,6 +25,8 @@
 /** Retry-After of requests that crash upstreams. */
 constexpr duration kRetryConvicted = seconds(30);
 constexpr duration kSweepPeriod = milliseconds(500);
+/** Ticks are at most 100 ms apart unless the loop or the whole process was held up. */
+constexpr duration kLateTick = milliseconds(300);
 /** Notices report no work for upstreams that run nothing here and were silent for longer. */
 constexpr duration kMaxReportedSilence = seconds(1);
 /**
@@ -232,7 +234,17 @@
   return static_cast<double>(tokens) / (speeds_.PrefillTokensPerMs(service) * 1000);
 }
 
+void gateway::LogDelay(time_point now) {
+  const time_point before = std::exchange(last_run_, now);
+  if (before == time_point() || now - before <= kLateTick) return;
+  ports_.log->Write(log_importance::kImportant,
+                    log_record("loop_delayed")
+                        .Number("after_ms", ToMilliseconds(now - before))
+                        .Number("in_flight", static_cast<std::int64_t>(exchanges_.size())));
+}
+
 void gateway::Run(time_point now) {
+  LogDelay(now);
   peers_.Run(now);
   reachability_.Run(now);
   // Expire and Stall may erase exchanges, so the ids are collected first.
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -127,6 +127,9 @@
   void GiveUp(exchange& each, const call_problem& problem, time_point now);
   void Expire(exchange& each, time_point now);
   void Stall(exchange& each, time_point now);
+  void LogStall(const exchange& each, duration silence, std::string_view outcome, time_point now);
+  /** Logs that this daemon did not run for a while, so it read no bytes either. */
+  void LogDelay(time_point now);
   /** Shortens the timeout of calls there that wait for their first byte, since none may come. */
   void ShortenStallTimeouts(const fleet_upstream& row, time_point now);
   void RecordFailure(fleet_upstream& row, const call_problem& problem, time_point now);
@@ -164,6 +167,7 @@
   time_point own_crashes_at_;
   std::uint64_t notices_ = 0;
   time_point last_sweep_;
+  time_point last_run_;
   std::map<std::string, std::unique_ptr<route_meters>> meters_;
 };
 
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -216,26 +216,45 @@
   FailUnknown(each, "deadline", 504);
 }
 
+void gateway::LogStall(const exchange& each, duration silence, std::string_view outcome,
+                       time_point now) {
+  const fleet_upstream* row = fleet_.Find(each.call.upstream);
+  ports_.log->Write(log_importance::kNotable,
+                    log_record("call_stalled")
+                        .Text("request", each.terms.caller_id)
+                        .Text("route", each.matched->name)
+                        .Text("upstream", row == nullptr ? "" : row->entry.id)
+                        .Text("outcome", outcome)
+                        .Number("silent_ms", ToMilliseconds(silence))
+                        .Number("after_ms", ToMilliseconds(now - each.call.sent_at))
+                        .Number("events", static_cast<std::int64_t>(each.events.events()))
+                        .Decimal("retries_left", allowance_.Remaining(each.service->name, now)));
+}
+
 void gateway::Stall(exchange& each, time_point now) {
   // An upstream that sends any byte to this daemon, or to one that reports it, is alive, so silence
   // on one request alone is no stall.
   const fleet_upstream* row = fleet_.Find(each.call.upstream);
   const time_point last_activity =
       row == nullptr ? each.call.sent_at : std::max(row->last_active_at, each.call.sent_at);
-  if (now - last_activity < each.call.stall_timeout) {
+  const duration silence = now - last_activity;
+  if (silence < each.call.stall_timeout) {
     each.call.stalls_at = last_activity + each.call.stall_timeout;
     return;
   }
   if (each.state == exchange_state::kPrefilling) {
+    LogStall(each, silence, "abandoned", now);
     ports_.upstreams->Cancel(each.call.attempt);
     return Recover(each, {"reader_stalled", true, true, false}, now);
   }
   const bool may_move = each.matched->is_idempotent() && each.runs < each.matched->attempts;
   each.call.stalls_at = each.deadline;
-  if (!may_move) return;
+  if (!may_move) return LogStall(each, silence, "waits_no_attempt", now);
   // Moving loses the work done so far, so another upstream must be available first.
   const auto place = Place(each, now);
-  if (!place || place->expected > each.TimeLeft(now)) return;
+  if (!place || place->expected > each.TimeLeft(now))
+    return LogStall(each, silence, "waits_no_upstream", now);
+  LogStall(each, silence, "abandoned", now);
   ports_.upstreams->Cancel(each.call.attempt);
   Recover(each, {"stalled", true, true, false}, now);
 }
