Add failing tests of answers that end although the upstream goes on

A call is cancelled when its upstream was silent for a second, and only then is a retry asked for; a late tick of the daemon counts as silence; after Expect: 100-continue on a kept connection the server reads twice at once.

--- a/tests/gateway/silence.cpp
+++ b/tests/gateway/silence.cpp
@@ -6,7 +6,66 @@
 namespace hawthorndrum {
 namespace {
 
-class SilenceTest : public GatewayFixtureTest {};
+class SilenceTest : public GatewayFixtureTest {
+ protected:
+  static std::string Event(int id) { return "id: " + std::to_string(id) + "\ndata: t\n\n"; }
+  /** Leaves this daemon a share of the retry budget that is smaller than one retry. */
+  void UseUpRetries() { served.SetOtherDaemons(1000); }
+  void StaySilent(duration time) {
+    for (duration passed{0}; passed < time; passed += milliseconds(100)) Pass(milliseconds(100));
+  }
+};
+
+TEST_F(SilenceTest, AStreamIsNotCutWhenItsEngineFallsSilentAndNoRetryIsLeft) {
+  Add("d", "llm", engine_stage::kDecode);
+  Add("e", "llm", engine_stage::kDecode);
+  const request_id id = AskPrompt("/tell/x", "aa", 100, 50);
+  Head(200);
+  Bytes(Event(1));
+  UseUpRetries();
+  StaySilent(milliseconds(1500));
+  EXPECT_EQ(CallerOf(id).aborts, 0);
+  EXPECT_FALSE(upstreams.sent[0].cancelled);
+  Bytes(Event(2));
+  Done();
+  EXPECT_EQ(CallerOf(id).body, Event(1) + Event(2));
+  EXPECT_EQ(CallerOf(id).ends, 1);
+}
+
+TEST_F(SilenceTest, ASafeRequestIsNotFailedWhenItsUpstreamFallsSilentAndNoRetryIsLeft) {
+  Add("a", "desk");
+  Add("b", "desk");
+  const request_id id = Ask("/look/x");
+  UseUpRetries();
+  StaySilent(milliseconds(1500));
+  EXPECT_EQ(CallerOf(id).answers, 0);
+  Answered("found");
+  EXPECT_EQ(CallerOf(id).status, 200);
+  EXPECT_EQ(CallerOf(id).body, "found");
+}
+
+TEST_F(SilenceTest, APrefillGoesOnWhenItsEngineFallsSilentAndNoOtherCanTakeThePrompt) {
+  const upstream_id decode_engine = Add("d", "llm", engine_stage::kDecode);
+  Add("p", "llm", engine_stage::kPrefill);
+  const request_id id = AskPrompt("/note/x", "aa", 9000, 5000);
+  ASSERT_EQ(SentHeader("X-Hawthorndrum-Stage"), "prefill");
+  UseUpRetries();
+  served.fleet().Find(decode_engine)->refuses_until = clock.Now() + milliseconds(2500);
+  StaySilent(milliseconds(2000));
+  EXPECT_EQ(CallerOf(id).answers, 0);
+  EXPECT_FALSE(upstreams.sent[0].cancelled);
+}
+
+TEST_F(SilenceTest, ADelayOfThisDaemonIsNoSilenceOfItsUpstreams) {
+  Add("d", "llm", engine_stage::kDecode);
+  Add("e", "llm", engine_stage::kDecode);
+  AskPrompt("/tell/x", "aa", 100, 50);
+  Head(200);
+  Bytes(Event(1));
+  Pass(milliseconds(100));
+  Pass(milliseconds(1500));
+  EXPECT_FALSE(upstreams.sent[0].cancelled);
+}
 
 TEST_F(SilenceTest, ADelayOfThisDaemonIsLogged) {
   Pass(milliseconds(100));
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -278,6 +278,34 @@
   EXPECT_LT(text.find("first"), text.find("second"));
 }
 
+TEST_F(HttpTest, ABodyAfterContinueIsReadOnAKeptConnection) {
+  Listen();
+  tcp::socket socket = Connect();
+  boost::asio::write(socket,
+                     boost::asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: x\r\n\r\n")));
+  ASSERT_TRUE(RunUntil([&] { return handler.ids.size() == 1; }));
+  server->Answer(handler.ids[0], {200, {}, "one"});
+  const std::string head =
+      "POST /b HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(head));
+  std::string read;
+  const auto read_some = [&] {
+    char bytes[4096];
+    boost::system::error_code failed;
+    const std::size_t size = socket.read_some(boost::asio::buffer(bytes), failed);
+    read.append(bytes, size);
+    return !failed || failed == boost::asio::error::would_block;
+  };
+  ASSERT_TRUE(RunUntil([&] {
+    read_some();
+    return read.find("100 Continue") != std::string::npos;
+  }));
+  boost::asio::write(socket, boost::asio::buffer(std::string("body")));
+  ASSERT_TRUE(RunUntil([&] { return handler.ids.size() == 2 || !read_some(); }));
+  ASSERT_EQ(handler.ids.size(), 2u) << "the connection was closed without an answer";
+  EXPECT_EQ(handler.requests[1].body, "body");
+}
+
 TEST_F(HttpTest, AbortedStreamHasNoLastChunk) {
   Listen();
   http_client client(io);
