Cancel a silent call only when its successor is affordable

What callers saw: the answer of a sound upstream that was silent for a second ended: a stream was cut (LOST: neither an answer nor a refusal), a safe request got 502, a prompt being prefilled got 503. Cause: Stall cancelled the call first and asked for a retry, a place for the second prefill and the next upstream's consent afterwards. With the retry budget used up, as when one upstream's silence stalls many streams at once, nothing could follow the cancelled call. Change: PlaceStalled computes the successor, its costs included, while the call is open; a stream that has begun moves only if one refusal by its next upstream is affordable as well. A call that cannot move goes on and is considered again every 200 ms (it was left until its deadline before). Why it works: nothing is cancelled that cannot be replaced, and the silent upstream's answer stays deliverable.

--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -41,6 +41,8 @@
   duration stall_timeout{0};
   /** When the call is next checked for a stall; a stalled call may move to another upstream. */
   time_point stalls_at;
+  /** Whether the call stalled and goes on because it could not move. */
+  bool stalled = false;
   /** Prompt tokens to prefill before the first output token, other requests' tokens included. */
   std::uint64_t queued_tokens = 0;
   bool head_seen = false;
@@ -52,6 +54,11 @@
  * `head_sent` the caller receives one continuous series of events, whichever upstreams send them.
  */
 struct exchange {
+  /** Minimum time left for another attempt. */
+  static constexpr duration kMinTimeForAttempt = milliseconds(30);
+  /** Engines that may be asked to prefill a prompt for another one. */
+  static constexpr int kMaxPrefills = 2;
+
   request_id id;
   http_request request;
   caller_terms terms;
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -115,8 +115,7 @@
   return matched.targets.front();
 }
 
-tl::expected<placement, placement_failure> gateway::Place(const exchange& each,
-                                                          time_point now) const {
+placement_query gateway::QueryFor(const exchange& each, time_point now) const {
   placement_query query;
   query.service = each.service;
   query.asked = each.terms.asked ? &*each.terms.asked : nullptr;
@@ -129,9 +128,20 @@
   if (each.call.sent_at == time_point()) query.objective = each.matched->objective;
   query.longest_pause = each.matched->longest_pause;
   query.time_left = each.TimeLeft(now);
+  return query;
+}
+
+tl::expected<placement, placement_failure> gateway::Choose(const exchange& each,
+                                                           const placement_query& query,
+                                                           time_point now) const {
   return each.is_engine() ? engines_.Choose(query, now) : services_.Choose(query, now);
 }
 
+tl::expected<placement, placement_failure> gateway::Place(const exchange& each,
+                                                          time_point now) const {
+  return Choose(each, QueryFor(each, now), now);
+}
+
 void gateway::Send(exchange& each, const placement& place, time_point now) {
   if (place.prefills_at) return SendPrefill(each, place, now);
   SendRun(each, place.runs_at, place.unread_tokens, place.expected, now);
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -95,6 +95,10 @@
 
   // Placing and sending requests.
   const weighted_service& PickTarget(const route& matched);
+  placement_query QueryFor(const exchange& each, time_point now) const;
+  tl::expected<placement, placement_failure> Choose(const exchange& each,
+                                                    const placement_query& query,
+                                                    time_point now) const;
   tl::expected<placement, placement_failure> Place(const exchange& each, time_point now) const;
   void Send(exchange& each, const placement& place, time_point now);
   /** Sends a request whose prompt was prefilled elsewhere to a decode engine. */
@@ -127,7 +131,14 @@
   void GiveUp(exchange& each, const call_problem& problem, time_point now);
   void Expire(exchange& each, time_point now);
   void Stall(exchange& each, time_point now);
-  void LogStall(const exchange& each, duration silence, std::string_view outcome, time_point now);
+  /**
+   * Returns where a silent call can move, or why it goes on. A call is cancelled only when its
+   * successor is affordable: a sound upstream may be silent and go on.
+   */
+  tl::expected<placement, std::string_view> PlaceStalled(const exchange& each, time_point now);
+  void Move(exchange& each, const placement& place, time_point now);
+  void LogStall(exchange& each, duration silence, std::string_view outcome, time_point now);
+  void LogFailedCall(const exchange& each, const call_problem& problem, time_point now);
   /** Logs that this daemon did not run for a while, so it read no bytes either. */
   void LogDelay(time_point now);
   /** Shortens the timeout of calls there that wait for their first byte, since none may come. */
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-/** Minimum time left for another attempt. */
-constexpr duration kMinTimeForAttempt = milliseconds(30);
 /** Number of refusals, as by full upstreams, that a request may recover from. */
 constexpr int kMaxRefusals = 2;
 /** Number of failed connections that a request may recover from. */
@@ -33,8 +31,6 @@
 constexpr duration kReplacedAvoidance = seconds(2);
 /** Weight of one refusal in the moving average of the refusal share. */
 constexpr double kRefusalWeight = 0.3;
-/** Engines that may be asked to prefill a prompt for another one. */
-constexpr int kMaxPrefills = 2;
 constexpr duration kRetryAfterFailure = milliseconds(300);
 
 }  // namespace
@@ -110,8 +106,8 @@
   if (row != nullptr && !ended.connected) ShortenStallTimeouts(*row, now);
 }
 
-void gateway::Recover(exchange& each, const call_problem& problem, time_point now) {
-  fleet_upstream* row = fleet_.Find(each.call.upstream);
+void gateway::LogFailedCall(const exchange& each, const call_problem& problem, time_point now) {
+  const fleet_upstream* row = fleet_.Find(each.call.upstream);
   ports_.log->Write(log_importance::kNotable,
                     log_record("call_failed")
                         .Text("request", each.terms.caller_id)
@@ -125,6 +121,11 @@
                         .Number("events", static_cast<std::int64_t>(each.events.events()))
                         .Number("runs", each.runs)
                         .Decimal("retries_left", allowance_.Remaining(each.service->name, now)));
+}
+
+void gateway::Recover(exchange& each, const call_problem& problem, time_point now) {
+  fleet_upstream* row = fleet_.Find(each.call.upstream);
+  LogFailedCall(each, problem, now);
   if (row != nullptr) RecordFailure(*row, problem, now);
   if (each.state == exchange_state::kPrefilling) return RecoverPrefill(each, problem.reason, now);
   Release(each);
@@ -152,7 +153,7 @@
 }
 
 bool gateway::MayTryAgain(const exchange& each, const call_problem& problem, time_point now) {
-  if (each.TimeLeft(now) < kMinTimeForAttempt) return false;
+  if (each.TimeLeft(now) < exchange::kMinTimeForAttempt) return false;
   if (problem.may_have_run && !each.matched->is_idempotent()) return false;
   if (each.head_sent && !each.matched->resumable) return false;
   if (each.runs >= each.matched->attempts) return false;
@@ -176,8 +177,8 @@
   // The first prefill that an engine accepts is not charged to the retry budget; one that was sent
   // and lost may have been accepted.
   const bool is_free = refused || !sent;
-  each.may_split =
-      each.failed_prefills < kMaxPrefills && (is_free || allowance_.Spend(each.service->name, now));
+  each.may_split = each.failed_prefills < exchange::kMaxPrefills &&
+                   (is_free || allowance_.Spend(each.service->name, now));
   // Each further call counts as an extra one if it is refused as well.
   if (refused && allowance_.Remaining(each.service->name, now) < 0)
     return Refuse(each, kRefusedByUpstream, kRetryAfterFailure);
@@ -191,7 +192,7 @@
   if (each.head_sent) return AbortStream(each);
   if (problem.has_answer) return Deliver(each);
   if (each.runs == 0) return Refuse(each, problem.reason, kRetryAfterFailure);
-  FailUnknown(each, problem.reason, each.TimeLeft(now) < kMinTimeForAttempt ? 504 : 502);
+  FailUnknown(each, problem.reason, each.TimeLeft(now) < exchange::kMinTimeForAttempt ? 504 : 502);
 }
 
 void gateway::FailUnknown(exchange& each, std::string_view reason, int status) {
@@ -216,49 +217,6 @@
   FailUnknown(each, "deadline", 504);
 }
 
-void gateway::LogStall(const exchange& each, duration silence, std::string_view outcome,
-                       time_point now) {
-  const fleet_upstream* row = fleet_.Find(each.call.upstream);
-  ports_.log->Write(log_importance::kNotable,
-                    log_record("call_stalled")
-                        .Text("request", each.terms.caller_id)
-                        .Text("route", each.matched->name)
-                        .Text("upstream", row == nullptr ? "" : row->entry.id)
-                        .Text("outcome", outcome)
-                        .Number("silent_ms", ToMilliseconds(silence))
-                        .Number("after_ms", ToMilliseconds(now - each.call.sent_at))
-                        .Number("events", static_cast<std::int64_t>(each.events.events()))
-                        .Decimal("retries_left", allowance_.Remaining(each.service->name, now)));
-}
-
-void gateway::Stall(exchange& each, time_point now) {
-  // An upstream that sends any byte to this daemon, or to one that reports it, is alive, so silence
-  // on one request alone is no stall.
-  const fleet_upstream* row = fleet_.Find(each.call.upstream);
-  const time_point last_activity =
-      row == nullptr ? each.call.sent_at : std::max(row->last_active_at, each.call.sent_at);
-  const duration silence = now - last_activity;
-  if (silence < each.call.stall_timeout) {
-    each.call.stalls_at = last_activity + each.call.stall_timeout;
-    return;
-  }
-  if (each.state == exchange_state::kPrefilling) {
-    LogStall(each, silence, "abandoned", now);
-    ports_.upstreams->Cancel(each.call.attempt);
-    return Recover(each, {"reader_stalled", true, true, false}, now);
-  }
-  const bool may_move = each.matched->is_idempotent() && each.runs < each.matched->attempts;
-  each.call.stalls_at = each.deadline;
-  if (!may_move) return LogStall(each, silence, "waits_no_attempt", now);
-  // Moving loses the work done so far, so another upstream must be available first.
-  const auto place = Place(each, now);
-  if (!place || place->expected > each.TimeLeft(now))
-    return LogStall(each, silence, "waits_no_upstream", now);
-  LogStall(each, silence, "abandoned", now);
-  ports_.upstreams->Cancel(each.call.attempt);
-  Recover(each, {"stalled", true, true, false}, now);
-}
-
 void gateway::OnCallerGone(request_id id) {
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
--- /dev/null
+++ b/src/libhawthorndrum/gateway/gateway_stalls.cpp
@@ -0,0 +1,110 @@
+/// Moves calls whose upstream is silent, if that cannot end the caller's answer.
+#include <algorithm>
+
+#include "base/log_record.h"
+#include "gateway/gateway.h"
+#include "gateway/upstream_calls.h"
+#include "ports/clock.h"
+#include "ports/event_log.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+/** How often a stalled call that could not move is considered again. */
+constexpr duration kStallCheckInterval = milliseconds(200);
+/** A run that is sent again is an extra call to the service. */
+constexpr double kRetriesOfRun = 1;
+/** So is a second prefill of its prompt. */
+constexpr double kRetriesOfPrefill = 1;
+/**
+ * Further retries that must be left before a stream that has begun may move: the next upstream may
+ * refuse it, and the caller cannot be told to come back in the middle of an answer.
+ */
+constexpr double kSpareRetriesOfStream = 1;
+
+}  // namespace
+
+void gateway::Stall(exchange& each, time_point now) {
+  // An upstream that sends any byte to this daemon, or to one that reports it, is alive, so silence
+  // on one request alone is no stall.
+  const fleet_upstream* row = fleet_.Find(each.call.upstream);
+  const time_point last_activity =
+      row == nullptr ? each.call.sent_at : std::max(row->last_active_at, each.call.sent_at);
+  const duration silence = now - last_activity;
+  if (silence < each.call.stall_timeout) {
+    each.call.stalls_at = last_activity + each.call.stall_timeout;
+    return;
+  }
+  each.call.stalls_at = now + kStallCheckInterval;
+  const auto place = PlaceStalled(each, now);
+  if (!place) return LogStall(each, silence, place.error(), now);
+  LogStall(each, silence, "moves", now);
+  Move(each, *place, now);
+}
+
+tl::expected<placement, std::string_view> gateway::PlaceStalled(const exchange& each,
+                                                                time_point now) {
+  const bool prefilling = each.state == exchange_state::kPrefilling;
+  const bool may_run_again =
+      prefilling || (each.matched->is_idempotent() && each.runs < each.matched->attempts);
+  if (!may_run_again || crashes_.IsConvicted(each.fingerprint, now))
+    return tl::make_unexpected("waits_no_attempt");
+  const double spare = each.head_sent ? kSpareRetriesOfStream : 0;
+  const double left = allowance_.Remaining(each.service->name, now) - spare;
+  const double for_run = prefilling ? 0 : kRetriesOfRun;
+  if (left < for_run) return tl::make_unexpected("waits_no_retry");
+
+  std::vector<upstream_id> tried = each.tried;
+  if (prefilling) tried.push_back(each.call.upstream);
+  placement_query query = QueryFor(each, now);
+  query.tried = &tried;
+  // A handle that the stalled call may have used cannot be used again.
+  query.is_prefilled = false;
+  query.prefilled_at = nullptr;
+  const bool may_prefill_again = !each.sent_to_prefill || left >= for_run + kRetriesOfPrefill;
+  const bool is_last_prefill = prefilling && each.failed_prefills + 1 >= exchange::kMaxPrefills;
+  query.may_split = each.may_split && may_prefill_again && !is_last_prefill;
+  const auto place = Choose(each, query, now);
+  if (!place || place->expected > each.TimeLeft(now))
+    return tl::make_unexpected("waits_no_upstream");
+  return *place;
+}
+
+void gateway::Move(exchange& each, const placement& place, time_point now) {
+  const bool prefilling = each.state == exchange_state::kPrefilling;
+  const call_problem problem{prefilling ? "reader_stalled" : "stalled", true, true, false};
+  LogFailedCall(each, problem, now);
+  if (fleet_upstream* row = fleet_.Find(each.call.upstream)) RecordFailure(*row, problem, now);
+  if (prefilling) {
+    each.tried.push_back(each.call.upstream);
+    each.failed_prefills += 1;
+  } else {
+    allowance_.Charge(each.service->name, now);
+    each.events.DropIncomplete();
+    DropHandle(each);
+  }
+  Cancel(each);
+  each.answer = {};
+  if (place.prefills_at && each.sent_to_prefill) allowance_.Charge(each.service->name, now);
+  Send(each, place, now);
+}
+
+void gateway::LogStall(exchange& each, duration silence, std::string_view outcome, time_point now) {
+  // One line a stall: a call that waits is considered again many times.
+  if (each.call.stalled && outcome != "moves") return;
+  each.call.stalled = true;
+  const fleet_upstream* row = fleet_.Find(each.call.upstream);
+  ports_.log->Write(log_importance::kNotable,
+                    log_record("call_stalled")
+                        .Text("request", each.terms.caller_id)
+                        .Text("route", each.matched->name)
+                        .Text("upstream", row == nullptr ? "" : row->entry.id)
+                        .Text("outcome", outcome)
+                        .Number("silent_ms", ToMilliseconds(silence))
+                        .Number("after_ms", ToMilliseconds(now - each.call.sent_at))
+                        .Number("events", static_cast<std::int64_t>(each.events.events()))
+                        .Decimal("retries_left", allowance_.Remaining(each.service->name, now)));
+}
+
+}  // namespace hawthorndrum
--- a/tests/gateway/silence.cpp
+++ b/tests/gateway/silence.cpp
@@ -9,8 +9,8 @@
 class SilenceTest : public GatewayFixtureTest {
  protected:
   static std::string Event(int id) { return "id: " + std::to_string(id) + "\ndata: t\n\n"; }
-  /** Leaves this daemon a share of the retry budget that is smaller than one retry. */
-  void UseUpRetries() { served.SetOtherDaemons(1000); }
+  /** Makes the daemon's share of the retry budget that many retries and a part of one. */
+  void LeaveRetries(int count) { served.SetOtherDaemons(count == 0 ? 1000 : 30 / count); }
   void StaySilent(duration time) {
     for (duration passed{0}; passed < time; passed += milliseconds(100)) Pass(milliseconds(100));
   }
@@ -22,7 +22,7 @@
   const request_id id = AskPrompt("/tell/x", "aa", 100, 50);
   Head(200);
   Bytes(Event(1));
-  UseUpRetries();
+  LeaveRetries(0);
   StaySilent(milliseconds(1500));
   EXPECT_EQ(CallerOf(id).aborts, 0);
   EXPECT_FALSE(upstreams.sent[0].cancelled);
@@ -32,11 +32,33 @@
   EXPECT_EQ(CallerOf(id).ends, 1);
 }
 
+TEST_F(SilenceTest, AStreamMovesOnlyIfItsNextEngineMayRefuseItOnce) {
+  for (const char* id : {"d", "e", "f"}) Add(id, "llm", engine_stage::kDecode);
+  const request_id id = AskPrompt("/tell/x", "aa", 100, 50);
+  Head(200);
+  Bytes(Event(1));
+  LeaveRetries(1);
+  StaySilent(milliseconds(1500));
+  EXPECT_FALSE(upstreams.sent[0].cancelled);
+  LeaveRetries(2);
+  StaySilent(milliseconds(300));
+  EXPECT_TRUE(upstreams.sent[0].cancelled);
+  ASSERT_EQ(upstreams.sent.size(), 2u);
+  Refused();
+  ASSERT_EQ(upstreams.sent.size(), 3u);
+  EXPECT_EQ(SentHeader("Last-Event-Id"), "1");
+  Head(200);
+  Bytes(Event(2));
+  Done();
+  EXPECT_EQ(CallerOf(id).body, Event(1) + Event(2));
+  EXPECT_EQ(CallerOf(id).ends, 1);
+}
+
 TEST_F(SilenceTest, ASafeRequestIsNotFailedWhenItsUpstreamFallsSilentAndNoRetryIsLeft) {
   Add("a", "desk");
   Add("b", "desk");
   const request_id id = Ask("/look/x");
-  UseUpRetries();
+  LeaveRetries(0);
   StaySilent(milliseconds(1500));
   EXPECT_EQ(CallerOf(id).answers, 0);
   Answered("found");
@@ -49,7 +71,7 @@
   Add("p", "llm", engine_stage::kPrefill);
   const request_id id = AskPrompt("/note/x", "aa", 9000, 5000);
   ASSERT_EQ(SentHeader("X-Hawthorndrum-Stage"), "prefill");
-  UseUpRetries();
+  LeaveRetries(0);
   served.fleet().Find(decode_engine)->refuses_until = clock.Now() + milliseconds(2500);
   StaySilent(milliseconds(2000));
   EXPECT_EQ(CallerOf(id).answers, 0);
