Do not count a delay of the daemon as silence of its upstreams

What callers saw: calls were abandoned, and their work lost, in the tick after the daemon was frozen or had no processor time for a second. Cause: the tick after a delay runs before the bytes that arrived meanwhile are read, and compared the time of the last byte with the clock. Why it works: an upstream gets a whole stall timeout in which its bytes can be read. Tests: the gateway's fixture let time pass without ticks, which now means a delay: ReachTest's prompts waited 310 ms in one step and were rightly not moved. Pass ticks every 100 ms, as tick_driver does; Delay is the single late tick. No expectation changed.

--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -244,9 +244,10 @@
   return static_cast<double>(tokens) / (speeds_.PrefillTokensPerMs(service) * 1000);
 }
 
-void gateway::LogDelay(time_point now) {
+void gateway::DetectDelay(time_point now) {
   const time_point before = std::exchange(last_run_, now);
   if (before == time_point() || now - before <= kLateTick) return;
+  reads_since_ = now;
   ports_.log->Write(log_importance::kImportant,
                     log_record("loop_delayed")
                         .Number("after_ms", ToMilliseconds(now - before))
@@ -254,7 +255,7 @@
 }
 
 void gateway::Run(time_point now) {
-  LogDelay(now);
+  DetectDelay(now);
   peers_.Run(now);
   reachability_.Run(now);
   // Expire and Stall may erase exchanges, so the ids are collected first.
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -139,8 +139,8 @@
   void Move(exchange& each, const placement& place, time_point now);
   void LogStall(exchange& each, duration silence, std::string_view outcome, time_point now);
   void LogFailedCall(const exchange& each, const call_problem& problem, time_point now);
-  /** Logs that this daemon did not run for a while, so it read no bytes either. */
-  void LogDelay(time_point now);
+  /** Detects that this daemon did not run for a while, so it read no bytes either. */
+  void DetectDelay(time_point now);
   /** Shortens the timeout of calls there that wait for their first byte, since none may come. */
   void ShortenStallTimeouts(const fleet_upstream& row, time_point now);
   void RecordFailure(fleet_upstream& row, const call_problem& problem, time_point now);
@@ -179,6 +179,8 @@
   std::uint64_t notices_ = 0;
   time_point last_sweep_;
   time_point last_run_;
+  /** Bytes that arrived before may be unread, so upstreams' silence counts from then on. */
+  time_point reads_since_;
   std::map<std::string, std::unique_ptr<route_meters>> meters_;
 };
 
--- a/src/libhawthorndrum/gateway/gateway_stalls.cpp
+++ b/src/libhawthorndrum/gateway/gateway_stalls.cpp
@@ -29,8 +29,9 @@
   // An upstream that sends any byte to this daemon, or to one that reports it, is alive, so silence
   // on one request alone is no stall.
   const fleet_upstream* row = fleet_.Find(each.call.upstream);
+  const time_point heard_since = std::max(each.call.sent_at, reads_since_);
   const time_point last_activity =
-      row == nullptr ? each.call.sent_at : std::max(row->last_active_at, each.call.sent_at);
+      row == nullptr ? heard_since : std::max(row->last_active_at, heard_since);
   const duration silence = now - last_activity;
   if (silence < each.call.stall_timeout) {
     each.call.stalls_at = last_activity + each.call.stall_timeout;
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -129,7 +130,16 @@
     Bytes(R"({"handle":"h1","tokens":5000,"version":1})");
     Done();
   }
+  /** Ticks at least every 100 ms, as the daemon does. */
   void Pass(duration time) {
+    constexpr duration kTick = milliseconds(100);
+    for (duration left = time; left > duration(0); left -= kTick) {
+      clock.Advance(std::min(left, kTick));
+      served.Run(clock.Now());
+    }
+  }
+  /** Lets time pass without a tick, as when the process is frozen, then ticks once. */
+  void Delay(duration time) {
     clock.Advance(time);
     served.Run(clock.Now());
   }
--- a/tests/gateway/silence.cpp
+++ b/tests/gateway/silence.cpp
@@ -11,9 +11,6 @@
   static std::string Event(int id) { return "id: " + std::to_string(id) + "\ndata: t\n\n"; }
   /** Makes the daemon's share of the retry budget that many retries and a part of one. */
   void LeaveRetries(int count) { served.SetOtherDaemons(count == 0 ? 1000 : 30 / count); }
-  void StaySilent(duration time) {
-    for (duration passed{0}; passed < time; passed += milliseconds(100)) Pass(milliseconds(100));
-  }
 };
 
 TEST_F(SilenceTest, AStreamIsNotCutWhenItsEngineFallsSilentAndNoRetryIsLeft) {
@@ -23,7 +20,7 @@
   Head(200);
   Bytes(Event(1));
   LeaveRetries(0);
-  StaySilent(milliseconds(1500));
+  Pass(milliseconds(1500));
   EXPECT_EQ(CallerOf(id).aborts, 0);
   EXPECT_FALSE(upstreams.sent[0].cancelled);
   Bytes(Event(2));
@@ -38,10 +35,10 @@
   Head(200);
   Bytes(Event(1));
   LeaveRetries(1);
-  StaySilent(milliseconds(1500));
+  Pass(milliseconds(1500));
   EXPECT_FALSE(upstreams.sent[0].cancelled);
   LeaveRetries(2);
-  StaySilent(milliseconds(300));
+  Pass(milliseconds(300));
   EXPECT_TRUE(upstreams.sent[0].cancelled);
   ASSERT_EQ(upstreams.sent.size(), 2u);
   Refused();
@@ -59,7 +56,7 @@
   Add("b", "desk");
   const request_id id = Ask("/look/x");
   LeaveRetries(0);
-  StaySilent(milliseconds(1500));
+  Pass(milliseconds(1500));
   EXPECT_EQ(CallerOf(id).answers, 0);
   Answered("found");
   EXPECT_EQ(CallerOf(id).status, 200);
@@ -73,7 +70,7 @@
   ASSERT_EQ(SentHeader("X-Hawthorndrum-Stage"), "prefill");
   LeaveRetries(0);
   served.fleet().Find(decode_engine)->refuses_until = clock.Now() + milliseconds(2500);
-  StaySilent(milliseconds(2000));
+  Pass(milliseconds(2000));
   EXPECT_EQ(CallerOf(id).answers, 0);
   EXPECT_FALSE(upstreams.sent[0].cancelled);
 }
@@ -85,14 +82,14 @@
   Head(200);
   Bytes(Event(1));
   Pass(milliseconds(100));
-  Pass(milliseconds(1500));
+  Delay(milliseconds(1500));
   EXPECT_FALSE(upstreams.sent[0].cancelled);
 }
 
 TEST_F(SilenceTest, ADelayOfThisDaemonIsLogged) {
   Pass(milliseconds(100));
   EXPECT_EQ(log.LastOf("loop_delayed"), "");
-  Pass(milliseconds(1500));
+  Delay(milliseconds(1500));
   EXPECT_EQ(log.LastOf("loop_delayed"),
             R"({"event":"loop_delayed","after_ms":1500,"in_flight":0})");
 }
