Read one request at a time after Expect: 100-continue on a kept connection

What callers saw: a caller that sends Expect: 100-continue on a connection that has had an answer ends the daemon by an assertion of Beast, and with it every request in flight (LOST). Cause: answer_ended_ stayed set from the answer before, so the written 100 Continue counted as the end of an answer and the next header was read while the body was being read. Change: the flag is cleared when the next request is waited for. Why it works: only an answer to the request that is being read can end.

--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -90,6 +90,7 @@
   bool keep_alive_ = true;
   bool head_only_ = false;
   bool chunked_ = false;
+  /** Whether all bytes of the answer to the current request are queued. */
   bool answer_ended_ = false;
   /** The answer was aborted: bytes already written are sent, then the connection is closed. */
   bool aborted_ = false;
@@ -119,6 +120,7 @@
 template <typename Stream>
 void http_stream_session<Stream>::ReadHeader() {
   parser_.emplace();
+  answer_ended_ = false;
   if (closing_ && buffer_.size() == 0) return Close();
   parser_->header_limit(limits_.header_bytes);
   parser_->body_limit(limits_.body_bytes);
@@ -171,7 +173,6 @@
   const auto owner = owner_.lock();
   if (!owner) return Close();
   keep_alive_ = parser_->get().keep_alive();
-  answer_ended_ = false;
   boost::beast::get_lowest_layer(stream_).expires_never();
   request_ = owner->OnSessionRequest(*this, ToRequest(parser_->release()));
   if (closed_ && request_) owner->OnSessionDone(std::exchange(request_, request_id()), true);
