Let a request that was moved from a silent upstream wait for a place

What callers saw: a stream was cut, or a safe request got 502, because the upstream to which a silent call had moved refused it or could not be reached (LOST). The move was affordable, but what followed a failed successor was not: the silent upstream counted as tried for good, a refusal of a split stream costs two retries, three refusals end a request, other requests spend the retry that was left, and a second prefill may find no decode engine. Change: such a request waits without a call (state kWaiting, event request_waits) and is placed again every 200 ms, at any upstream, the silent one included, until its deadline or until its caller leaves. Why it works: after a move no refusal and no lack of budget or place ends an answer; runs stay within the route's attempts, and each further call is charged to the retry budget.

--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -22,6 +22,8 @@
   kPrefilling,
   /** An upstream runs the request. */
   kRunning,
+  /** The request was moved from a silent upstream and waits until another one takes it. */
+  kWaiting,
 };
 
 /** The part of an upstream's answer that has been received. */
@@ -50,8 +52,9 @@
 };
 
 /**
- * Invariants: exactly one call is open (`call`); `head_sent` is set for streams only; after
- * `head_sent` the caller receives one continuous series of events, whichever upstreams send them.
+ * Invariants: exactly one call is open (`call`), or none while waiting; `head_sent` is set for
+ * streams only; after `head_sent` the caller receives one continuous series of events, whichever
+ * upstreams send them.
  */
 struct exchange {
   /** Minimum time left for another attempt. */
@@ -90,6 +93,8 @@
   /** Failed attempts to prefill the prompt on a separate engine. */
   int failed_prefills = 0;
   bool may_split = true;
+  /** Whether a silent call was abandoned; its upstream might have gone on. */
+  bool moved = false;
 
   bool head_sent = false;
   event_splitter events;
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -181,6 +181,8 @@
 
 void gateway::Refuse(exchange& each, std::string_view reason, duration retry_after) {
   DropHandle(each);
+  const time_point now = ports_.time->Now();
+  if (MayWait(each, now)) return Wait(each, reason, now);
   // The caller has part of a stream; a refusal must not be appended to it.
   if (each.head_sent) return AbortStream(each);
   // "Not run" is answered only for requests that certainly never ran.
@@ -194,7 +196,7 @@
                         .Text("route", each.matched->name)
                         .Number("status", 503)
                         .Number("retry_after_ms", ToMilliseconds(retry_after))
-                        .Number("left_ms", ToMilliseconds(each.TimeLeft(ports_.time->Now())))
+                        .Number("left_ms", ToMilliseconds(each.TimeLeft(now)))
                         .Number("refusals", each.refusals)
                         .Number("tried", static_cast<std::int64_t>(each.tried.size()))
                         .Number("config", static_cast<std::int64_t>(each.config->version)));
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -132,11 +132,16 @@
   void Expire(exchange& each, time_point now);
   void Stall(exchange& each, time_point now);
   /**
-   * Returns where a silent call can move, or why it goes on. A call is cancelled only when its
-   * successor is affordable: a sound upstream may be silent and go on.
+   * Returns where a silent or waiting request can go, or why it cannot. A silent call is cancelled
+   * only when its successor is affordable: a sound upstream may be silent and go on.
    */
-  tl::expected<placement, std::string_view> PlaceStalled(const exchange& each, time_point now);
+  tl::expected<placement, std::string_view> PlaceAgain(const exchange& each, time_point now);
   void Move(exchange& each, const placement& place, time_point now);
+  /** Charges the extra calls to the retry budget and sends the request. */
+  void SendAgain(exchange& each, const placement& place, time_point now);
+  /** Returns whether a request that was moved waits for a place instead of failing. */
+  bool MayWait(const exchange& each, time_point now) const;
+  void Wait(exchange& each, std::string_view reason, time_point now);
   void LogStall(exchange& each, duration silence, std::string_view outcome, time_point now);
   void LogFailedCall(const exchange& each, const call_problem& problem, time_point now);
   /** Detects that this daemon did not run for a while, so it read no bytes either. */
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -189,6 +189,7 @@
 
 void gateway::GiveUp(exchange& each, const call_problem& problem, time_point now) {
   DropHandle(each);
+  if (!problem.may_have_run && MayWait(each, now)) return Wait(each, problem.reason, now);
   if (each.head_sent) return AbortStream(each);
   if (problem.has_answer) return Deliver(each);
   if (each.runs == 0) return Refuse(each, problem.reason, kRetryAfterFailure);
--- a/src/libhawthorndrum/gateway/gateway_stalls.cpp
+++ b/src/libhawthorndrum/gateway/gateway_stalls.cpp
@@ -1,4 +1,4 @@
-/// Moves calls whose upstream is silent, if that cannot end the caller's answer.
+/// Moves calls whose upstream is silent, in ways that cannot end the caller's answer.
 #include <algorithm>
 
 #include "base/log_record.h"
@@ -11,7 +11,7 @@
 
 namespace {
 
-/** How often a stalled call that could not move is considered again. */
+/** How often a stalled call that could not move, or a waiting request, is considered again. */
 constexpr duration kStallCheckInterval = milliseconds(200);
 /** A run that is sent again is an extra call to the service. */
 constexpr double kRetriesOfRun = 1;
@@ -26,6 +26,12 @@
 }  // namespace
 
 void gateway::Stall(exchange& each, time_point now) {
+  if (each.state == exchange_state::kWaiting) {
+    each.call.stalls_at = now + kStallCheckInterval;
+    const auto place = PlaceAgain(each, now);
+    if (place) SendAgain(each, *place, now);
+    return;
+  }
   // An upstream that sends any byte to this daemon, or to one that reports it, is alive, so silence
   // on one request alone is no stall.
   const fleet_upstream* row = fleet_.Find(each.call.upstream);
@@ -38,20 +44,21 @@
     return;
   }
   each.call.stalls_at = now + kStallCheckInterval;
-  const auto place = PlaceStalled(each, now);
+  const auto place = PlaceAgain(each, now);
   if (!place) return LogStall(each, silence, place.error(), now);
   LogStall(each, silence, "moves", now);
   Move(each, *place, now);
 }
 
-tl::expected<placement, std::string_view> gateway::PlaceStalled(const exchange& each,
-                                                                time_point now) {
+tl::expected<placement, std::string_view> gateway::PlaceAgain(const exchange& each,
+                                                              time_point now) {
   const bool prefilling = each.state == exchange_state::kPrefilling;
   const bool may_run_again =
       prefilling || (each.matched->is_idempotent() && each.runs < each.matched->attempts);
   if (!may_run_again || crashes_.IsConvicted(each.fingerprint, now))
     return tl::make_unexpected("waits_no_attempt");
-  const double spare = each.head_sent ? kSpareRetriesOfStream : 0;
+  const bool waiting = each.state == exchange_state::kWaiting;
+  const double spare = each.head_sent && !waiting ? kSpareRetriesOfStream : 0;
   const double left = allowance_.Remaining(each.service->name, now) - spare;
   const double for_run = prefilling ? 0 : kRetriesOfRun;
   if (left < for_run) return tl::make_unexpected("waits_no_retry");
@@ -64,8 +71,8 @@
   query.is_prefilled = false;
   query.prefilled_at = nullptr;
   const bool may_prefill_again = !each.sent_to_prefill || left >= for_run + kRetriesOfPrefill;
-  const bool is_last_prefill = prefilling && each.failed_prefills + 1 >= exchange::kMaxPrefills;
-  query.may_split = each.may_split && may_prefill_again && !is_last_prefill;
+  const int failed_prefills = each.failed_prefills + (prefilling ? 1 : 0);
+  query.may_split = may_prefill_again && failed_prefills < exchange::kMaxPrefills;
   const auto place = Choose(each, query, now);
   if (!place || place->expected > each.TimeLeft(now))
     return tl::make_unexpected("waits_no_upstream");
@@ -81,16 +88,45 @@
     each.tried.push_back(each.call.upstream);
     each.failed_prefills += 1;
   } else {
-    allowance_.Charge(each.service->name, now);
     each.events.DropIncomplete();
     DropHandle(each);
   }
   Cancel(each);
   each.answer = {};
+  each.moved = true;
+  SendAgain(each, place, now);
+}
+
+void gateway::SendAgain(exchange& each, const placement& place, time_point now) {
+  if (each.state != exchange_state::kPrefilling) allowance_.Charge(each.service->name, now);
   if (place.prefills_at && each.sent_to_prefill) allowance_.Charge(each.service->name, now);
   Send(each, place, now);
 }
 
+bool gateway::MayWait(const exchange& each, time_point now) const {
+  // Before its first run a request is refused, and its caller told when to come back.
+  return each.moved && !each.caller_gone && each.runs > 0 && each.runs < each.matched->attempts &&
+         each.TimeLeft(now) >= exchange::kMinTimeForAttempt &&
+         !crashes_.IsConvicted(each.fingerprint, now);
+}
+
+void gateway::Wait(exchange& each, std::string_view reason, time_point now) {
+  ports_.log->Write(log_importance::kNotable,
+                    log_record("request_waits")
+                        .Text("request", each.terms.caller_id)
+                        .Text("route", each.matched->name)
+                        .Text("reason", reason)
+                        .Number("refusals", each.refusals)
+                        .Number("left_ms", ToMilliseconds(each.TimeLeft(now)))
+                        .Decimal("retries_left", allowance_.Remaining(each.service->name, now)));
+  each.state = exchange_state::kWaiting;
+  each.call = {};
+  each.call.sent_at = now;
+  each.call.stalls_at = now + kStallCheckInterval;
+  // The silent upstream may have gone on, and those that refused may have capacity again.
+  each.tried.clear();
+}
+
 void gateway::LogStall(exchange& each, duration silence, std::string_view outcome, time_point now) {
   // One line a stall: a call that waits is considered again many times.
   if (each.call.stalled && outcome != "moves") return;
