Do not move a stalled prefill for a caller that has gone

What upstreams saw: a prompt was prefilled at a second engine for a caller that had left. Change: Move closes the request of a caller that has gone.

--- a/src/libhawthorndrum/gateway/gateway_stalls.cpp
+++ b/src/libhawthorndrum/gateway/gateway_stalls.cpp
@@ -92,6 +92,7 @@
     DropHandle(each);
   }
   Cancel(each);
+  if (each.caller_gone) return Close(each, "caller_gone", 0);
   each.answer = {};
   each.moved = true;
   SendAgain(each, place, now);
--- a/tests/gateway/moves.cpp
+++ b/tests/gateway/moves.cpp
@@ -69,6 +69,19 @@
   Refused();
   EXPECT_EQ(CallerOf(id).aborts, 0);
 }
+TEST_F(MovesTest, AStalledPrefillIsNotMovedForACallerThatHasGone) {
+  auto config = MakeConfig(2);
+  config->routes.push_back(MakeRoute("/once/", route_kind::kUnsafe, "llm"));
+  config->Index();
+  served.SetConfig(config);
+  for (const char* id : {"d", "e"}) Add(id, "llm", engine_stage::kDecode);
+  for (const char* id : {"p", "q"}) Add(id, "llm", engine_stage::kPrefill);
+  const request_id id = AskPrompt("/once/x", "aa", 9000, 5000);
+  ASSERT_EQ(SentHeader("X-Hawthorndrum-Stage"), "prefill");
+  served.OnCallerGone(id);
+  Pass(milliseconds(2500));
+  EXPECT_EQ(upstreams.sent.size(), 1u);
+}
 TEST_F(MovesTest, AStreamThatWasRefusedTwiceDoesNotMoveOntoItsLastRefusal) {
   for (const char* id : {"a", "b", "c", "d", "e"}) Add(id, "llm", engine_stage::kDecode);
   const request_id id = AskPrompt("/tell/x", "aa", 100, 50);
