Count all bytes of an answer as a sign of life

What callers saw: nothing but time; a safe answer whose body came in parts was abandoned after half of its objective and run again elsewhere. Cause: only heads and events renewed the upstream's last activity, not the bytes of buffered answers. Measured: test_gateway, test_settings, test_reach and test_mix pass.

--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -57,6 +57,9 @@
 void gateway::OnAttemptBytes(const attempt_bytes& bytes) {
   exchange* each = FindByAttempt(bytes.attempt);
   if (each == nullptr) return;
+  each->call.stalled = false;
+  if (fleet_upstream* row = fleet_.Find(each->call.upstream))
+    row->last_active_at = ports_.time->Now();
   const answer_terms& terms = each->answer.terms;
   const bool success = IsSuccess(terms.status) && terms.sealed;
   if (success || each->state == exchange_state::kPrefilling)
@@ -72,7 +75,6 @@
 
 void gateway::RelayEvents(exchange& each, std::string_view bytes) {
   const time_point now = ports_.time->Now();
-  if (fleet_upstream* row = fleet_.Find(each.call.upstream)) row->last_active_at = now;
   each.call.stall_timeout =
       std::max<duration>(kMinEventStall, kStallPauses * each.matched->longest_pause);
   each.call.stalls_at = now + each.call.stall_timeout;
--- a/tests/gateway/moves.cpp
+++ b/tests/gateway/moves.cpp
@@ -69,6 +69,17 @@
   Refused();
   EXPECT_EQ(CallerOf(id).aborts, 0);
 }
+TEST_F(MovesTest, AnAnswerWhoseBytesArriveIsNotStalled) {
+  Add("a", "desk");
+  Add("b", "desk");
+  Ask("/look/x");
+  Head(200);
+  for (int i = 0; i < 15; ++i) {
+    Pass(milliseconds(100));
+    ASSERT_FALSE(upstreams.sent[0].cancelled) << i;
+    Bytes("part");
+  }
+}
 TEST_F(MovesTest, AStalledPrefillIsNotMovedForACallerThatHasGone) {
   auto config = MakeConfig(2);
   config->routes.push_back(MakeRoute("/once/", route_kind::kUnsafe, "llm"));
@@ -94,6 +105,17 @@
   Refused();
   EXPECT_EQ(CallerOf(id).aborts, 0);
 }
+TEST_F(MovesTest, ASecondStallOfACallIsLogged) {
+  Add("d", "llm", engine_stage::kDecode);
+  Begin();
+  Pass(milliseconds(1100));
+  EXPECT_NE(log.LastOf("call_stalled"), "");
+  const std::string first(log.LastOf("call_stalled"));
+  Bytes(Event(2));
+  Pass(milliseconds(1100));
+  EXPECT_NE(log.LastOf("call_stalled"), first);
+}
+
 TEST_F(MovesTest, AStreamMovedByWayOfAPrefillIsNotCutWhenNoDecodeEngineIsLeft) {
   Add("d", "llm", engine_stage::kDecode);
   const upstream_id e = Add("e", "llm", engine_stage::kDecode);
