End a request at its timeout and not ten milliseconds before

Cause: kAnswerMargin was meant to let a 504 arrive in time, but it also ended answers that were on their way. Change: the margin is gone. Why it works: the timeout is counted from the request's arrival here, which is after the caller sent it.

--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -71,7 +71,7 @@
   const gateway_service* service = nullptr;
   std::uint64_t fingerprint = 0;
   time_point arrived;
-  /** The caller must have its final answer by then. */
+  /** The earlier of the caller's and the route's timeout; the request ends then, and not before. */
   time_point deadline;
 
   exchange_state state = exchange_state::kRunning;
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-/** Time reserved for the answer to reach the caller before its timeout. */
-constexpr duration kAnswerMargin = milliseconds(10);
 /** Retry-After of refusals for lack of configuration or upstreams. */
 constexpr duration kRetryUnavailable = milliseconds(500);
 /** Retry-After of requests that crash upstreams. */
@@ -92,7 +90,7 @@
   each.fingerprint = FingerprintOf(each.request);
   each.arrived = now;
   const duration limit = each.terms.time_limit.value_or(matched->timeout);
-  each.deadline = now + std::min(limit, matched->timeout) - kAnswerMargin;
+  each.deadline = now + std::min(limit, matched->timeout);
   MetersOf(*matched).requests.Add();
   if (each.service == nullptr) return Refuse(each, "no_service", kRetryUnavailable);
   allowance_.Earn(each.service->name, now);
--- a/tests/gateway/silence.cpp
+++ b/tests/gateway/silence.cpp
@@ -75,6 +75,24 @@
   EXPECT_FALSE(upstreams.sent[0].cancelled);
 }
 
+TEST_F(SilenceTest, AnAnswerInTheLastMomentsBeforeTheTimeoutIsDelivered) {
+  Add("a", "desk");
+  const request_id plain = Ask("/pay/x");
+  Pass(milliseconds(2995));
+  EXPECT_EQ(CallerOf(plain).answers, 0);
+  Answered("paid");
+  EXPECT_EQ(CallerOf(plain).status, 200);
+  Add("d", "llm", engine_stage::kDecode);
+  const request_id stream = AskPrompt("/note/x", "aa", 100, 50);
+  Head(200);
+  Bytes(Event(1));
+  Pass(milliseconds(2995));
+  EXPECT_EQ(CallerOf(stream).aborts, 0);
+  Bytes(Event(2));
+  Done();
+  EXPECT_EQ(CallerOf(stream).ends, 1);
+}
+
 TEST_F(SilenceTest, ADelayOfThisDaemonIsNoSilenceOfItsUpstreams) {
   Add("d", "llm", engine_stage::kDecode);
   Add("e", "llm", engine_stage::kDecode);
