Fail no call by the timer of its finished connect

What callers saw: a call was lost as timed out right after it was sent when the daemon's loop had been held up for the connect timeout (200 ms): a 502 for a request that may not be repeated, a wasted retry otherwise. Cause: when the loop goes on, the connection's completion and the expired connect timer are queued together. The completion sends the request and cancels the timer, which does not stop a handler that is already queued; the handler then found bytes_sent_ set and failed the call with kTimeout. Evidence: ClientTimersTest.ADelayWhileConnectingFailsNoCallThatWasSent failed on (lost, no status, no request at the server). Change: a count of the timer's uses; a handler of an earlier use does nothing. Why it works: every change of the timer goes through ExpireAfter, which counts before it arms. Checked for the same pattern: total_timer_ is armed once, and its handler does nothing after the call has ended; connection_probe ends once, whichever handler runs first. ClientTimersTest.ADelayWhileProbingIsNoFailure passed before the change as well and stays as a guard.

--- a/src/libtransport/http_client.cpp
+++ b/src/libtransport/http_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -121,6 +122,8 @@
   std::shared_ptr<client_connection> connection_;
   std::optional<beast_request> message_;
   std::optional<http::response_parser<http::string_body>> parser_;
+  /** How often idle_timer_ was armed or cancelled. */
+  std::uint64_t idle_timer_uses_ = 0;
   bool bytes_sent_ = false;
   bool written_ = false;
   bool discarding_ = false;
@@ -143,10 +146,12 @@
 
 void http_client::impl::running_call::ExpireAfter(duration time) {
   idle_timer_.cancel();
+  const std::uint64_t use = ++idle_timer_uses_;
   if (time <= duration(0)) return;
   idle_timer_.expires_after(time);
-  idle_timer_.async_wait([self = shared_from_this()](boost::system::error_code failed) {
-    if (failed || self->ended_) return;
+  idle_timer_.async_wait([self = shared_from_this(), use](boost::system::error_code failed) {
+    // Cancelling does not stop a handler that is already queued.
+    if (failed || self->ended_ || use != self->idle_timer_uses_) return;
     // If no byte was sent, the server was never reached.
     self->Fail(self->bytes_sent_ ? attempt_failure::kTimeout : attempt_failure::kNotConnected);
   });
