Apply changed limits to connections that are already open

What callers saw: after an accepted change of configuration, connections made before it kept the old limits: 413 or 431 for requests that the new limits allow, and an idle connection closed by the old idle timeout although callers may reuse it for four fifths of the new one. Lowered limits did not apply either. Cause: each connection copied the limits when it was accepted; http_session_owner::limits() was never called. Change: a connection takes the limits each time that it begins to read a request, and once more when the first bytes arrived. The wait for these bytes has a timer of its own, which SetLimits starts again, from the beginning of the wait, when the idle timeout changed. Why it works: Beast's timer of a pending read can't be changed, a timer beside it can. The read stays pending, so no bytes are lost and no second read is started. An expired handler that was queued before the timer was started again finds that the new time has not passed.

--- a/src/libtransport/http_server.cpp
+++ b/src/libtransport/http_server.cpp
@@ -46,7 +46,7 @@
 
   expected<std::uint16_t> Listen(std::string_view address);
   void StopListening();
-  void SetLimits(const http_limits& limits) { limits_ = limits; }
+  void SetLimits(const http_limits& limits);
   void CloseAfterAnswers();
   void ReplaceTls(std::shared_ptr<asio::ssl::context> tls) { tls_ = std::move(tls); }
   std::size_t connections() const { return sessions_.size(); }
@@ -124,6 +124,13 @@
   for (const auto& [session, entry] : sessions) session->CloseWhenIdle();
 }
 
+void http_server::impl::SetLimits(const http_limits& limits) {
+  const bool changed = limits.idle_timeout != limits_.idle_timeout;
+  limits_ = limits;
+  if (!changed) return;
+  for (http_session* session : idle_) session->OnIdleTimeoutChanged();
+}
+
 void http_server::impl::CloseAfterAnswers() {
   close_after_answers_ = true;
   for (const auto& [session, entry] : sessions_) session->CloseAfterAnswer();
--- a/src/libtransport/http_server.h
+++ b/src/libtransport/http_server.h
@@ -36,7 +36,7 @@
 
   /** Listens on `ip:port`; port 0 chooses a free one. Returns the port. */
   expected<std::uint16_t> Listen(std::string_view address);
-  /** Applies the limits to connections made from now on. */
+  /** Applies the limits at once to idle connections, to the others after their current request. */
   void SetLimits(const http_limits& limits);
   /**
    * Closes every connection after its next answer, which announces it. New connections are still
--- a/src/libtransport/http_session.h
+++ b/src/libtransport/http_session.h
@@ -27,6 +27,8 @@
   virtual void CloseAfterAnswer() = 0;
   /** Closes at once if no request is being read or answered, otherwise after the answer. */
   virtual void CloseWhenIdle() = 0;
+  /** Called on an idle connection when the owner's idle timeout has changed. */
+  virtual void OnIdleTimeoutChanged() = 0;
 };
 
 }  // namespace hawthorndrum
--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ssl/stream_base.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -11,6 +12,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/ssl/ssl_stream.hpp>
+#include <chrono>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -37,7 +39,10 @@
                                   public std::enable_shared_from_this<http_stream_session<Stream>> {
  public:
   http_stream_session(Stream stream, std::weak_ptr<http_session_owner> owner, http_limits limits)
-      : stream_(std::move(stream)), owner_(std::move(owner)), limits_(limits) {}
+      : stream_(std::move(stream)),
+        owner_(std::move(owner)),
+        limits_(limits),
+        idle_timer_(stream_.get_executor()) {}
 
   void Start() override;
   void Answer(http_answer answer) override;
@@ -50,6 +55,7 @@
   }
   void CloseAfterAnswer() override { close_after_answer_ = true; }
   void CloseWhenIdle() override;
+  void OnIdleTimeoutChanged() override;
 
  private:
   using error_type = boost::beast::error_code;
@@ -68,6 +74,8 @@
 
   void ReadHeader();
   void WaitForRequest();
+  void OnFirstBytes(error_type failed, std::size_t size);
+  void StartIdleTimer();
   void OnHeader(error_type failed);
   void ReadBody();
   void OnBody(error_type failed);
@@ -82,7 +90,13 @@
 
   Stream stream_;
   std::weak_ptr<http_session_owner> owner_;
+  /** The limits that were in force when the connection began to wait for the current request. */
   http_limits limits_;
+  /** Apart from the stream's timer, which can't be changed while a read is pending. */
+  boost::asio::steady_timer idle_timer_;
+  std::chrono::steady_clock::time_point idle_since_;
+  /** Whether the first bytes of a request are waited for. */
+  bool waiting_ = false;
   boost::beast::flat_buffer buffer_;
   std::optional<parser> parser_;
   request_id request_;
@@ -121,6 +135,7 @@
 void http_stream_session<Stream>::ReadHeader() {
   parser_.emplace();
   answer_ended_ = false;
+  if (const auto owner = owner_.lock()) limits_ = owner->limits();
   if (closing_ && buffer_.size() == 0) return Close();
   parser_->header_limit(limits_.header_bytes);
   parser_->body_limit(limits_.body_bytes);
@@ -135,16 +150,40 @@
 void http_stream_session<Stream>::WaitForRequest() {
   // The wait for the first byte may take up to the idle timeout; from then on the header timeout
   // applies.
-  SetTimeout(limits_.idle_timeout);
+  boost::beast::get_lowest_layer(stream_).expires_never();
+  waiting_ = true;
+  idle_since_ = std::chrono::steady_clock::now();
+  StartIdleTimer();
   if (const auto owner = owner_.lock()) owner->OnSessionIdle(*this, true);
-  stream_.async_read_some(buffer_.prepare(kFirstReadBytes),
-                          [self = Self()](error_type failed, std::size_t size) {
-                            if (failed) return self->Close();
-                            if (const auto owner = self->owner_.lock())
-                              owner->OnSessionIdle(*self, false);
-                            self->buffer_.commit(size);
-                            self->ReadHeader();
-                          });
+  stream_.async_read_some(
+      buffer_.prepare(kFirstReadBytes),
+      [self = Self()](error_type failed, std::size_t size) { self->OnFirstBytes(failed, size); });
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::OnFirstBytes(error_type failed, std::size_t size) {
+  waiting_ = false;
+  idle_timer_.cancel();
+  if (failed) return Close();
+  if (const auto owner = owner_.lock()) owner->OnSessionIdle(*this, false);
+  buffer_.commit(size);
+  ReadHeader();
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::StartIdleTimer() {
+  idle_timer_.expires_at(idle_since_ + limits_.idle_timeout);
+  idle_timer_.async_wait([self = Self()](error_type failed) {
+    // A handler that was queued before the timer was started again is not cancelled.
+    if (failed || std::chrono::steady_clock::now() < self->idle_timer_.expiry()) return;
+    if (self->waiting_) self->Close();
+  });
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::OnIdleTimeoutChanged() {
+  if (const auto owner = owner_.lock()) limits_ = owner->limits();
+  if (waiting_) StartIdleTimer();
 }
 
 template <typename Stream>
@@ -308,6 +347,8 @@
 void http_stream_session<Stream>::Close() {
   if (closed_) return;
   closed_ = true;
+  waiting_ = false;
+  idle_timer_.cancel();
   error_type ignored;
   Socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
   Socket().close(ignored);
