Serve a request that has arrived when its connection is to be closed

What callers saw: a request on a kept connection was cut without an answer when the server stopped listening, or evicted the connection at the limit of connections, after the request had arrived but before it was read. A pipelined request was dropped although the answer before it had promised to keep the connection. Cause: CloseWhenIdle and EvictIdle only looked at bytes that were read already, and FinishAnswer closed every connection of a stopping server, whatever its answer had said. Evidence: with the sources of the commit before, KeptConnectionsTest.AnArrivedRequestIsServedWhenTheServerStops, AnArrivedRequestIsServedAtAnyTurnOfAStop (at 6 of 8 turns), APipelinedRequestIsServedWhenTheServerStops, AnArrivedRequestIsNotEvicted, AnUnfinishedRequestDoesNotHoldUpAStop (its requests were cut instead of bounded), KeptTlsConnectionsTest.AnArrivedRequestIsServedWhenTheServerStops and ARequestAfterAnAnswerIsServedWhenTheServerStops failed. ADelayPastTheIdleTimeoutCutsNoArrivedRequest, KeptTlsConnectionsTest.ARaisedIdleTimeoutIsInForce and AnIdleConnectionIsClosedWhenTheServerStops passed before as well and stay as guards. Change: a waiting connection is closed only if its socket holds no bytes; otherwise the request is read and its answer says Connection: close. Eviction and the idle timeout follow the same rule. An answer that kept the connection is followed by the same check, an answer that announced the close by the close. Such connections count as busy, so a daemon waits for them. Why it works: without TLS nothing is read until the socket is readable, so the check misses no byte that was taken from the socket already. A TLS stream may hold bytes of its own: its read is cancelled, which leaves a read that has completed as it is, and the connection is closed when the read ends without bytes. The header and body timeouts bound every wait of a closing connection. Measured: test_http (43 tests) passes, 20 times in a row and once beside two busy processes; test_gateway, test_object_api, test_peer_link, test_admin and test_engine_port pass.

--- a/src/libtransport/http_server.cpp
+++ b/src/libtransport/http_server.cpp
@@ -160,9 +160,11 @@
 }
 
 bool http_server::impl::EvictIdle() {
-  if (idle_.empty()) return false;
+  const auto unused = std::find_if(
+      idle_.begin(), idle_.end(), [](http_session* session) { return !session->HasUnreadBytes(); });
+  if (unused == idle_.end()) return false;
   evicted_.Add();
-  idle_.front()->CloseWhenIdle();
+  (*unused)->CloseWhenIdle();
   return true;
 }
 
--- a/src/libtransport/http_server.h
+++ b/src/libtransport/http_server.h
@@ -43,7 +43,10 @@
    * accepted.
    */
   void CloseAfterAnswers();
-  /** Closes the listening socket and idle connections; the others are closed after their answer. */
+  /**
+   * Closes the listening socket and idle connections; the others are closed after their answer. A
+   * connection with a request that has arrived but was not read yet is not idle.
+   */
   void StopListening();
   /** Sets the TLS context of connections made from now on. */
   void ReplaceTls(std::shared_ptr<boost::asio::ssl::context> tls);
--- a/src/libtransport/http_session.h
+++ b/src/libtransport/http_session.h
@@ -21,11 +21,16 @@
   virtual void Write(std::string_view bytes) = 0;
   virtual void End() = 0;
   virtual void Abort() = 0;
-  /** Whether a request is being read or answered. */
+  /** Whether a request is being read or answered, or the connection is about to be closed. */
   virtual bool busy() const = 0;
+  /** Whether bytes have arrived that were not read yet. */
+  virtual bool HasUnreadBytes() = 0;
   /** Announces in the next answer that the connection is closed after it. */
   virtual void CloseAfterAnswer() = 0;
-  /** Closes at once if no request is being read or answered, otherwise after the answer. */
+  /**
+   * Closes at once if no request has arrived or is being read or answered, otherwise after the
+   * answer. Over TLS an unused connection is closed in the next turn of the loop.
+   */
   virtual void CloseWhenIdle() = 0;
   /** Called on an idle connection when the owner's idle timeout has changed. */
   virtual void OnIdleTimeoutChanged() = 0;
--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -50,8 +50,10 @@
   void Write(std::string_view bytes) override;
   void End() override;
   void Abort() override;
-  bool busy() const override {
-    return request_ || writing_ || (parser_ && (parser_->got_some() || buffer_.size() > 0));
+  bool busy() const override { return closing_ || (parser_ && !waiting_); }
+  bool HasUnreadBytes() override {
+    error_type ignored;
+    return Socket().available(ignored) > 0;
   }
   void CloseAfterAnswer() override { close_after_answer_ = true; }
   void CloseWhenIdle() override;
@@ -74,8 +76,11 @@
 
   void ReadHeader();
   void WaitForRequest();
+  void OnReadable(error_type failed);
+  void ReadFirstBytes();
   void OnFirstBytes(error_type failed, std::size_t size);
-  void StartIdleTimer();
+  void EndWait();
+  void StartIdleTimer(std::chrono::steady_clock::time_point expiry);
   void OnHeader(error_type failed);
   void ReadBody();
   void OnBody(error_type failed);
@@ -136,7 +141,6 @@
   parser_.emplace();
   answer_ended_ = false;
   if (const auto owner = owner_.lock()) limits_ = owner->limits();
-  if (closing_ && buffer_.size() == 0) return Close();
   parser_->header_limit(limits_.header_bytes);
   parser_->body_limit(limits_.body_bytes);
   if (buffer_.size() == 0) return WaitForRequest();
@@ -146,46 +150,6 @@
       [self = Self()](error_type failed, std::size_t) { self->OnHeader(failed); });
 }
 
-template <typename Stream>
-void http_stream_session<Stream>::WaitForRequest() {
-  // The wait for the first byte may take up to the idle timeout; from then on the header timeout
-  // applies.
-  boost::beast::get_lowest_layer(stream_).expires_never();
-  waiting_ = true;
-  idle_since_ = std::chrono::steady_clock::now();
-  StartIdleTimer();
-  if (const auto owner = owner_.lock()) owner->OnSessionIdle(*this, true);
-  stream_.async_read_some(
-      buffer_.prepare(kFirstReadBytes),
-      [self = Self()](error_type failed, std::size_t size) { self->OnFirstBytes(failed, size); });
-}
-
-template <typename Stream>
-void http_stream_session<Stream>::OnFirstBytes(error_type failed, std::size_t size) {
-  waiting_ = false;
-  idle_timer_.cancel();
-  if (failed) return Close();
-  if (const auto owner = owner_.lock()) owner->OnSessionIdle(*this, false);
-  buffer_.commit(size);
-  ReadHeader();
-}
-
-template <typename Stream>
-void http_stream_session<Stream>::StartIdleTimer() {
-  idle_timer_.expires_at(idle_since_ + limits_.idle_timeout);
-  idle_timer_.async_wait([self = Self()](error_type failed) {
-    // A handler that was queued before the timer was started again is not cancelled.
-    if (failed || std::chrono::steady_clock::now() < self->idle_timer_.expiry()) return;
-    if (self->waiting_) self->Close();
-  });
-}
-
-template <typename Stream>
-void http_stream_session<Stream>::OnIdleTimeoutChanged() {
-  if (const auto owner = owner_.lock()) limits_ = owner->limits();
-  if (waiting_) StartIdleTimer();
-}
-
 template <typename Stream>
 void http_stream_session<Stream>::OnHeader(error_type failed) {
   if (failed) return OnReadError(failed);
@@ -259,16 +223,16 @@
 void http_stream_session<Stream>::Answer(http_answer answer) {
   if (closed_ || answer_ended_) return;
   answer_ended_ = true;
-  keep_alive_ = keep_alive_ && !close_after_answer_;
-  Queue(AnswerBytes(answer, version_, keep_alive_ && !closing_, head_only_));
+  keep_alive_ = keep_alive_ && !close_after_answer_ && !closing_;
+  Queue(AnswerBytes(answer, version_, keep_alive_, head_only_));
 }
 
 template <typename Stream>
 void http_stream_session<Stream>::Begin(int status, std::vector<http_header> headers) {
   if (closed_) return;
   chunked_ = version_ >= 11;
-  keep_alive_ = keep_alive_ && chunked_ && !close_after_answer_;
-  Queue(HeadBytes(status, headers, version_, keep_alive_ && !closing_, chunked_));
+  keep_alive_ = keep_alive_ && chunked_ && !close_after_answer_ && !closing_;
+  Queue(HeadBytes(status, headers, version_, keep_alive_, chunked_));
 }
 
 template <typename Stream>
@@ -292,12 +256,6 @@
   if (!writing_) Close();
 }
 
-template <typename Stream>
-void http_stream_session<Stream>::CloseWhenIdle() {
-  closing_ = true;
-  if (!busy()) Close();
-}
-
 template <typename Stream>
 void http_stream_session<Stream>::Queue(std::string bytes) {
   unsent_bytes_ += bytes.size();
@@ -337,7 +295,7 @@
   const request_id finished = std::exchange(request_, request_id());
   const auto owner = owner_.lock();
   if (finished && owner) owner->OnSessionDone(finished, false);
-  if (!keep_alive_ || closing_ || !owner) return Close();
+  if (!keep_alive_ || !owner) return Close();
   error_type ignored;
   Socket().cancel(ignored);
   ReadHeader();
@@ -360,3 +318,5 @@
 }
 
 }  // namespace hawthorndrum
+
+#include "http_stream_session_wait.h"
--- a/tests/http/kept_connections.cpp
+++ b/tests/http/kept_connections.cpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "base/metrics_registry.h"
@@ -197,5 +198,102 @@
   EXPECT_EQ(server->connections(), 1u);
 }
 
+// Guards against a request that arrived but was not read yet being cut when the server stops.
+TEST_F(KeptConnectionsTest, AnArrivedRequestIsServedWhenTheServerStops) {
+  Listen({});
+  tcp::socket kept = Connect();
+  Exchange(kept);
+  Run(std::chrono::milliseconds(1));
+  Write(kept, kGet);
+  server->StopListening();
+  EXPECT_EQ(server->busy_connections(), 1u);
+  ASSERT_TRUE(WaitForRequests(2));
+  server->Answer(handler.ids[1], {200, {}, "last"});
+  const std::string answer = ReadUntil(kept, "");
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("last"), std::string::npos) << answer;
+  EXPECT_EQ(server->connections(), 0u);
+}
+
+// Guards against the same cut right after an answer, while the next request is being taken up.
+TEST_F(KeptConnectionsTest, AnArrivedRequestIsServedAtAnyTurnOfAStop) {
+  for (int turns = 0; turns < 8; ++turns) {
+    Listen({});
+    tcp::socket kept = Connect();
+    Write(kept, kGet);
+    const std::size_t count = handler.ids.size();
+    ASSERT_TRUE(WaitForRequests(count + 1));
+    server->Answer(handler.ids.back(), {200, {}, "first"});
+    Write(kept, kGet);
+    for (int i = 0; i < turns; ++i) {
+      io.restart();
+      io.poll_one();
+    }
+    server->StopListening();
+    EXPECT_TRUE(WaitForRequests(count + 2)) << turns;
+  }
+}
+
+// Guards against a pipelined request that is dropped although the answer before kept the
+// connection.
+TEST_F(KeptConnectionsTest, APipelinedRequestIsServedWhenTheServerStops) {
+  Listen({});
+  tcp::socket kept = Connect();
+  Write(kept, std::string(kGet) + kGet);
+  ASSERT_TRUE(WaitForRequests(1));
+  server->Answer(handler.ids[0], {200, {}, "first"});
+  server->StopListening();
+  ASSERT_TRUE(WaitForRequests(2));
+  server->Answer(handler.ids[1], {200, {}, "last"});
+  const std::string answers = ReadUntil(kept, "");
+  EXPECT_LT(answers.find("first"), answers.find("Connection: close")) << answers;
+  EXPECT_NE(answers.find("last"), std::string::npos) << answers;
+  EXPECT_EQ(server->connections(), 0u);
+}
+
+// Guards against a connection with an arrived request being evicted in place of an idle one.
+TEST_F(KeptConnectionsTest, AnArrivedRequestIsNotEvicted) {
+  http_limits limits;
+  limits.connections = 2;
+  Listen(limits);
+  tcp::socket arrived = Connect();
+  tcp::socket idle = Connect();
+  tcp::socket third(io);
+  third.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+  Write(arrived, kGet);
+  ReadUntil(idle, "");
+  EXPECT_TRUE(closed);
+  EXPECT_TRUE(WaitForRequests(1));
+}
+
+// Guards against a request that arrived while the loop was held up past the idle timeout being cut.
+TEST_F(KeptConnectionsTest, ADelayPastTheIdleTimeoutCutsNoArrivedRequest) {
+  http_limits limits;
+  limits.idle_timeout = milliseconds(50);
+  Listen(limits);
+  tcp::socket kept = Connect();
+  Write(kept, kGet);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  EXPECT_TRUE(WaitForRequests(1));
+}
+
+// Guards against a stopping server that waits for a request that never ends.
+TEST_F(KeptConnectionsTest, AnUnfinishedRequestDoesNotHoldUpAStop) {
+  http_limits limits;
+  limits.header_timeout = milliseconds(100);
+  limits.body_timeout = milliseconds(100);
+  limits.idle_timeout = seconds(3600);
+  Listen(limits);
+  tcp::socket no_header_end = Connect();
+  tcp::socket no_body = Connect();
+  tcp::socket silent = Connect();
+  Write(no_header_end, "GET /b HTT");
+  Write(no_body, "POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc");
+  server->StopListening();
+  EXPECT_EQ(server->connections(), 2u);
+  EXPECT_TRUE(RunUntil([&] { return server->connections() == 0; }));
+  EXPECT_TRUE(handler.ids.empty());
+}
+
 }  // namespace
 }  // namespace hawthorndrum
