--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -108,6 +108,7 @@
           .Text("request", each.terms.caller_id)
           .Text("route", each.matched->name)
           .Text("upstream", row.entry.id)
+          .Text("software", row.entry.software_version)
           .Number("run", each.runs)
           .Number("left_ms", ToMilliseconds(terms.time_left))
           .Number("unread_tokens", static_cast<std::int64_t>(each.call.reserved.unread_tokens))
--- a/src/libhawthorndrum/gateway/upstream_directory.cpp
+++ b/src/libhawthorndrum/gateway/upstream_directory.cpp
@@ -34,6 +34,7 @@
                  .Text("service", entry.service)
                  .Text("address", entry.address)
                  .Text("data_centre", entry.data_centre)
+                 .Text("software", entry.software_version)
                  .Text("state", StateOf(entry))
                  .Number("stage", static_cast<int>(entry.stage))
                  .Number("born", static_cast<std::int64_t>(entry.born)));
--- a/src/libhawthorndrum/gateway/upstream_entry.h
+++ b/src/libhawthorndrum/gateway/upstream_entry.h
@@ -18,6 +18,8 @@
   std::string data_centre;
   /** The upstream finishes its requests and accepts no new ones. */
   bool leaving = false;
+  /** The version of its software; upstreams of several versions may serve side by side. */
+  std::string software_version;
   engine_stage stage = engine_stage::kNone;
   /** Requests that it can run at once. */
   std::uint32_t slots = 1;
@@ -26,8 +28,9 @@
 
   friend bool operator==(const upstream_entry& a, const upstream_entry& b) {
     return a.id == b.id && a.service == b.service && a.address == b.address &&
-           a.data_centre == b.data_centre && a.leaving == b.leaving && a.stage == b.stage &&
-           a.slots == b.slots && a.born == b.born;
+           a.data_centre == b.data_centre && a.leaving == b.leaving &&
+           a.software_version == b.software_version && a.stage == b.stage && a.slots == b.slots &&
+           a.born == b.born;
   }
 };
 
