--- /dev/null
+++ b/tests/gateway/resumes.cpp
@@ -0,0 +1,80 @@
+/// Tests of streams that go on at another upstream or in another attempt of their caller.
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "entry_decoder.h"
+#include "gateway_fixture.h"
+
+namespace hawthorndrum {
+namespace {
+
+class ResumesTest : public GatewayFixtureTest {
+ protected:
+  static std::string Event(int id) { return "id: " + std::to_string(id) + "\ndata: t\n\n"; }
+
+  /** Lists a decode engine as the platform does. */
+  void List(const std::string& id, const std::string& version, const std::string& state = "ready") {
+    const nlohmann::json spec = {
+        {"service", "llm"}, {"addr", "10.0.0.1:" + std::to_string(++last_port)},
+        {"zone", "north"},  {"version", version},
+        {"slots", 64u},     {"state", state},
+        {"phase", "decode"}};
+    const auto entry = DecodeEntry(id, spec);
+    ASSERT_TRUE(entry);
+    served.fleet().Put(*entry);
+  }
+  void ListMany(const std::string& prefix, const std::string& version, int count) {
+    for (int i = 0; i < count; ++i) List(prefix + std::to_string(i), version);
+  }
+  std::string SentTo() const { return std::string(SentHeader("X-Hawthorndrum-Expect-Instance")); }
+  request_id Begin() {
+    const request_id id = AskPrompt("/tell/x", "aa", 100, 50);
+    Head(200);
+    Bytes(Event(1));
+    return id;
+  }
+  request_id ResumeAfterFirstEvent(const std::string& attempt) {
+    return Ask("/tell/x", {{"X-Hawthorndrum-Model", "m"},
+                           {"X-Hawthorndrum-Token-Count", "150,100"},
+                           {"X-Hawthorndrum-Prompt-Prefix", "aa:100,bb:50"},
+                           {"Last-Event-Id", "1"},
+                           {"Resumes", attempt}});
+  }
+};
+
+TEST_F(ResumesTest, AStreamGoesOnOnlyAtTheSoftwareVersionThatBeganIt) {
+  List("new0", "v2");
+  Begin();
+  ListMany("old", "v1", 5);
+  List("new1", "v2");
+  Lost();
+  ASSERT_EQ(upstreams.sent.size(), 2u);
+  EXPECT_EQ(SentTo(), "new1");
+}
+
+TEST_F(ResumesTest, AStreamIsCutRatherThanJoinedWithAnotherSoftwareVersion) {
+  List("new0", "v2");
+  const request_id id = Begin();
+  ListMany("old", "v1", 5);
+  Lost();
+  EXPECT_EQ(upstreams.sent.size(), 1u);
+  EXPECT_EQ(CallerOf(id).aborts, 1);
+}
+
+TEST_F(ResumesTest, ACallersResumptionGoesToTheSoftwareVersionThatBeganTheStream) {
+  List("new0", "v2");
+  const request_id id = Begin();
+  ListMany("old", "v1", 5);
+  served.OnCallerGone(id);
+  fleet_upstream* first = served.fleet().FindEntry("new0");
+  first->cache.Clear();
+  first->peers.running = 40;
+  ResumeAfterFirstEvent("q1");
+  ASSERT_EQ(upstreams.sent.size(), 2u);
+  EXPECT_EQ(SentTo(), "new0");
+}
+
+}  // namespace
+}  // namespace hawthorndrum
