Let a stream go on only at the software version that began it

What callers saw: one answer with events of two software versions (ORDER). Cause: the choice of an upstream did not know versions. A stream whose upstream was lost went on at the cheapest one. Change: the first event that is forwarded fixes the stream's build (service and version); from then on only upstreams of that build may run it. Prefill, which writes no events, may run anywhere. Why it works: every placement of a stream that has begun, moves of silent calls included, passes the same query.

--- a/src/libhawthorndrum/base/ids.h
+++ b/src/libhawthorndrum/base/ids.h
@@ -15,6 +15,8 @@
 using incarnation_id = strong_id<struct incarnation_tag>;
 /** A daemon: the hash of the address of its peers' port. */
 using peer_id = strong_id<struct peer_tag>;
+/** A version of the software of one service's upstreams: the hash of both names. */
+using software_build = strong_id<struct software_build_tag>;
 /** One call to the object store. */
 using store_call_id = strong_id<struct store_call_tag>;
 /** One order to an engine. Random, unique in the fleet. */
--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -124,6 +124,9 @@
   for (const fleet_upstream* row : fleet_.OfService(query.service->name)) {
     if (!row->takes_work(now) || row->reachability.is_lost || now < row->refuses_until) continue;
     if (Contains(query.tried, row->id)) continue;
+    // Prefill writes no events, so its build does not matter.
+    const bool writes_events = row->entry.stage != engine_stage::kPrefill;
+    if (writes_events && query.build && row->build != query.build) continue;
     if (row->all_work().running >= row->entry.slots * kMaxRequestsPerSlot) continue;
     if (row->entry.stage == engine_stage::kPrefill && !query.may_split) continue;
     candidate each;
--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -37,6 +37,8 @@
 struct exchange_call {
   attempt_id attempt;
   upstream_id upstream;
+  /** The upstream's build. */
+  software_build build;
   upstream_work reserved;
   time_point sent_at;
   /** The upstream counts as stalled after this time without a sign of life. */
@@ -70,6 +72,8 @@
   const route* matched = nullptr;
   const gateway_service* service = nullptr;
   std::uint64_t fingerprint = 0;
+  /** The build whose events the caller has; none before the first event of a new stream. */
+  software_build build;
   time_point arrived;
   /** The earlier of the caller's and the route's timeout; the request ends then, and not before. */
   time_point deadline;
--- a/src/libhawthorndrum/gateway/fleet_table.cpp
+++ b/src/libhawthorndrum/gateway/fleet_table.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "base/hash.h"
+#include "origins/stream_origin.h"
 
 namespace hawthorndrum {
 
@@ -26,6 +27,7 @@
   if (row.id && row.entry.stage != entry.stage) row.cache.Clear();
   row.id = id;
   row.entry = entry;
+  row.build = BuildOf(entry.service, entry.software_version);
   row.gone_at.reset();
   return row;
 }
--- a/src/libhawthorndrum/gateway/fleet_upstream.h
+++ b/src/libhawthorndrum/gateway/fleet_upstream.h
@@ -49,6 +49,8 @@
 struct fleet_upstream {
   upstream_id id;
   upstream_entry entry;
+  /** Its service and software version. */
+  software_build build;
   upstream_work own;
   /** Sum of the other daemons' last reports; see peer_load_table. */
   upstream_work peers;
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -122,6 +122,7 @@
   query.is_prefilled = each.handle.has_value();
   if (query.is_prefilled) query.prefilled_at = fleet_.Find(each.prefilled_by);
   query.may_split = each.may_split && !query.is_prefilled;
+  query.build = each.build;
   // A request that has been sent already is not refused for being late: its work would be lost.
   if (each.call.sent_at == time_point()) query.objective = each.matched->objective;
   query.longest_pause = each.matched->longest_pause;
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -97,6 +97,7 @@
   terms.priority = UpstreamPriority(each, terms.fetch_from.has_value());
   each.call.attempt = attempt_id(ports_.random->Draw());
   each.call.upstream = row.id;
+  each.call.build = row.build;
   each.call.sent_at = now;
   const upstream_work before = row.all_work();
   each.call.queued_tokens = before.unread_tokens + each.call.reserved.unread_tokens;
--- a/src/libhawthorndrum/gateway/placement.h
+++ b/src/libhawthorndrum/gateway/placement.h
@@ -21,6 +21,8 @@
   const prompt* asked = nullptr;
   /** Upstreams that the request was sent to before. */
   const std::vector<upstream_id>* tried = nullptr;
+  /** Only upstreams of this build may run the request; none if all may. */
+  software_build build;
   /** Whether a failure is final, as for requests that must not run twice. */
   bool failure_is_final = false;
   /** Whether the prompt is already prefilled, so that only decode is left. */
--- a/src/libhawthorndrum/gateway/service_placement.cpp
+++ b/src/libhawthorndrum/gateway/service_placement.cpp
@@ -62,6 +62,7 @@
     if (!row->takes_work(now) || row->reachability.is_lost || now < row->refuses_until) continue;
     if (std::find(query.tried->begin(), query.tried->end(), row->id) != query.tried->end())
       continue;
+    if (query.build && row->build != query.build) continue;
     any = true;
     answer = std::max(answer, row->answer_time);
     if (row->all_work().running >= row->entry.slots * (1 + kQueuedPerSlot)) continue;
--- a/tests/gateway/resumes.cpp
+++ b/tests/gateway/resumes.cpp
@@ -76,5 +76,28 @@
   EXPECT_EQ(SentTo(), "new0");
 }
 
+TEST_F(ResumesTest, ASilentStreamMovesOnlyToItsOwnVersion) {
+  List("new0", "v2");
+  Begin();
+  ListMany("old", "v1", 5);
+  Pass(milliseconds(1500));
+  EXPECT_FALSE(upstreams.sent[0].cancelled);
+  List("new1", "v2");
+  Pass(milliseconds(300));
+  ASSERT_EQ(upstreams.sent.size(), 2u);
+  EXPECT_EQ(SentTo(), "new1");
+}
+
+TEST_F(ResumesTest, AStreamWithoutEventsMayBeginAtAnyVersion) {
+  List("new0", "v2");
+  AskPrompt("/tell/x", "aa", 100, 50);
+  Head(200);
+  Bytes("id: 1\nda");
+  List("old0", "v1");
+  Lost();
+  ASSERT_EQ(upstreams.sent.size(), 2u);
+  EXPECT_EQ(SentTo(), "old0");
+}
+
 }  // namespace
 }  // namespace hawthorndrum
