Find the software version of a resumed stream at any daemon

Cause: a caller that comes back was a new request: the header Resumes was not read, and the daemon that got it, another one as a rule, had never heard of the stream. Change: with the first event of a stream that may be resumed, its daemon sends the hash of the caller's attempt and of the build to the first daemons by rendezvous hash of the stream: two of its data centre and two in different data centres (origins/). A daemon that is to resume a stream it does not know asks the same daemons, after 60 ms more of them, and refuses with 503 and Retry-After if none knows it within 250 ms. It sends the request to the service and version of the record, or refuses at once if no such upstream takes work. A caller that names no attempt is served while all upstreams have one version. Why it works: the record is sent with the first event, so it outlives the daemon; a daemon that does not know the origin never guesses; the build that was recorded first is kept. Nothing is stored or agreed on. Ruled out: records in the store (a write for each stream, 3,400 a second at the design size), notices to all (30 KB a second and daemon there), the version in the event ids (bodies are forwarded unchanged).

--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -36,7 +36,8 @@
 
 gateway_ports PortsOf(const gateway_settings& settings, caller_port& callers,
                       upstream_calls& upstreams, const wire_dialect& dialect, const clock& time,
-                      random_source& random, event_log& log, metrics_registry& metrics) {
+                      random_source& random, event_log& log, metrics_registry& metrics,
+                      stream_origins& origins) {
   gateway_ports ports;
   ports.callers = &callers;
   ports.upstreams = &upstreams;
@@ -45,6 +46,7 @@
   ports.random = &random;
   ports.log = &log;
   ports.metrics = &metrics;
+  ports.origins = &origins;
   ports.host = settings.host;
   ports.data_centre = settings.data_centre;
   ports.incarnation = incarnation_id(random.Draw());
@@ -72,14 +74,19 @@
       metrics_server_(io, metrics_endpoint_, random_, metrics_, "metrics", {}),
       upstream_calls_(client_, ticks_, std::string(dialect.answer_id_header())),
       daemons_(settings.host),
+      notices_(
+          io, daemons_, metrics_, [this](const load_notice& notice) { gateway_.OnNotice(notice); },
+          [this](const origin_message& message, const std::string& from) {
+            origins_.OnMessage(message, from, clock_.Now());
+          }),
+      origins_(daemons_, notices_, settings.host, settings.data_centre),
       gateway_(PortsOf(settings, caller_server_, upstream_calls_, dialect, clock_, random_, log_,
-                       metrics_)),
+                       metrics_, origins_)),
       exchange_(gateway_, daemons_, settings.host, settings.data_centre),
-      notices_(io, daemons_, metrics_,
-               [this](const load_notice& notice) { gateway_.OnNotice(notice); }),
       stop_timer_(io) {
   ready_endpoint_.SetCallerPort(ready_server_);
   metrics_endpoint_.SetCallerPort(metrics_server_);
+  origins_.SetListener(gateway_);
   Add(gateway_);
   Add(*this);
 }
@@ -151,6 +158,7 @@
 
 void gateway_daemon::Run(time_point now) {
   ApplyLimits();
+  origins_.Run(now);
   if (const auto due = exchange_.Run(now)) notices_.Send(*due);
   log_.Run(now);
   if (now - swept_at_ < kSweepPeriod) return;
--- a/src/gatewayd/gateway_daemon.h
+++ b/src/gatewayd/gateway_daemon.h
@@ -18,6 +18,7 @@
 #include "http_upstream_calls.h"
 #include "json_log.h"
 #include "notice_socket.h"
+#include "origins/origin_exchange.h"
 #include "page_endpoint.h"
 #include "system_random_source.h"
 #include "systems/event_receiver.h"
@@ -85,9 +86,10 @@
   http_server metrics_server_;
   http_upstream_calls upstream_calls_;
   daemon_directory daemons_;
+  notice_socket notices_;
+  origin_exchange origins_;
   gateway gateway_;
   notice_exchange exchange_;
-  notice_socket notices_;
   boost::asio::steady_timer stop_timer_;
   bool stopping_ = false;
   std::uint64_t limits_version_ = 0;
--- a/src/gatewayd/notice_socket.cpp
+++ b/src/gatewayd/notice_socket.cpp
@@ -1,4 +1,4 @@
-/// Sends and receives notices over UDP.
+/// Sends and receives datagrams of other daemons over UDP.
 #include "notice_socket.h"
 
 #include <boost/asio/buffer.hpp>
@@ -13,8 +13,13 @@
 using boost::asio::ip::udp;
 
 notice_socket::notice_socket(boost::asio::io_context& io, const daemon_directory& daemons,
-                             metrics_registry& metrics, handler on_notice)
-    : socket_(io), daemons_(daemons), metrics_(metrics), on_notice_(std::move(on_notice)) {}
+                             metrics_registry& metrics, notice_handler on_notice,
+                             origin_handler on_origins)
+    : socket_(io),
+      daemons_(daemons),
+      metrics_(metrics),
+      on_notice_(std::move(on_notice)),
+      on_origins_(std::move(on_origins)) {}
 
 expected<void> notice_socket::Open(std::string_view address) {
   const auto endpoint = ParseEndpoint(address);
@@ -37,20 +42,28 @@
   socket_.close(ignored);
 }
 
+void notice_socket::SendTo(const std::string& address, const std::vector<std::uint8_t>& bytes) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) return;
+  boost::system::error_code failed;
+  socket_.send_to(boost::asio::buffer(bytes), {endpoint->address(), endpoint->port()}, 0, failed);
+  if (failed) metrics_.Counter("notices_unsent_total").Add();
+}
+
 void notice_socket::Send(const outgoing_notice& outgoing) {
   const std::vector<std::uint8_t> bytes = EncodeLoadNotice(outgoing.notice);
-  counter& unsent = metrics_.Counter("notices_unsent_total");
-  for (const std::string& address : outgoing.addresses) {
-    const auto endpoint = ParseEndpoint(address);
-    if (!endpoint) continue;
-    boost::system::error_code failed;
-    socket_.send_to(boost::asio::buffer(bytes), {endpoint->address(), endpoint->port()}, 0, failed);
-    if (failed) unsent.Add();
-  }
+  for (const std::string& address : outgoing.addresses) SendTo(address, bytes);
   metrics_.Counter("notices_sent_total").Add(outgoing.addresses.size());
   metrics_.Counter("notice_bytes_sent_total").Add(outgoing.addresses.size() * bytes.size());
 }
 
+void notice_socket::SendOrigins(const std::string& address, const origin_message& message) {
+  const std::vector<std::uint8_t> bytes = EncodeOriginMessage(message);
+  SendTo(address, bytes);
+  metrics_.Counter("origin_messages_sent_total").Add();
+  metrics_.Counter("origin_bytes_sent_total").Add(bytes.size());
+}
+
 bool notice_socket::IsKnown(const udp::endpoint& sender) const {
   const std::string host = sender.address().to_string() + ":";
   for (const daemon_record& other : daemons_.others()) {
@@ -59,19 +72,23 @@
   return false;
 }
 
+void notice_socket::Dispatch(boost::span<const std::uint8_t> bytes) {
+  if (IsKnown(sender_)) {
+    if (const auto notice = DecodeLoadNotice(bytes)) return on_notice_(*notice);
+    if (const auto origins = DecodeOriginMessage(bytes)) {
+      const std::string from = sender_.address().to_string() + ":" + std::to_string(sender_.port());
+      return on_origins_(*origins, from);
+    }
+  }
+  metrics_.Counter("notices_passed_over_total").Add();
+}
+
 void notice_socket::Receive() {
   socket_.async_receive_from(
       boost::asio::buffer(buffer_), sender_,
       [this](boost::system::error_code failed, std::size_t size) {
         if (failed == boost::asio::error::operation_aborted || !socket_.is_open()) return;
-        if (!failed) {
-          const auto notice = DecodeLoadNotice({buffer_.data(), size});
-          if (notice && IsKnown(sender_)) {
-            on_notice_(*notice);
-          } else {
-            metrics_.Counter("notices_passed_over_total").Add();
-          }
-        }
+        if (!failed) Dispatch({buffer_.data(), size});
         Receive();
       });
 }
--- a/src/gatewayd/notice_socket.h
+++ b/src/gatewayd/notice_socket.h
@@ -1,10 +1,11 @@
-/// Exchanges load notices with other daemons as UDP datagrams.
+/// Exchanges load notices and the origins of streams with other daemons as UDP datagrams.
 #pragma once
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
 #include <cstdint>
 #include <functional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -12,6 +13,8 @@
 #include "gateway/daemon_directory.h"
 #include "gateway/load_notice.h"
 #include "gateway/notice_exchange.h"
+#include "origins/origin_message.h"
+#include "origins/origin_sender.h"
 
 namespace boost::asio {
 class io_context;
@@ -26,25 +29,31 @@
  * and the retransmissions of a connection would add nothing. Datagrams from hosts that are not in
  * the directory are ignored.
  */
-class notice_socket {
+class notice_socket : public origin_sender {
  public:
-  using handler = std::function<void(const load_notice&)>;
+  using notice_handler = std::function<void(const load_notice&)>;
+  /** Receives a message and the address of its sender. */
+  using origin_handler = std::function<void(const origin_message&, const std::string&)>;
 
   notice_socket(boost::asio::io_context& io, const daemon_directory& daemons,
-                metrics_registry& metrics, handler on_notice);
+                metrics_registry& metrics, notice_handler on_notice, origin_handler on_origins);
 
   expected<void> Open(std::string_view address);
   void Close();
   void Send(const outgoing_notice& outgoing);
+  void SendOrigins(const std::string& address, const origin_message& message) override;
 
  private:
   void Receive();
+  void Dispatch(boost::span<const std::uint8_t> bytes);
+  void SendTo(const std::string& address, const std::vector<std::uint8_t>& bytes);
   bool IsKnown(const boost::asio::ip::udp::endpoint& sender) const;
 
   boost::asio::ip::udp::socket socket_;
   const daemon_directory& daemons_;
   metrics_registry& metrics_;
-  handler on_notice_;
+  notice_handler on_notice_;
+  origin_handler on_origins_;
   /** Larger than any notice. */
   std::array<std::uint8_t, 8192> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
--- a/src/libhawthorndrum/base/ids.h
+++ b/src/libhawthorndrum/base/ids.h
@@ -15,6 +15,8 @@
 using incarnation_id = strong_id<struct incarnation_tag>;
 /** A daemon: the hash of the address of its peers' port. */
 using peer_id = strong_id<struct peer_tag>;
+/** A caller's stream: the hash of the caller's id of the attempt that brought the first event. */
+using stream_key = strong_id<struct stream_key_tag>;
 /** A version of the software of one service's upstreams: the hash of both names. */
 using software_build = strong_id<struct software_build_tag>;
 /** One call to the object store. */
--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -72,6 +72,8 @@
   const route* matched = nullptr;
   const gateway_service* service = nullptr;
   std::uint64_t fingerprint = 0;
+  /** Names the stream to other daemons; the same for all attempts that resume it. */
+  stream_key key;
   /** The build whose events the caller has; none before the first event of a new stream. */
   software_build build;
   time_point arrived;
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -79,19 +79,35 @@
   caller_terms terms = ports_.dialect->TakeCallerTerms(request);
   if (!is_ready()) return RefuseUnplaced(id, terms, 503, "not_started", kRetryUnavailable);
   const route* matched = config_->FindRoute(WithoutPort(terms.host), PathOf(request.target));
-  if (matched == nullptr) return RefuseUnplaced(id, terms, 404, "no_route", duration(0));
-  exchange& each = exchanges_[id];
-  each.id = id;
-  each.request = std::move(request);
-  each.terms = std::move(terms);
+  const bool resumes = matched != nullptr && matched->resumable && !terms.last_event_id.empty();
+  arrived_request arrived{id, std::move(request), std::move(terms), now};
+  if (resumes) return Resume(std::move(arrived), *matched, now);
+  Admit(std::move(arrived), std::nullopt);
+}
+
+void gateway::Admit(arrived_request arrived, std::optional<software_build> build) {
+  const time_point now = ports_.time->Now();
+  const std::string_view host = WithoutPort(arrived.terms.host);
+  const route* matched = config_->FindRoute(host, PathOf(arrived.request.target));
+  if (matched == nullptr)
+    return RefuseUnplaced(arrived.id, arrived.terms, 404, "no_route", duration(0));
+  const weighted_service* target =
+      build ? TargetOfBuild(*matched, *build, now) : &PickTarget(*matched);
+  exchange& each = exchanges_[arrived.id];
+  each.id = arrived.id;
+  each.request = std::move(arrived.request);
+  each.terms = std::move(arrived.terms);
   each.config = config_;
   each.matched = matched;
-  each.service = config_->FindService(PickTarget(*matched).service);
   each.fingerprint = FingerprintOf(each.request);
-  each.arrived = now;
+  each.key = StreamKeyOf(each.terms.resumes.empty() ? each.terms.caller_id : each.terms.resumes);
+  each.build = build.value_or(software_build());
+  each.arrived = arrived.at;
   const duration limit = each.terms.time_limit.value_or(matched->timeout);
-  each.deadline = now + std::min(limit, matched->timeout);
+  each.deadline = arrived.at + std::min(limit, matched->timeout);
   MetersOf(*matched).requests.Add();
+  if (target == nullptr) return Refuse(each, "no_upstream_of_version", kRetryUnavailable);
+  each.service = config_->FindService(target->service);
   if (each.service == nullptr) return Refuse(each, "no_service", kRetryUnavailable);
   allowance_.Earn(each.service->name, now);
   if (crashes_.IsConvicted(each.fingerprint, now)) {
@@ -123,8 +139,9 @@
   if (query.is_prefilled) query.prefilled_at = fleet_.Find(each.prefilled_by);
   query.may_split = each.may_split && !query.is_prefilled;
   query.build = each.build;
-  // A request that has been sent already is not refused for being late: its work would be lost.
-  if (each.call.sent_at == time_point()) query.objective = each.matched->objective;
+  // A request that has been sent already, or resumes a stream, is not refused for being late: the
+  // work done so far would be lost.
+  if (each.call.sent_at == time_point() && !each.build) query.objective = each.matched->objective;
   query.longest_pause = each.matched->longest_pause;
   query.time_left = each.TimeLeft(now);
   return query;
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "gateway/reachability_monitor.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/service_placement.h"
+#include "origins/origin_listener.h"
 #include "ports/attempt_event.h"
 #include "systems/system.h"
 
@@ -37,7 +38,7 @@
  * changes nothing; a request that is not idempotent is sent again only after its upstream stated
  * that it did not run it; 503 is answered only for requests that did not run and never will.
  */
-class gateway : public system {
+class gateway : public system, public origin_listener {
  public:
   explicit gateway(const gateway_ports& ports);
   ~gateway() override;
@@ -59,6 +60,7 @@
   void OnAttemptLost(const attempt_lost& lost);
   void OnProbeEnded(const probe_ended& ended);
   void OnNotice(const load_notice& notice);
+  void OnOrigin(stream_key key, std::optional<software_build> build) override;
 
   void Run(time_point now) override;
 
@@ -73,7 +75,7 @@
   std::uint64_t config_version() const { return config_ ? config_->version : 0; }
   std::shared_ptr<const gateway_config> config() const { return config_; }
   bool is_ready() const { return config_ != nullptr && fleet_known_; }
-  std::size_t in_flight() const { return exchanges_.size(); }
+  std::size_t in_flight() const { return exchanges_.size() + resumes_.size(); }
 
  private:
   struct route_meters;
@@ -93,7 +95,31 @@
     bool has_answer = false;
   };
 
+  /** A request that has not been placed yet. */
+  struct arrived_request {
+    request_id id;
+    http_request request;
+    caller_terms terms;
+    time_point at;
+  };
+
+  // Resuming streams.
+  void Resume(arrived_request arrived, const route& matched, time_point now);
+  /** Forgets a request whose caller has gone before its stream's origin was known. */
+  void DropResume(request_id id);
+  /** Returns the build of all upstreams of the route, if they have one in common. */
+  std::optional<software_build> OnlyBuildOf(const route& matched);
+  /** Returns the target that has an upstream of the build; null if there is none. */
+  const weighted_service* TargetOfBuild(const route& matched, software_build build, time_point now);
+  bool HasUpstreamOf(const std::string& service, software_build build, time_point now);
+  void LogOrigin(const caller_terms& terms, std::string_view source, time_point asked_at,
+                 time_point now);
+  /** Tells other daemons at which build the caller's stream began. */
+  void RecordOrigin(exchange& each, time_point now);
+
   // Placing and sending requests.
+  /** Places and sends a request; `build` is set if it resumes a stream. */
+  void Admit(arrived_request arrived, std::optional<software_build> build);
   const weighted_service& PickTarget(const route& matched);
   placement_query QueryFor(const exchange& each, time_point now) const;
   tl::expected<placement, placement_failure> Choose(const exchange& each,
@@ -178,6 +204,8 @@
   bool fleet_known_ = false;
   std::uint64_t fleet_revision_ = 0;
   std::map<request_id, exchange> exchanges_;
+  /** Requests to resume a stream whose origin other daemons were asked for. */
+  std::multimap<stream_key, arrived_request> resumes_;
   std::unordered_map<attempt_id, request_id> attempts_;
   std::vector<crash_report> own_crashes_;
   time_point own_crashes_at_;
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -87,7 +87,7 @@
   if (!each.head_sent) {
     each.head_sent = true;
     each.first_event_at = now;
-    each.build = each.call.build;
+    RecordOrigin(each, now);
     ports_.callers->Begin(each.id, each.answer.terms.status, each.answer.headers);
   } else {
     const duration interval = now - each.last_event_at;
--- a/src/libhawthorndrum/gateway/gateway_ports.h
+++ b/src/libhawthorndrum/gateway/gateway_ports.h
@@ -13,6 +13,7 @@
 class event_log;
 class metrics_registry;
 class random_source;
+class stream_origins;
 class upstream_calls;
 class wire_dialect;
 
@@ -25,6 +26,7 @@
   random_source* random = nullptr;
   event_log* log = nullptr;
   metrics_registry* metrics = nullptr;
+  stream_origins* origins = nullptr;
   std::string host;
   std::string data_centre;
   incarnation_id incarnation;
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -220,7 +220,7 @@
 
 void gateway::OnCallerGone(request_id id) {
   const auto found = exchanges_.find(id);
-  if (found == exchanges_.end()) return;
+  if (found == exchanges_.end()) return DropResume(id);
   exchange& each = found->second;
   const bool finishes = each.matched->kind == route_kind::kUnsafe;
   if (finishes) {
--- a/src/libhawthorndrum/gateway/wire_dialect.h
+++ b/src/libhawthorndrum/gateway/wire_dialect.h
@@ -25,6 +25,8 @@
   std::optional<prompt> asked;
   /** The last event that the caller received. */
   std::string last_event_id;
+  /** The caller's id of the attempt that brought the first event of the stream to resume. */
+  std::string resumes;
 };
 
 /** KV cache of a prompt that an engine prefilled for another one to fetch. */
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -13,6 +13,7 @@
 #include "fake_caller_port.h"
 #include "fake_clock.h"
 #include "fake_random_source.h"
+#include "fake_stream_origins.h"
 #include "fake_upstream_calls.h"
 #include "gateway/gateway.h"
 #include "platform_dialect.h"
@@ -154,6 +155,7 @@
     ports.random = &random;
     ports.log = &log;
     ports.metrics = &metrics;
+    ports.origins = &origins;
     ports.data_centre = "north";
     ports.incarnation = incarnation_id(7);
     ports.retries.reserve = 100;
@@ -167,6 +169,7 @@
   fake_random_source random;
   recording_log log;
   metrics_registry metrics;
+  fake_stream_origins origins;
   gateway served;
   std::uint64_t last_request = 0;
   int last_port = 8000;
--- a/tests/gateway/resumes.cpp
+++ b/tests/gateway/resumes.cpp
@@ -76,6 +76,87 @@
   EXPECT_EQ(SentTo(), "new0");
 }
 
+TEST_F(ResumesTest, OtherDaemonsKnowTheOriginBeforeTheCallerHasAnEvent) {
+  List("new0", "v2");
+  AskPrompt("/tell/x", "aa", 100, 50);
+  Head(200);
+  EXPECT_TRUE(origins.known.empty());
+  Bytes(Event(1));
+  EXPECT_EQ(origins.known[StreamKeyOf("q1")], BuildOf("llm", "v2"));
+}
+
+TEST_F(ResumesTest, AResumptionWaitsForTheAnswerOfOtherDaemons) {
+  List("old0", "v1");
+  List("new0", "v2");
+  ResumeAfterFirstEvent("elsewhere");
+  EXPECT_TRUE(upstreams.sent.empty());
+  EXPECT_EQ(served.in_flight(), 1u);
+  ASSERT_EQ(origins.asked, std::vector<stream_key>{StreamKeyOf("elsewhere")});
+  served.OnOrigin(StreamKeyOf("elsewhere"), BuildOf("llm", "v1"));
+  ASSERT_EQ(upstreams.sent.size(), 1u);
+  EXPECT_EQ(SentTo(), "old0");
+  EXPECT_EQ(SentHeader("Last-Event-Id"), "1");
+  Head(200);
+  Bytes(Event(2));
+  EXPECT_EQ(origins.known[StreamKeyOf("elsewhere")], BuildOf("llm", "v1"))
+      << "a further attempt names the same one";
+}
+
+TEST_F(ResumesTest, AStreamOfUnknownOriginIsRefusedAndNotRun) {
+  List("old0", "v1");
+  const request_id id = ResumeAfterFirstEvent("elsewhere");
+  served.OnOrigin(StreamKeyOf("elsewhere"), std::nullopt);
+  EXPECT_TRUE(upstreams.sent.empty());
+  EXPECT_EQ(CallerOf(id).status, 503);
+  EXPECT_FALSE(FindHeader(CallerOf(id).headers, "Retry-After").empty());
+  EXPECT_EQ(served.in_flight(), 0u);
+}
+
+TEST_F(ResumesTest, AResumptionWhoseCallerHasGoneIsNotSent) {
+  List("old0", "v1");
+  const request_id id = ResumeAfterFirstEvent("elsewhere");
+  served.OnCallerGone(id);
+  served.OnOrigin(StreamKeyOf("elsewhere"), BuildOf("llm", "v1"));
+  EXPECT_TRUE(upstreams.sent.empty());
+  EXPECT_EQ(served.in_flight(), 0u);
+}
+
+TEST_F(ResumesTest, AResumptionIsRefusedAtOnceWhenNoUpstreamOfItsVersionTakesWork) {
+  List("old0", "v1");
+  List("new0", "v2", "draining");
+  const request_id id = ResumeAfterFirstEvent("elsewhere");
+  served.OnOrigin(StreamKeyOf("elsewhere"), BuildOf("llm", "v2"));
+  EXPECT_TRUE(upstreams.sent.empty());
+  EXPECT_EQ(CallerOf(id).status, 503);
+}
+
+TEST_F(ResumesTest, AResumptionThatNamesNoAttemptNeedsASingleVersion) {
+  List("old0", "v1");
+  ResumeAfterFirstEvent("");
+  ASSERT_EQ(upstreams.sent.size(), 1u);
+  EXPECT_EQ(SentTo(), "old0");
+  Head(200);
+  Bytes(Event(2));
+  EXPECT_EQ(origins.known.count(StreamKeyOf("")), 0u);
+  List("new0", "v2");
+  const request_id second = ResumeAfterFirstEvent("");
+  EXPECT_EQ(upstreams.sent.size(), 1u);
+  EXPECT_EQ(CallerOf(second).status, 503);
+}
+
+TEST_F(ResumesTest, AResumptionGoesToTheServiceThatBeganTheStreamWhateverTheWeights) {
+  List("old0", "v1");
+  auto config = MakeConfig(2);
+  config->routes[2].targets = {{"desk", 1000}, {"llm", 0.001}};
+  config->Index();
+  served.SetConfig(config);
+  Add("desk0", "desk");
+  origins.known[StreamKeyOf("earlier")] = BuildOf("llm", "v1");
+  ResumeAfterFirstEvent("earlier");
+  ASSERT_EQ(upstreams.sent.size(), 1u);
+  EXPECT_EQ(SentTo(), "old0");
+}
+
 TEST_F(ResumesTest, ASilentStreamMovesOnlyToItsOwnVersion) {
   List("new0", "v2");
   Begin();
@@ -97,6 +178,9 @@
   Lost();
   ASSERT_EQ(upstreams.sent.size(), 2u);
   EXPECT_EQ(SentTo(), "old0");
+  Head(200);
+  Bytes(Event(1));
+  EXPECT_EQ(origins.known[StreamKeyOf("q1")], BuildOf("llm", "v1"));
 }
 
 }  // namespace
--- a/tests/notices/exchange.cpp
+++ b/tests/notices/exchange.cpp
@@ -9,6 +9,7 @@
 #include "fake_caller_port.h"
 #include "fake_clock.h"
 #include "fake_random_source.h"
+#include "fake_stream_origins.h"
 #include "fake_upstream_calls.h"
 #include "gateway/daemon_directory.h"
 #include "gateway/gateway.h"
@@ -37,6 +38,7 @@
     ports.random = &random;
     ports.log = &log;
     ports.metrics = &metrics;
+    ports.origins = &origins;
     ports.host = name;
     ports.data_centre = data_centre;
     ports.incarnation = incarnation_id(number);
@@ -49,6 +51,7 @@
   fake_random_source random;
   recording_log log;
   metrics_registry metrics;
+  fake_stream_origins origins;
   daemon_directory directory;
   gateway served;
   notice_exchange exchange;
