--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -79,7 +79,8 @@
   caller_terms terms = ports_.dialect->TakeCallerTerms(request);
   if (!is_ready()) return RefuseUnplaced(id, terms, 503, "not_started", kRetryUnavailable);
   const route* matched = config_->FindRoute(WithoutPort(terms.host), PathOf(request.target));
-  const bool resumes = matched != nullptr && matched->resumable && !terms.last_event_id.empty();
+  const bool has_events = !terms.last_event_id.empty() || !terms.resumes.empty();
+  const bool resumes = matched != nullptr && matched->resumable && has_events;
   arrived_request arrived{id, std::move(request), std::move(terms), now};
   if (resumes) return Resume(std::move(arrived), *matched, now);
   Admit(std::move(arrived), std::nullopt);
