Bound the answers that are buffered at once

Cause: an upstream may send without end. One answer was bounded (16 MB), a prefill's answer by the same, all of them together not: 16 answers of 15 MB were held at once, nearly the memory of a host. Change: a prefill's answer has at most 64 KB, all buffered answers at most 64 MB; beyond that the call that grows is cut off and reset, and its request handled like any failed call. Answers of up to 1 MB are never cut off for the sum.

--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -140,6 +140,8 @@
   void FinishPrefill(exchange& each, time_point now);
   void FinishPlain(exchange& each, time_point now);
   void FinishStream(exchange& each, time_point now);
+  /** Returns whether more of the answer may be buffered; an upstream may send without end. */
+  bool FitsBuffer(const exchange& each) const;
   void RelayEvents(exchange& each, std::string_view bytes);
   void Deliver(exchange& each);
   /** Closes the caller's connection in the middle of its stream. */
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -16,6 +16,12 @@
 
 /** Maximum size of a buffered answer; no plain service sends larger ones. */
 constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
+/** Maximum size of all answers that are being buffered. */
+constexpr std::size_t kMaxBufferedBytes = 64 * 1024 * 1024;
+/** A prefill's answer only names what the engine keeps. */
+constexpr std::size_t kMaxPrefillAnswerBytes = 64 * 1024;
+/** Smaller answers count towards the sum, but none is cut off for it. */
+constexpr std::size_t kSmallAnswerBytes = 1024 * 1024;
 /** Minimum silence in mid-stream after which the stream may move to another upstream. */
 constexpr duration kMinEventStall = milliseconds(1000);
 constexpr int kStallPauses = 4;
@@ -68,11 +74,20 @@
     return RelayEvents(*each, bytes.bytes);
   }
   each->answer.body += bytes.bytes;
-  if (each->answer.body.size() <= kMaxAnswerBytes) return;
+  if (FitsBuffer(*each)) return;
   ports_.upstreams->Cancel(each->call.attempt);
   Recover(*each, {"answer_too_large", true, false, false}, ports_.time->Now());
 }
 
+bool gateway::FitsBuffer(const exchange& each) const {
+  const std::size_t size = each.answer.body.size();
+  if (each.state == exchange_state::kPrefilling) return size <= kMaxPrefillAnswerBytes;
+  if (size <= kSmallAnswerBytes) return true;
+  std::size_t sum = 0;
+  for (const auto& [id, other] : exchanges_) sum += other.answer.body.size();
+  return size <= kMaxAnswerBytes && sum <= kMaxBufferedBytes;
+}
+
 void gateway::RelayEvents(exchange& each, std::string_view bytes) {
   const time_point now = ports_.time->Now();
   each.call.stall_timeout =
