Cut off answers that never end before they reach their request

Cause: a troubled upstream may send bytes that are no answer until the caller closes. The client read interim answers, chunk extensions, trailers, and heads and bodies for other requests without a bound, in a buffer without a bound. Change: a connection buffers at most 64 KB of bytes that are not parsed; at most 16 other answers and 4 MB of their bodies precede a call's own. Beyond that the call is lost as malformed and the connection is reset.

--- a/src/libtransport/connection_pool.h
+++ b/src/libtransport/connection_pool.h
@@ -17,9 +17,12 @@
 
 /** A connection to an upstream, with the bytes already read from it but not yet parsed. */
 struct client_connection {
+  /** The maximum size of a head, or of a chunk's header or trailer. */
+  static constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+
   explicit client_connection(const boost::asio::any_io_executor& executor) : socket(executor) {}
   boost::asio::ip::tcp::socket socket;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
   bool used_before = false;
 };
 
--- a/src/libtransport/http_client.cpp
+++ b/src/libtransport/http_client.cpp
@@ -36,6 +36,12 @@
  * as a call begins to use it.
  */
 constexpr duration kKeepAliveMargin = milliseconds(500);
+/**
+ * Limits on what precedes a call's answer on its connection: interim answers, and late answers to
+ * earlier requests.
+ */
+constexpr int kMaxUnrelatedAnswers = 16;
+constexpr std::size_t kMaxDiscardedBytes = 4 * 1024 * 1024;
 /** The time to keep a connection idle, limited by the server's Keep-Alive header. */
 duration IdleTimeFrom(const http::fields& fields) {
   const auto value = fields[http::field::keep_alive];
@@ -127,6 +133,8 @@
   bool bytes_sent_ = false;
   bool written_ = false;
   bool discarding_ = false;
+  int unrelated_answers_ = 0;
+  std::size_t discarded_bytes_ = 0;
   bool ended_ = false;
 };
 
@@ -215,8 +223,11 @@
   if (failed && RetryOnFreshConnection()) return;
   if (failed) return FailWithError(failed);
   // An informational answer (100 to 199) precedes the final one.
-  if (parser_->get().result_int() < 200) return ReadHead();
-  discarding_ = IsForAnotherRequest();
+  const bool is_interim = parser_->get().result_int() < 200;
+  discarding_ = !is_interim && IsForAnotherRequest();
+  if ((is_interim || discarding_) && ++unrelated_answers_ > kMaxUnrelatedAnswers)
+    return Fail(attempt_failure::kMalformed);
+  if (is_interim) return ReadHead();
   if (!discarding_) {
     listener_.OnHead(id_, static_cast<int>(parser_->get().result_int()), ToHeaders(parser_->get()));
     if (ended_) return;
@@ -257,7 +268,9 @@
   if (body.empty()) return;
   std::string bytes;
   bytes.swap(body);
-  if (!discarding_) listener_.OnBody(id_, std::move(bytes));
+  if (!discarding_) return listener_.OnBody(id_, std::move(bytes));
+  discarded_bytes_ += bytes.size();
+  if (discarded_bytes_ > kMaxDiscardedBytes) Fail(attempt_failure::kMalformed);
 }
 
 void http_client::impl::running_call::Finish() {
