Keep the origins of streams through planned restarts of daemons

Cause: three. A daemon that stops or has started again was missing from the others' lists for up to five seconds, so its records and questions were ignored. What a stopping daemon remembered was lost with it. Why it works: a planned restart leaves each stream at the daemons that its next daemon asks, and they listen. Measured: test_origins (OriginsTest.DaemonsThatStopInTurnHandTheirStreamsOver, DaemonDirectory.ADaemonThatWasListedStaysKnown are new and need new code), test_gateway, test_notices, test_platform, test_stages and test_lease pass.

--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -171,6 +171,7 @@
   if (stopping_) return;
   stopping_ = true;
   stop_began_ = clock_.Now();
+  origins_.HandOver();
   log_.Write(log_importance::kImportant,
              log_record("stopping")
                  .Number("in_flight", static_cast<std::int64_t>(gateway_.in_flight()))
--- a/src/gatewayd/notice_socket.cpp
+++ b/src/gatewayd/notice_socket.cpp
@@ -12,7 +12,7 @@
 
 using boost::asio::ip::udp;
 
-notice_socket::notice_socket(boost::asio::io_context& io, const daemon_directory& daemons,
+notice_socket::notice_socket(boost::asio::io_context& io, daemon_directory& daemons,
                              metrics_registry& metrics, notice_handler on_notice,
                              origin_handler on_origins)
     : socket_(io),
@@ -64,20 +64,14 @@
   metrics_.Counter("origin_bytes_sent_total").Add(bytes.size());
 }
 
-bool notice_socket::IsKnown(const udp::endpoint& sender) const {
-  const std::string host = sender.address().to_string() + ":";
-  for (const daemon_record& other : daemons_.others()) {
-    if (other.notices_address.compare(0, host.size(), host) == 0) return true;
-  }
-  return false;
-}
-
 void notice_socket::Dispatch(boost::span<const std::uint8_t> bytes) {
-  if (IsKnown(sender_)) {
+  const std::string ip = sender_.address().to_string();
+  const bool known = daemons_.IsKnownHost(ip);
+  if (!known) daemons_.RequestRefresh();
+  if (known) {
     if (const auto notice = DecodeLoadNotice(bytes)) return on_notice_(*notice);
     if (const auto origins = DecodeOriginMessage(bytes)) {
-      const std::string from = sender_.address().to_string() + ":" + std::to_string(sender_.port());
-      return on_origins_(*origins, from);
+      return on_origins_(*origins, ip + ":" + std::to_string(sender_.port()));
     }
   }
   metrics_.Counter("notices_passed_over_total").Add();
--- a/src/gatewayd/notice_socket.h
+++ b/src/gatewayd/notice_socket.h
@@ -26,8 +26,8 @@
 
 /**
  * Each notice contains the sender's complete state, so the next one makes up for a lost datagram,
- * and the retransmissions of a connection would add nothing. Datagrams from hosts that are not in
- * the directory are ignored.
+ * and the retransmissions of a connection would add nothing. Datagrams from hosts that the
+ * directory does not know are ignored, and make it be read again.
  */
 class notice_socket : public origin_sender {
  public:
@@ -35,8 +35,8 @@
   /** Receives a message and the address of its sender. */
   using origin_handler = std::function<void(const origin_message&, const std::string&)>;
 
-  notice_socket(boost::asio::io_context& io, const daemon_directory& daemons,
-                metrics_registry& metrics, notice_handler on_notice, origin_handler on_origins);
+  notice_socket(boost::asio::io_context& io, daemon_directory& daemons, metrics_registry& metrics,
+                notice_handler on_notice, origin_handler on_origins);
 
   expected<void> Open(std::string_view address);
   void Close();
@@ -47,10 +47,9 @@
   void Receive();
   void Dispatch(boost::span<const std::uint8_t> bytes);
   void SendTo(const std::string& address, const std::vector<std::uint8_t>& bytes);
-  bool IsKnown(const boost::asio::ip::udp::endpoint& sender) const;
 
   boost::asio::ip::udp::socket socket_;
-  const daemon_directory& daemons_;
+  daemon_directory& daemons_;
   metrics_registry& metrics_;
   notice_handler on_notice_;
   origin_handler on_origins_;
--- a/src/libhawthorndrum/gateway/daemon_directory.h
+++ b/src/libhawthorndrum/gateway/daemon_directory.h
@@ -1,7 +1,11 @@
 /// The other daemons of the fleet and the addresses for their notices.
 #pragma once
 
+#include <algorithm>
+#include <deque>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/units.h"
@@ -20,6 +24,8 @@
 /**
  * Lists the daemons that the last read of the store returned. A crashed daemon's record stays in
  * the store, so the others send datagrams to its address until a daemon of that name starts again.
+ *
+ * Invariant: departed_ holds the addresses that were dropped last, at most kMaxDeparted.
  */
 class daemon_directory {
  public:
@@ -27,16 +33,46 @@
 
   /** Replaces the whole list; leaves out this daemon's own record. */
   void Replace(const std::vector<daemon_record>& records) {
+    std::vector<daemon_record> before = std::move(others_);
     others_.clear();
     for (const daemon_record& record : records) {
       if (record.name != own_name_) others_.push_back(record);
     }
+    for (const daemon_record& each : before) {
+      const bool is_listed =
+          std::any_of(others_.begin(), others_.end(), [&](const daemon_record& other) {
+            return other.notices_address == each.notices_address;
+          });
+      if (!is_listed) departed_.push_back(each.notices_address);
+    }
+    while (departed_.size() > kMaxDeparted) departed_.pop_front();
   }
   const std::vector<daemon_record>& others() const { return others_; }
 
+  /**
+   * Returns whether a daemon at that IP address is listed, or was: one that stops still serves, and
+   * one that starts again is listed later.
+   */
+  bool IsKnownHost(std::string_view ip) const {
+    const std::string host = std::string(ip) + ":";
+    const auto is_at_host = [&](const std::string& address) {
+      return address.compare(0, host.size(), host) == 0;
+    };
+    return std::any_of(departed_.begin(), departed_.end(), is_at_host) ||
+           std::any_of(others_.begin(), others_.end(),
+                       [&](const daemon_record& each) { return is_at_host(each.notices_address); });
+  }
+  /** Asks for the list to be read soon, since a daemon that is not in it has appeared. */
+  void RequestRefresh() { refresh_requested_ = true; }
+  bool TakeRefreshRequest() { return std::exchange(refresh_requested_, false); }
+
  private:
+  static constexpr std::size_t kMaxDeparted = 512;
+
   std::string own_name_;
   std::vector<daemon_record> others_;
+  std::deque<std::string> departed_;
+  bool refresh_requested_ = false;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/origins/origin_exchange.cpp
+++ b/src/libhawthorndrum/origins/origin_exchange.cpp
@@ -128,7 +128,28 @@
   if (open.unanswered.empty()) End(origin.key, std::nullopt);
 }
 
+void origin_exchange::HandOver() { to_hand_over_ = table_.All(); }
+
+void origin_exchange::HandOverSome() {
+  std::map<std::string, origin_message> by_address;
+  for (std::size_t i = 0; i < kHandedOverAtOnce && !to_hand_over_.empty(); ++i) {
+    const stream_origin origin = to_hand_over_.back();
+    to_hand_over_.pop_back();
+    for (const std::string& address : Holders(origin.key, kHolders)) {
+      origin_message& message = by_address[address];
+      message.origins.push_back(origin);
+      if (message.origins.size() < origin_message::kMaxOrigins) continue;
+      sender_.SendOrigins(address, message);
+      message.origins.clear();
+    }
+  }
+  for (const auto& [address, message] : by_address) {
+    if (!message.origins.empty()) sender_.SendOrigins(address, message);
+  }
+}
+
 void origin_exchange::Run(time_point now) {
+  HandOverSome();
   std::vector<stream_key> ended;
   for (auto& [key, open] : questions_) {
     if (!open.second_round && (open.asked.empty() || now - open.asked_at >= kFirstRoundTime))
--- a/src/libhawthorndrum/origins/origin_exchange.h
+++ b/src/libhawthorndrum/origins/origin_exchange.h
@@ -32,6 +32,8 @@
   static constexpr std::size_t kSecondRoundHolders = 6;
   static constexpr duration kFirstRoundTime = milliseconds(60);
   static constexpr duration kLongestQuestion = milliseconds(250);
+  /** Streams that a stopping daemon hands over at each tick. */
+  static constexpr std::size_t kHandedOverAtOnce = 128;
 
   origin_exchange(const daemon_directory& daemons, origin_sender& sender, std::string own_name,
                   std::string own_data_centre);
@@ -44,6 +46,8 @@
   void Ask(stream_key key, time_point now) override;
 
   void OnMessage(const origin_message& message, const std::string& from, time_point now);
+  /** Sends what this daemon remembers to other daemons, some of it at each tick; it will stop. */
+  void HandOver();
   /** Begins second rounds and ends questions that nobody answered. */
   void Run(time_point now);
 
@@ -62,6 +66,7 @@
    * `count` of all, of which no data centre has more than half.
    */
   std::vector<std::string> Holders(stream_key key, std::size_t count) const;
+  void HandOverSome();
   void SendQuestions(stream_key key, question& open, std::size_t holders);
   void BeginSecondRound(stream_key key, question& open);
   void Answer(const origin_message& questions, const std::string& to, time_point now);
@@ -75,6 +80,7 @@
   std::string own_data_centre_;
   stream_origin_table table_;
   std::map<stream_key, question> questions_;
+  std::vector<stream_origin> to_hand_over_;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/origins/stream_origin_table.cpp
+++ b/src/libhawthorndrum/origins/stream_origin_table.cpp
@@ -16,6 +16,12 @@
   return found->second.build;
 }
 
+std::vector<stream_origin> stream_origin_table::All() const {
+  std::vector<stream_origin> all;
+  for (const auto& [key, kept] : streams_) all.push_back({key, kept.build});
+  return all;
+}
+
 void stream_origin_table::Forget(time_point now) {
   while (!order_.empty()) {
     const order_entry& oldest = order_.front();
--- a/src/libhawthorndrum/origins/stream_origin_table.h
+++ b/src/libhawthorndrum/origins/stream_origin_table.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "base/units.h"
 #include "origins/stream_origin.h"
@@ -25,6 +26,8 @@
 
   void Record(const stream_origin& origin, time_point now);
   std::optional<software_build> Find(stream_key key, time_point now) const;
+  /** Returns all streams that are remembered. */
+  std::vector<stream_origin> All() const;
   std::size_t size() const { return streams_.size(); }
 
  private:
--- a/tests/origins/test_origins.cpp
+++ b/tests/origins/test_origins.cpp
@@ -161,6 +161,34 @@
   }
 }
 
+TEST_F(OriginsTest, DaemonsThatStopInTurnHandTheirStreamsOver) {
+  Build(1, 3);
+  for (std::uint64_t key = 1; key <= 500; ++key) Begin(key % 3, stream_key(key));
+  for (std::size_t at = 0; at < 2; ++at) {
+    At(at).exchange.HandOver();
+    Pass(milliseconds(200));
+    At(at).alive = false;
+    for (auto& each : daemons) each->directory.Replace({all.begin() + at + 1, all.end()});
+  }
+  for (std::uint64_t key = 1; key <= 500; ++key)
+    EXPECT_EQ(At(2).exchange.Find(stream_key(key), time.Now()), kBuild) << key;
+}
+
+TEST(DaemonDirectory, ADaemonThatWasListedStaysKnown) {
+  daemon_directory directory("a");
+  directory.Replace({{"a", "10.0.0.1:7380", "x"}, {"b", "10.0.0.2:7380", "x"}});
+  EXPECT_TRUE(directory.IsKnownHost("10.0.0.2"));
+  EXPECT_FALSE(directory.IsKnownHost("10.0.0.20"));
+  EXPECT_FALSE(directory.IsKnownHost("10.0.0"));
+  directory.Replace({{"a", "10.0.0.1:7380", "x"}});
+  EXPECT_TRUE(directory.others().empty());
+  EXPECT_TRUE(directory.IsKnownHost("10.0.0.2")) << "it may still serve, or start again";
+  EXPECT_FALSE(directory.TakeRefreshRequest());
+  directory.RequestRefresh();
+  EXPECT_TRUE(directory.TakeRefreshRequest());
+  EXPECT_FALSE(directory.TakeRefreshRequest());
+}
+
 TEST_F(OriginsTest, LostDatagramsAreMadeUpForByFurtherDaemonsAndASecondQuestion) {
   Build(2, 4);
   loss = 0.2;
