Send nothing more to an upstream that says it leaves

What could happen: an upstream that says in every answer that it leaves went on to get requests until its entry said so, which takes as long as the store's outage or the watch's pause (DRAIN). Cause: the header was read nowhere; the host list was the only source. Change: platform/ translates Server-Leaving (any of the headers with the value 1). The core marks the instance (id and start) that was called, from the head of the answer on, unless the answer is of another upstream (421, or another name in it). takes_work is false from then on, so first sends, retries, prefill, moves, resumed streams, orders and the notices' kLeaving follow; open calls go on. No entry, listing, configuration or outage withdraws the mark. Not covered: answers to orders and to dropped prefills, which the gateway doesn't read, and to calls that it cancelled.

--- a/src/libhawthorndrum/gateway/fleet_table.cpp
+++ b/src/libhawthorndrum/gateway/fleet_table.cpp
@@ -23,6 +23,7 @@
   fleet_upstream& row = rows_[id];
   const bool moved = row.id && row.entry.service != entry.service;
   if (moved) RemoveFromService(row);
+  if (!row.id) row.said = departed_.Take(id);
   if (!row.id || moved) by_service_[entry.service].push_back(&row);
   if (row.id && row.entry.stage != entry.stage) row.cache.Clear();
   row.id = id;
@@ -69,6 +70,7 @@
       continue;
     }
     RemoveFromService(row);
+    departed_.Keep(row.id, row.said);
     const auto listed = by_entry_.find(row.entry.id);
     if (listed != by_entry_.end() && listed->second == row.id) by_entry_.erase(listed);
     it = rows_.erase(it);
--- a/src/libhawthorndrum/gateway/fleet_table.h
+++ b/src/libhawthorndrum/gateway/fleet_table.h
@@ -8,13 +8,14 @@
 #include <unordered_map>
 #include <vector>
 
+#include "gateway/departed_statements.h"
 #include "gateway/fleet_upstream.h"
 
 namespace hawthorndrum {
 
 /**
  * Indexes upstreams by id, entry and service. The row of a removed entry stays while this daemon
- * has work there.
+ * has work there; what its upstream said about itself is kept for longer.
  *
  * Invariants: rows keep their address while they are in the table; each instance of an upstream has
  * its own id.
@@ -46,6 +47,8 @@
   std::map<upstream_id, fleet_upstream> rows_;
   std::unordered_map<std::string, upstream_id> by_entry_;
   std::unordered_map<std::string, std::vector<fleet_upstream*>> by_service_;
+  /** Of instances without a row. */
+  departed_statements departed_;
 
   void RemoveFromService(fleet_upstream& row);
 };
--- a/src/libhawthorndrum/gateway/fleet_upstream.h
+++ b/src/libhawthorndrum/gateway/fleet_upstream.h
@@ -10,6 +10,7 @@
 #include "gateway/prompt_cache.h"
 #include "gateway/reachability_state.h"
 #include "gateway/upstream_entry.h"
+#include "gateway/upstream_statements.h"
 
 namespace hawthorndrum {
 
@@ -56,6 +57,8 @@
   upstream_work peers;
   prompt_cache cache;
   reachability_state reachability;
+  /** What this instance said about itself; no entry withdraws it. */
+  upstream_statements said;
 
   /** Until then, new work goes there only if no other upstream can take it. */
   time_point avoid_until;
@@ -88,7 +91,8 @@
     sum += peers;
     return sum;
   }
-  bool takes_work(time_point now) const { return !entry.leaving && !(gone_at && now >= *gone_at); }
+  bool is_leaving() const { return entry.leaving || said.leaving_since.has_value(); }
+  bool takes_work(time_point now) const { return !is_leaving() && !(gone_at && now >= *gone_at); }
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -149,6 +149,8 @@
   /** Removes an upstream at whose address another one answered. */
   void OnUpstreamReplaced(const fleet_upstream& row, const answer_terms& terms, time_point now);
   bool IsDeliverable(const exchange& each) const;
+  /** Remembers what the upstream says about itself in the head of an answer. */
+  void HeedStatements(fleet_upstream& row, const answer_terms& terms, time_point now);
 
   // Failure handling.
   void Recover(exchange& each, const call_problem& problem, time_point now);
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -49,6 +49,7 @@
   // An engine that runs the request has fetched the prefilled prompt.
   if (each->state == exchange_state::kRunning && !each->answer.terms.not_run) each->handle.reset();
   fleet_upstream* row = fleet_.Find(each->call.upstream);
+  if (row != nullptr) HeedStatements(*row, each->answer.terms, now);
   if (row != nullptr && !each->answer.terms.is_wrong_upstream) {
     row->last_active_at = now;
     row->failures = 0;
--- a/src/libhawthorndrum/gateway/load_notice.h
+++ b/src/libhawthorndrum/gateway/load_notice.h
@@ -26,7 +26,7 @@
 enum class avoidance_reason : std::uint8_t {
   /** The sender is changing its stage. */
   kChangingStage,
-  /** It is leaving, or has left, according to the host list. */
+  /** It is leaving, or has left, as the host list or the upstream itself says. */
   kLeaving,
   /** The sender cannot connect to it. */
   kLost,
--- a/src/libhawthorndrum/gateway/upstream_directory.cpp
+++ b/src/libhawthorndrum/gateway/upstream_directory.cpp
@@ -26,7 +26,7 @@
   fleet_table& fleet = gateway_.fleet();
   const fleet_upstream* known = fleet.FindEntry(entry.id);
   const bool changed = known == nullptr || !(known->entry == entry) || known->gone_at.has_value();
-  fleet.Put(entry);
+  const fleet_upstream& row = fleet.Put(entry);
   if (!changed) return;
   log_.Write(log_importance::kImportant,
              log_record("upstream_listed")
@@ -38,6 +38,12 @@
                  .Text("state", StateOf(entry))
                  .Number("stage", static_cast<int>(entry.stage))
                  .Number("born", static_cast<std::int64_t>(entry.born)));
+  if (!row.said.leaving_since) return;
+  log_.Write(log_importance::kImportant,
+             log_record("upstream_leaving")
+                 .Text("upstream", entry.id)
+                 .Text("source", "listed_again")
+                 .Number("age_ms", ToMilliseconds(time_.Now() - *row.said.leaving_since)));
 }
 
 time_point upstream_directory::RemovalTime(time_point now) const {
@@ -48,7 +54,7 @@
   const time_point now = time_.Now();
   const fleet_upstream* known = gateway_.fleet().FindEntry(entry_id);
   if (known == nullptr || known->gone_at) return;
-  const time_point when = known->entry.leaving ? now : RemovalTime(now);
+  const time_point when = known->is_leaving() ? now : RemovalTime(now);
   log_.Write(log_importance::kImportant, log_record("upstream_gone")
                                              .Text("upstream", entry_id)
                                              .Text("state", StateOf(known->entry))
--- a/src/libhawthorndrum/gateway/upstream_directory.h
+++ b/src/libhawthorndrum/gateway/upstream_directory.h
@@ -19,7 +19,7 @@
  * Adds and removes upstreams as the host list changes. During an outage of the store the entries of
  * live upstreams expire, since these cannot renew them; they register again soon after the store
  * answers. An upstream that is missing just after an outage therefore gets work for another
- * kExpiryGrace, unless its entry was marked as leaving.
+ * kExpiryGrace, unless it was leaving.
  */
 class upstream_directory : public object_watch_listener {
  public:
--- a/src/libhawthorndrum/gateway/wire_dialect.h
+++ b/src/libhawthorndrum/gateway/wire_dialect.h
@@ -61,6 +61,8 @@
   bool is_wrong_upstream = false;
   /** The name of the upstream that answered, if the answer contains it. */
   std::string upstream;
+  /** The upstream states that it finishes its requests and accepts no new ones. */
+  bool leaving = false;
 };
 
 /**
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -118,6 +118,16 @@
   EXPECT_FALSE(dialect.ReadAnswer(429, {}).not_run);
 }
 
+TEST(PlatformDialect, ReadsThatAnUpstreamLeavesInAnyAnswer) {
+  const platform_dialect dialect;
+  for (const int status : {200, 404, 421, 500, 503})
+    EXPECT_TRUE(dialect.ReadAnswer(status, {{"server-leaving", "1"}}).leaving) << status;
+  EXPECT_TRUE(dialect.ReadAnswer(200, {{"Server-Leaving", "0"}, {"Server-Leaving", " 1"}}).leaving);
+  for (const char* value : {"", "0", "true", "1, 1", "11"})
+    EXPECT_FALSE(dialect.ReadAnswer(200, {{"Server-Leaving", value}}).leaving) << value;
+  EXPECT_FALSE(dialect.ReadAnswer(200, {}).leaving);
+}
+
 TEST(GatewaySettings, ReportsEverythingThatIsWrongTogether) {
   findings found;
   ReadGatewaySettings("s.yaml", "host: a\ncallers: nowhere\nretries:\n  ratio: x\nodd: 1\n", found);
