Give upstreams the time without requests that they ask for

Cause: the header was read nowhere; a refusal closed the upstream for 60 ms, at most two seconds. Change: platform/ reads seconds, with a fraction if there is one, from a 503; of repeated headers the longest counts; zero asks for nothing; signs, dates, lists and other text are not heeded and logged once an instance (upstream_time_unreadable). From the head of the answer on the instance gets no call of this daemon, for 30 s at most (kMaxTimeAsked). Later answers extend the time and don't shorten it. Lists, configurations and an erased row keep it; a new instance starts clean. After it, calls go there one in 250 ms, the first at a random time within 250 ms, until a call that was sent after the end is accepted. If all upstreams that could run a request have asked for time, it is refused at once as upstreams_want_nothing, with Retry-After from the earliest end, spread by the jitter; a moved request that waits for a place ends when its deadline is before that end. Calls that are open are not cancelled: they reached the upstream before its answer was read. Peers are told for a second (kWantsTime, the least urgent reason; notice format 8). They count it as one refusal of an own call, so the upstream becomes dearer and is not closed. Reported as kFailing it had no effect: the sender's own notice says that the upstream has just answered. Notices of formats 7 and 8 are not read by each other's daemons.

--- a/src/libhawthorndrum/gateway/departed_statements.cpp
+++ b/src/libhawthorndrum/gateway/departed_statements.cpp
@@ -5,8 +5,9 @@
 
 namespace hawthorndrum {
 
-void departed_statements::Keep(upstream_id instance, const upstream_statements& said) {
-  if (!said.IsWorthKeeping()) return;
+void departed_statements::Keep(upstream_id instance, const upstream_statements& said,
+                               time_point now) {
+  if (!said.IsWorthKeeping(now)) return;
   kept_.push_back({instance, said});
   if (kept_.size() > kMaxInstances) kept_.pop_front();
 }
--- a/src/libhawthorndrum/gateway/departed_statements.h
+++ b/src/libhawthorndrum/gateway/departed_statements.h
@@ -20,7 +20,8 @@
   /** Several times the largest fleet; an instance takes less than 100 bytes. */
   static constexpr std::size_t kMaxInstances = 1024;
 
-  void Keep(upstream_id instance, const upstream_statements& said);
+  /** Keeps what the instance said unless nothing of it is valid any more. */
+  void Keep(upstream_id instance, const upstream_statements& said, time_point now);
   /** Removes and returns what the instance said; empty when it is not known. */
   upstream_statements Take(upstream_id instance);
   std::size_t size() const { return kept_.size(); }
--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -122,7 +122,7 @@
                                                                       time_point now) const {
   std::vector<candidate> found;
   for (const fleet_upstream* row : fleet_.OfService(query.service->name)) {
-    if (!row->takes_work(now) || row->reachability.is_lost || now < row->refuses_until) continue;
+    if (!row->accepts_calls(now)) continue;
     if (Contains(query.tried, row->id)) continue;
     // Prefill writes no events, so its build does not matter.
     const bool writes_events = row->entry.stage != engine_stage::kPrefill;
--- a/src/libhawthorndrum/gateway/fleet_table.cpp
+++ b/src/libhawthorndrum/gateway/fleet_table.cpp
@@ -70,7 +70,7 @@
       continue;
     }
     RemoveFromService(row);
-    departed_.Keep(row.id, row.said);
+    departed_.Keep(row.id, row.said, now);
     const auto listed = by_entry_.find(row.entry.id);
     if (listed != by_entry_.end() && listed->second == row.id) by_entry_.erase(listed);
     it = rows_.erase(it);
--- a/src/libhawthorndrum/gateway/fleet_upstream.h
+++ b/src/libhawthorndrum/gateway/fleet_upstream.h
@@ -93,6 +93,11 @@
   }
   bool is_leaving() const { return entry.leaving || said.leaving_since.has_value(); }
   bool takes_work(time_point now) const { return !is_leaving() && !(gone_at && now >= *gone_at); }
+  /** Whether a call may be sent there now. */
+  bool accepts_calls(time_point now) const {
+    return takes_work(now) && !reachability.is_lost && now >= refuses_until &&
+           !said.WantsNothing(now);
+  }
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -115,7 +115,7 @@
     return Refuse(each, "crashed_upstreams", kRetryConvicted);
   }
   const auto place = Place(each, now);
-  if (!place) return Refuse(each, place.error().reason, place.error().retry_after);
+  if (!place) return Refuse(each, place.error());
   Send(each, *place, now);
 }
 
@@ -150,12 +150,13 @@
 
 tl::expected<placement, placement_failure> gateway::Choose(const exchange& each,
                                                            const placement_query& query,
-                                                           time_point now) const {
-  return each.is_engine() ? engines_.Choose(query, now) : services_.Choose(query, now);
+                                                           time_point now) {
+  auto place = each.is_engine() ? engines_.Choose(query, now) : services_.Choose(query, now);
+  if (!place) place = tl::make_unexpected(ExplainFailure(each, place.error(), now));
+  return place;
 }
 
-tl::expected<placement, placement_failure> gateway::Place(const exchange& each,
-                                                          time_point now) const {
+tl::expected<placement, placement_failure> gateway::Place(const exchange& each, time_point now) {
   return Choose(each, QueryFor(each, now), now);
 }
 
@@ -243,6 +244,8 @@
       notice.avoided.push_back({row.id, kUnreachableAvoidance, avoidance_reason::kLost});
     } else if (row.failures > 0 && row.avoid_until > now) {
       notice.avoided.push_back({row.id, row.avoid_until - now, avoidance_reason::kFailing});
+    } else if (IsNewsForPeers(row.said, now)) {
+      notice.avoided.push_back({row.id, *row.said.next_call - now, avoidance_reason::kWantsTime});
     }
   });
   if (now - own_crashes_at_ > kCrashReportTime) own_crashes_.clear();
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -84,6 +84,8 @@
   /** Failure reason: no connection could be made, and nothing was sent. */
   static constexpr std::string_view kNotConnected = "not_connected";
   static constexpr std::string_view kConnectionLost = "connection_lost";
+  /** Refusal reason: all upstreams that could take the request asked for time. */
+  static constexpr std::string_view kUpstreamsWantNothing = "upstreams_want_nothing";
   /** Why a call ended without an answer that can be forwarded to the caller. */
   struct call_problem {
     std::string_view reason;
@@ -123,9 +125,8 @@
   const weighted_service& PickTarget(const route& matched);
   placement_query QueryFor(const exchange& each, time_point now) const;
   tl::expected<placement, placement_failure> Choose(const exchange& each,
-                                                    const placement_query& query,
-                                                    time_point now) const;
-  tl::expected<placement, placement_failure> Place(const exchange& each, time_point now) const;
+                                                    const placement_query& query, time_point now);
+  tl::expected<placement, placement_failure> Place(const exchange& each, time_point now);
   void Send(exchange& each, const placement& place, time_point now);
   /** Sends a request whose prompt was prefilled elsewhere to a decode engine. */
   void SendPrefilledPrompt(exchange& each, time_point now);
@@ -149,8 +150,22 @@
   /** Removes an upstream at whose address another one answered. */
   void OnUpstreamReplaced(const fleet_upstream& row, const answer_terms& terms, time_point now);
   bool IsDeliverable(const exchange& each) const;
+
+  // What upstreams say about themselves.
   /** Remembers what the upstream says about itself in the head of an answer. */
-  void HeedStatements(fleet_upstream& row, const answer_terms& terms, time_point now);
+  void HeedStatements(const exchange& each, fleet_upstream& row, time_point now);
+  void HeedLeaving(fleet_upstream& row, time_point now);
+  void HeedTimeAsked(fleet_upstream& row, duration asked, time_point now);
+  void HeedUnreadableTime(fleet_upstream& row, std::string_view value);
+  /** Delays further calls to an upstream that has accepted none since it asked for time. */
+  static void SpaceTrials(fleet_upstream& row, time_point now);
+  /** Returns the failure, or that all upstreams asked for time and when the first one's ends. */
+  placement_failure ExplainFailure(const exchange& each, const placement_failure& failure,
+                                   time_point now);
+  /** Returns whether all upstreams asked for time that ends too late for the request. */
+  bool WaitsInVain(const exchange& each, time_point now);
+  /** Returns whether other daemons should hear that the upstream asked for time. */
+  static bool IsNewsForPeers(const upstream_statements& said, time_point now);
 
   // Failure handling.
   void Recover(exchange& each, const call_problem& problem, time_point now);
@@ -170,8 +185,10 @@
   /** Charges the extra calls to the retry budget and sends the request. */
   void SendAgain(exchange& each, const placement& place, time_point now);
   /** Returns whether a request that was moved waits for a place instead of failing. */
-  bool MayWait(const exchange& each, time_point now) const;
+  bool MayWait(const exchange& each, time_point now);
   void Wait(exchange& each, std::string_view reason, time_point now);
+  /** Ends the answer of a waiting request that no upstream will take before its deadline. */
+  void EndWait(exchange& each);
   void LogStall(exchange& each, duration silence, std::string_view outcome, time_point now);
   void LogFailedCall(const exchange& each, const call_problem& problem, time_point now);
   /** Detects that this daemon did not run for a while, so it read no bytes either. */
@@ -183,6 +200,9 @@
   void RefuseUnplaced(request_id id, const caller_terms& terms, int status, std::string_view reason,
                       duration retry_after);
   void Refuse(exchange& each, std::string_view reason, duration retry_after);
+  void Refuse(exchange& each, const placement_failure& why) {
+    Refuse(each, why.reason, why.retry_after);
+  }
   http_answer ProblemAnswer(int status, std::string_view reason, duration retry_after) const;
 
   exchange* FindByAttempt(attempt_id attempt);
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -49,7 +49,7 @@
   // An engine that runs the request has fetched the prefilled prompt.
   if (each->state == exchange_state::kRunning && !each->answer.terms.not_run) each->handle.reset();
   fleet_upstream* row = fleet_.Find(each->call.upstream);
-  if (row != nullptr) HeedStatements(*row, each->answer.terms, now);
+  if (row != nullptr) HeedStatements(*each, *row, now);
   if (row != nullptr && !each->answer.terms.is_wrong_upstream) {
     row->last_active_at = now;
     row->failures = 0;
@@ -151,7 +151,7 @@
   // The engine chosen before the prefill may be full or gone by now.
   const auto place = Place(each, now);
   if (place) return SendRun(each, place->runs_at, 0, place->expected, now);
-  Refuse(each, place.error().reason, place.error().retry_after);
+  Refuse(each, place.error());
 }
 
 void gateway::FinishStream(exchange& each, time_point now) {
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -181,9 +181,9 @@
                    (is_free || allowance_.Spend(each.service->name, now));
   // Each further call counts as an extra one if it is refused as well.
   if (refused && allowance_.Remaining(each.service->name, now) < 0)
-    return Refuse(each, kRefusedByUpstream, kRetryAfterFailure);
+    return Refuse(each, ExplainFailure(each, {kRefusedByUpstream, kRetryAfterFailure}, now));
   const auto place = Place(each, now);
-  if (!place) return Refuse(each, place.error().reason, place.error().retry_after);
+  if (!place) return Refuse(each, place.error());
   Send(each, *place, now);
 }
 
@@ -192,7 +192,8 @@
   if (!problem.may_have_run && MayWait(each, now)) return Wait(each, problem.reason, now);
   if (each.head_sent) return AbortStream(each);
   if (problem.has_answer) return Deliver(each);
-  if (each.runs == 0) return Refuse(each, problem.reason, kRetryAfterFailure);
+  if (each.runs == 0)
+    return Refuse(each, ExplainFailure(each, {problem.reason, kRetryAfterFailure}, now));
   FailUnknown(each, problem.reason, each.TimeLeft(now) < exchange::kMinTimeForAttempt ? 504 : 502);
 }
 
--- a/src/libhawthorndrum/gateway/gateway_stalls.cpp
+++ b/src/libhawthorndrum/gateway/gateway_stalls.cpp
@@ -29,7 +29,8 @@
   if (each.state == exchange_state::kWaiting) {
     each.call.stalls_at = now + kStallCheckInterval;
     const auto place = PlaceAgain(each, now);
-    if (place) SendAgain(each, *place, now);
+    if (place) return SendAgain(each, *place, now);
+    if (WaitsInVain(each, now)) EndWait(each);
     return;
   }
   // An upstream that sends any byte to this daemon, or to one that reports it, is alive, so silence
@@ -104,11 +105,16 @@
   Send(each, place, now);
 }
 
-bool gateway::MayWait(const exchange& each, time_point now) const {
+bool gateway::MayWait(const exchange& each, time_point now) {
   // Before its first run a request is refused, and its caller told when to come back.
   return each.moved && !each.caller_gone && each.runs > 0 && each.runs < each.matched->attempts &&
          each.TimeLeft(now) >= exchange::kMinTimeForAttempt &&
-         !crashes_.IsConvicted(each.fingerprint, now);
+         !crashes_.IsConvicted(each.fingerprint, now) && !WaitsInVain(each, now);
+}
+
+void gateway::EndWait(exchange& each) {
+  if (each.head_sent) return AbortStream(each);
+  FailUnknown(each, kUpstreamsWantNothing, 502);
 }
 
 void gateway::Wait(exchange& each, std::string_view reason, time_point now) {
--- a/src/libhawthorndrum/gateway/load_notice.cpp
+++ b/src/libhawthorndrum/gateway/load_notice.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint64_t kFormatVersion = 7;
+constexpr std::uint64_t kFormatVersion = 8;
 /**
  * These limits keep a datagram below 6 KB: an upstream's work takes up to 39 bytes, a covered
  * notice 19 and an avoided upstream 14.
@@ -24,7 +24,7 @@
 constexpr std::size_t kMaxCrashes = 8;
 constexpr std::size_t kMaxDemands = 2;
 
-constexpr auto kLastReason = static_cast<std::uint64_t>(avoidance_reason::kFailing);
+constexpr auto kLastReason = static_cast<std::uint64_t>(avoidance_reason::kWantsTime);
 
 template <typename T>
 boost::span<const T> First(const std::vector<T>& all, std::size_t max_count) {
--- a/src/libhawthorndrum/gateway/load_notice.h
+++ b/src/libhawthorndrum/gateway/load_notice.h
@@ -32,6 +32,8 @@
   kLost,
   /** It failed calls of the sender. */
   kFailing,
+  /** It asked the sender, which it does not serve for now, for time. */
+  kWantsTime,
 };
 
 struct reported_avoidance {
--- a/src/libhawthorndrum/gateway/peer_load_table.cpp
+++ b/src/libhawthorndrum/gateway/peer_load_table.cpp
@@ -13,6 +13,8 @@
 
 /** One notice makes this daemon avoid an upstream for at most this long; the next may extend it. */
 constexpr duration kMaxAvoidance = milliseconds(500);
+/** A peer's report that an upstream asked it for time counts like a refusal of an own call. */
+constexpr double kReportedRefusalShare = 0.3;
 /** Digests include notices that are a few periods old at most. */
 constexpr std::size_t kMaxOwnNotices = 12;
 
@@ -79,6 +81,11 @@
   for (const reported_avoidance& avoided : notice.avoided) {
     fleet_upstream* row = fleet_.Find(avoided.upstream);
     if (row == nullptr) continue;
+    if (avoided.reason == avoidance_reason::kWantsTime) {
+      // The upstream told the sender alone, and may still accept calls of this daemon.
+      row->refusal_share = std::max(row->refusal_share, kReportedRefusalShare);
+      continue;
+    }
     // An engine whose stage is about to change, or that is leaving, still answers until then.
     const bool is_planned = avoided.reason == avoidance_reason::kChangingStage ||
                             avoided.reason == avoidance_reason::kLeaving;
--- a/src/libhawthorndrum/gateway/service_placement.cpp
+++ b/src/libhawthorndrum/gateway/service_placement.cpp
@@ -59,7 +59,7 @@
   bool any = false;
   duration answer = kInitialAnswerTime;
   for (const fleet_upstream* row : fleet_.OfService(query.service->name)) {
-    if (!row->takes_work(now) || row->reachability.is_lost || now < row->refuses_until) continue;
+    if (!row->accepts_calls(now)) continue;
     if (std::find(query.tried->begin(), query.tried->end(), row->id) != query.tried->end())
       continue;
     if (query.build && row->build != query.build) continue;
--- a/src/libhawthorndrum/gateway/wire_dialect.h
+++ b/src/libhawthorndrum/gateway/wire_dialect.h
@@ -63,6 +63,10 @@
   std::string upstream;
   /** The upstream states that it finishes its requests and accepts no new ones. */
   bool leaving = false;
+  /** How long the upstream, which turned the request away, wants no other one of this host. */
+  duration wants_nothing_for{0};
+  /** The text of such a time that cannot be read. */
+  std::optional<std::string> unreadable_time;
 };
 
 /**
--- a/tests/gateway/says_leaving.cpp
+++ b/tests/gateway/says_leaving.cpp
@@ -255,13 +255,14 @@
 }
 
 TEST(DepartedStatements, TheLastDepartedInstancesAreKept) {
+  const time_point now(seconds(9));
   departed_statements kept;
   upstream_statements said;
-  kept.Keep(upstream_id(1), said);
+  kept.Keep(upstream_id(1), said, now);
   EXPECT_EQ(kept.size(), 0u) << "said nothing";
   said.leaving_since = time_point(seconds(1));
   for (std::uint64_t i = 1; i <= departed_statements::kMaxInstances + 1; ++i)
-    kept.Keep(upstream_id(i), said);
+    kept.Keep(upstream_id(i), said, now);
   EXPECT_EQ(kept.size(), departed_statements::kMaxInstances);
   EXPECT_FALSE(kept.Take(upstream_id(1)).leaving_since);
   EXPECT_TRUE(kept.Take(upstream_id(2)).leaving_since);
--- a/tests/notices/test_notices.cpp
+++ b/tests/notices/test_notices.cpp
@@ -231,6 +231,44 @@
   EXPECT_GT(fleet.Find(engine)->avoid_until, now);
 }
 
+// An upstream that turns one daemon away for a time may accept the calls of others: what it told
+// that daemon is a hint of its load, like one refusal of an own call.
+TEST_F(BoardTest, AnotherDaemonsTimeWithoutRequestsOnlyMakesAnUpstreamDearer) {
+  fleet.Find(engine)->last_active_at = now;
+  double share = 0;
+  for (std::uint64_t sequence = 1; sequence <= 20; ++sequence) {
+    load_notice notice = Notice(1, sequence);
+    notice.avoided = {{engine, seconds(30), avoidance_reason::kWantsTime}};
+    table.OnNotice(notice, now);
+    const fleet_upstream& row = *fleet.Find(engine);
+    EXPECT_TRUE(row.accepts_calls(now));
+    EXPECT_LE(row.avoid_until, now);
+    EXPECT_GT(row.refusal_share, 0);
+    if (sequence > 1) {
+      EXPECT_EQ(row.refusal_share, share) << "repeated, not added up";
+    }
+    share = row.refusal_share;
+  }
+}
+
+TEST(Notices, TimesAskedGiveWayToOtherAdviceAndTake14BytesEach) {
+  load_notice notice = Notice(UINT64_MAX, UINT64_MAX);
+  const std::size_t without = EncodeLoadNotice(notice).size();
+  for (std::uint64_t i = 0; i < 20; ++i)
+    notice.avoided.push_back(
+        {upstream_id(UINT64_MAX - i), seconds(30), avoidance_reason::kWantsTime});
+  const std::size_t with = EncodeLoadNotice(notice).size();
+  RecordProperty("bytes_of_20_times_asked", static_cast<int>(with - without));
+  EXPECT_LE(with - without, 20 * 14u);
+  for (std::uint64_t i = 100; i < 164; ++i)
+    notice.avoided.push_back({upstream_id(i), seconds(1), avoidance_reason::kFailing});
+  const auto read = DecodeLoadNotice(EncodeLoadNotice(notice));
+  ASSERT_TRUE(read);
+  ASSERT_EQ(read->avoided.size(), 64u);
+  for (const reported_avoidance& each : read->avoided)
+    EXPECT_EQ(each.reason, avoidance_reason::kFailing);
+}
+
 TEST_F(BoardTest, AReportedLossStartsAProbeAndProvesNothing) {
   load_notice notice = Notice(1, 1);
   notice.avoided = {{engine, milliseconds(300), avoidance_reason::kLost}};
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -128,6 +128,42 @@
   EXPECT_FALSE(dialect.ReadAnswer(200, {}).leaving);
 }
 
+TEST(PlatformDialect, ReadsTheTimeThatAnUpstreamAsksFor) {
+  const platform_dialect dialect;
+  const auto read = [&](std::vector<http_header> headers, int status = 503) {
+    return dialect.ReadAnswer(status, headers);
+  };
+  for (const auto& [value, time] :
+       std::vector<std::pair<std::string, duration>>{{"3", seconds(3)},
+                                                     {"0.25", milliseconds(250)},
+                                                     {" 1.5 ", milliseconds(1500)},
+                                                     {"0", duration(0)},
+                                                     {"007", seconds(7)},
+                                                     {"86401", seconds(86400)},
+                                                     {"1e", duration(0)},
+                                                     {"", duration(0)},
+                                                     {"-3", duration(0)},
+                                                     {"2, 3", duration(0)},
+                                                     {"0.0000001", duration(0)},
+                                                     {"0x10", duration(0)},
+                                                     {"nan", duration(0)},
+                                                     {"1.", duration(0)},
+                                                     {".5", duration(0)}}) {
+    EXPECT_EQ(read({{"retry-after", value}}).wants_nothing_for, time) << value;
+  }
+  EXPECT_EQ(read({{"Retry-After", std::string(4000, '9')}}).wants_nothing_for, seconds(86400));
+  for (const char* value : {"3", "0", "0.0", "99999999999999999999"})
+    EXPECT_FALSE(read({{"Retry-After", value}}).unreadable_time) << value;
+  for (const char* value : {"", "-3", "2, 3", "soon", "1e", "Fri, 04 Dec 2026 10:24:46 GMT"})
+    EXPECT_EQ(read({{"Retry-After", value}}).unreadable_time, value);
+  const answer_terms several =
+      read({{"Retry-After", "2"}, {"Retry-After", "x"}, {"Retry-After", "5"}});
+  EXPECT_EQ(several.wants_nothing_for, seconds(5));
+  EXPECT_EQ(several.unreadable_time, "x");
+  for (const int status : {200, 421, 429, 500, 504})
+    EXPECT_EQ(read({{"Retry-After", "3"}}, status).wants_nothing_for, duration(0)) << status;
+}
+
 TEST(GatewaySettings, ReportsEverythingThatIsWrongTogether) {
   findings found;
   ReadGatewaySettings("s.yaml", "host: a\ncallers: nowhere\nretries:\n  ratio: x\nodd: 1\n", found);
