Explain a refusal by what its upstreams said

Cause: a request that was refused because all upstreams had asked for time named none of them in its lines, and the line of that time may be 30 s older than the request; hawthorndrumctl why shows ten seconds.

--- a/src/hawthorndrumctl/request_timeline.cpp
+++ b/src/hawthorndrumctl/request_timeline.cpp
@@ -15,6 +15,16 @@
 /** Changes earlier than this before a request are unlikely to have affected it. */
 constexpr double kBeforeSeconds = 10;
 constexpr double kAfterSeconds = 1;
+/** What an upstream says about itself holds for longer: a time without requests for 30 s at most.
+ */
+constexpr double kTimeAskedSeconds = 31;
+constexpr double kLeavingSeconds = 600;
+
+double SecondsBefore(const log_entry& entry) {
+  if (entry.event == "upstream_wants_nothing") return kTimeAskedSeconds;
+  if (entry.event == "upstream_leaving") return kLeavingSeconds;
+  return kBeforeSeconds;
+}
 
 std::string StringField(const json& object, const char* name) {
   const auto found = object.find(name);
@@ -73,7 +83,8 @@
   std::vector<log_entry> timeline;
   for (const log_entry& each : entries_) {
     const bool is_own = each.request == request;
-    const bool in_time_range = each.at >= first - kBeforeSeconds && each.at <= last + kAfterSeconds;
+    const bool in_time_range =
+        each.at >= first - SecondsBefore(each) && each.at <= last + kAfterSeconds;
     const bool is_related = each.request.empty() && hosts.count(each.host) != 0 &&
                             (each.upstream.empty() || upstreams.count(each.upstream) != 0);
     if (is_own || (in_time_range && is_related)) timeline.push_back(each);
--- a/src/hawthorndrumctl/request_timeline.h
+++ b/src/hawthorndrumctl/request_timeline.h
@@ -30,7 +30,8 @@
   /**
    * The request's entries, and entries from the same hosts and about the same time that belong to
    * no request: those about its upstreams, and those about no upstream, such as changes of the
-   * configuration and of the store. Empty if no line names the request.
+   * configuration and of the store. What upstreams say about themselves counts for longer. Empty if
+   * no line names the request.
    */
   std::vector<log_entry> EntriesFor(const std::string& request) const;
   std::size_t unreadable() const { return unreadable_; }
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -107,12 +107,12 @@
   const duration limit = each.terms.time_limit.value_or(matched->timeout);
   each.deadline = arrived.at + std::min(limit, matched->timeout);
   MetersOf(*matched).requests.Add();
-  if (target == nullptr) return Refuse(each, "no_upstream_of_version", kRetryUnavailable);
+  if (target == nullptr) return Refuse(each, {"no_upstream_of_version", kRetryUnavailable});
   each.service = config_->FindService(target->service);
-  if (each.service == nullptr) return Refuse(each, "no_service", kRetryUnavailable);
+  if (each.service == nullptr) return Refuse(each, {"no_service", kRetryUnavailable});
   allowance_.Earn(each.service->name, now);
   if (crashes_.IsConvicted(each.fingerprint, now)) {
-    return Refuse(each, "crashed_upstreams", kRetryConvicted);
+    return Refuse(each, {"crashed_upstreams", kRetryConvicted});
   }
   const auto place = Place(each, now);
   if (!place) return Refuse(each, place.error());
@@ -197,23 +197,25 @@
   ports_.callers->Answer(id, ProblemAnswer(status, reason, retry_after));
 }
 
-void gateway::Refuse(exchange& each, std::string_view reason, duration retry_after) {
+void gateway::Refuse(exchange& each, const placement_failure& why) {
   DropHandle(each);
   const time_point now = ports_.time->Now();
-  if (MayWait(each, now)) return Wait(each, reason, now);
+  if (MayWait(each, now)) return Wait(each, why.reason, now);
   // The caller has part of a stream; a refusal must not be appended to it.
   if (each.head_sent) return AbortStream(each);
   // "Not run" is answered only for requests that certainly never ran.
-  if (each.runs > 0) return FailUnknown(each, reason, 502);
-  ports_.metrics->Counter("gateway_refused_total", MetricLabel("reason", reason)).Add();
-  ports_.callers->Answer(each.id, ProblemAnswer(503, reason, retry_after));
+  if (each.runs > 0) return FailUnknown(each, why.reason, 502);
+  ports_.metrics->Counter("gateway_refused_total", MetricLabel("reason", why.reason)).Add();
+  ports_.callers->Answer(each.id, ProblemAnswer(503, why.reason, why.retry_after));
+  const fleet_upstream* first_wanted = fleet_.Find(why.first_wanted);
   ports_.log->Write(log_importance::kNotable,
                     log_record("request_refused")
                         .Text("request", each.terms.caller_id)
-                        .Text("reason", reason)
+                        .Text("reason", why.reason)
                         .Text("route", each.matched->name)
+                        .Text("upstream", first_wanted == nullptr ? "" : first_wanted->entry.id)
                         .Number("status", 503)
-                        .Number("retry_after_ms", ToMilliseconds(retry_after))
+                        .Number("retry_after_ms", ToMilliseconds(why.retry_after))
                         .Number("left_ms", ToMilliseconds(each.TimeLeft(now)))
                         .Number("refusals", each.refusals)
                         .Number("tried", static_cast<std::int64_t>(each.tried.size()))
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -199,10 +199,7 @@
 
   void RefuseUnplaced(request_id id, const caller_terms& terms, int status, std::string_view reason,
                       duration retry_after);
-  void Refuse(exchange& each, std::string_view reason, duration retry_after);
-  void Refuse(exchange& each, const placement_failure& why) {
-    Refuse(each, why.reason, why.retry_after);
-  }
+  void Refuse(exchange& each, const placement_failure& why);
   http_answer ProblemAnswer(int status, std::string_view reason, duration retry_after) const;
 
   exchange* FindByAttempt(attempt_id attempt);
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -215,7 +215,7 @@
   Cancel(each);
   DropHandle(each);
   if (each.head_sent) return AbortStream(each);
-  if (each.runs == 0) return Refuse(each, "deadline", kRetryAfterFailure);
+  if (each.runs == 0) return Refuse(each, {"deadline", kRetryAfterFailure});
   FailUnknown(each, "deadline", 504);
 }
 
--- a/src/libhawthorndrum/gateway/gateway_statements.cpp
+++ b/src/libhawthorndrum/gateway/gateway_statements.cpp
@@ -89,12 +89,12 @@
                                           time_point now) {
   const auto wanted = EarliestWanted(fleet_, QueryFor(each, now), now);
   if (!wanted) return failure;
-  return {kUpstreamsWantNothing, *wanted - now};
+  return {kUpstreamsWantNothing, wanted->at - now, wanted->id};
 }
 
 bool gateway::WaitsInVain(const exchange& each, time_point now) {
   const auto wanted = EarliestWanted(fleet_, QueryFor(each, now), now);
-  return wanted && *wanted + exchange::kMinTimeForAttempt > each.deadline;
+  return wanted && wanted->at + exchange::kMinTimeForAttempt > each.deadline;
 }
 
 bool gateway::IsNewsForPeers(const upstream_statements& said, time_point now) {
--- a/src/libhawthorndrum/gateway/placement.h
+++ b/src/libhawthorndrum/gateway/placement.h
@@ -55,6 +55,8 @@
 struct placement_failure {
   std::string_view reason;
   duration retry_after{0};
+  /** The upstream that can be tried first, if all have asked for time. */
+  upstream_id first_wanted;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/time_asked.h
+++ b/src/libhawthorndrum/gateway/time_asked.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 
+#include "base/ids.h"
 #include "base/units.h"
 #include "gateway/placement.h"
 
@@ -10,11 +11,17 @@
 
 class fleet_table;
 
+/** An upstream that asked for time, and when it gets requests again. */
+struct wanted_upstream {
+  upstream_id id;
+  time_point at;
+};
+
 /**
- * Returns when the first upstream wants requests again; nothing unless all that could take the
- * request have asked for time.
+ * Returns which upstream first wants requests again; nothing unless all that could take the request
+ * have asked for time.
  */
-std::optional<time_point> EarliestWanted(fleet_table& fleet, const placement_query& query,
-                                         time_point now);
+std::optional<wanted_upstream> EarliestWanted(fleet_table& fleet, const placement_query& query,
+                                              time_point now);
 
 }  // namespace hawthorndrum
--- a/tests/ctl/request_timelines.cpp
+++ b/tests/ctl/request_timelines.cpp
@@ -34,6 +34,28 @@
   EXPECT_TRUE(timeline.EntriesFor("q7").empty());
 }
 
+// A request that was never sent is explained by a line that may be older than other changes: an
+// upstream goes without requests for up to half a minute.
+TEST(RequestTimeline, ShowsWhatTheUpstreamOfARefusalHadSaid) {
+  std::istringstream lines(
+      R"({"at":50.0,"host":"front-1","event":"upstream_leaving","upstream":"i-9"}
+{"at":60.0,"host":"front-1","event":"upstream_wants_nothing","upstream":"i-9","for_ms":30000}
+{"at":71.0,"host":"front-1","event":"upstream_wants_nothing","upstream":"i-9","for_ms":30000}
+{"at":72.0,"host":"front-1","event":"upstream_listed","upstream":"i-9"}
+{"at":73.0,"host":"front-1","event":"upstream_wants_nothing","upstream":"i-8","for_ms":30000}
+{"at":74.0,"host":"front-2","event":"upstream_wants_nothing","upstream":"i-9","for_ms":30000}
+{"at":100.0,"host":"front-1","event":"request_refused","request":"q1","upstream":"i-9"}
+{"at":100.5,"host":"front-1","event":"upstream_leaving","upstream":"i-9"}
+)");
+  request_timeline timeline;
+  timeline.Read(lines);
+  std::vector<std::string> shown;
+  for (const log_entry& each : timeline.EntriesFor("q1"))
+    shown.push_back(each.event + " " + each.upstream);
+  EXPECT_EQ(shown, (std::vector<std::string>{"upstream_leaving i-9", "upstream_wants_nothing i-9",
+                                             "request_refused i-9", "upstream_leaving i-9"}));
+}
+
 TEST(RequestTimeline, WhyReadsALogFile) {
   const std::string file = testing::TempDir() + "/hawthorndrum-why.log";
   std::ofstream(file) << kLines;
--- a/tests/gateway/asks_for_time.cpp
+++ b/tests/gateway/asks_for_time.cpp
@@ -186,6 +186,8 @@
   EXPECT_GT(returns.size(), 15u) << "spread over time";
   EXPECT_EQ(upstreams.sent.size(), 2u);
   EXPECT_EQ(served.in_flight(), 0u);
+  EXPECT_NE(log.LastOf("request_refused").find(R"("upstream":"b")"), std::string::npos)
+      << "the one whose time ends first";
 }
 
 TEST_F(AsksForTimeTest, AnotherUpstreamThatIsOnlyBusyIsNoReasonToWaitForTheEnd) {
