Split the soak's callers and records from its faults

Change: caller.py has the callers, records.py the records and checks, unchanged but for one thing: an answer of which the caller had a part when it gave up after 6 s is now checked and counted as cut; it was ignored.

--- /dev/null
+++ b/tests/soak/records.py
@@ -0,0 +1,81 @@
+"""What the soak's callers sent and its workers ran, and the checks over both."""
+
+import time
+
+MIN_HOLDER_CHANGE_S = 3.0
+
+
+class Records:
+    """Records what callers sent and workers ran, and checks it."""
+
+    EVENTS = 12
+
+    def __init__(self):
+        self.sent, self.runs, self.not_run, self.failures = {}, {}, set(), []
+        self.orders = []
+        self.counts = {}
+
+    def fail(self, what):
+        self.failures.append("%.3f %s" % (time.time(), what))
+        print("FAILED:", what, flush=True)
+
+    @staticmethod
+    def seal(worker, request):
+        return "%s.%s" % (worker, request)
+
+    @staticmethod
+    def body(request):
+        return ("answer to %s " % request).encode() * 20
+
+    @staticmethod
+    def event(request, number):
+        return b"id: %d\ndata: %s-%d\n\n" % (number, request.encode(), number)
+
+    def on_run(self, worker, request, method, target, body):
+        known = self.sent.get(request)
+        if known is None or known["asked"] != (method, target, body):
+            self.fail("%s ran a request that no caller sent: %s %s" % (worker, request, target))
+            return
+        self.runs[request] = self.runs.get(request, 0) + 1
+        if not known["idempotent"] and self.runs[request] > 1:
+            self.fail("%s ran %d times" % (request, self.runs[request]))
+        if request in self.not_run:
+            self.fail("%s ran after its caller was told that it had not run" % request)
+
+    def on_order(self, worker, order):
+        now = time.monotonic()
+        for at, holder, fence in self.orders[-20:]:
+            if holder != order["holder"] and fence == order["fence"]:
+                self.fail("two holders sent orders with fencing number %d" % fence)
+            if holder != order["holder"] and now - at < MIN_HOLDER_CHANGE_S:
+                self.fail("two holders sent orders within %.1f s" % (now - at))
+            if fence > order["fence"]:
+                self.fail("fencing number %d after %d" % (order["fence"], fence))
+        self.orders.append((now, order["holder"], order["fence"]))
+
+    def on_attempt(self, attempt):
+        """Checks what an attempt brought; its status is 0 if it brought no answer."""
+        if attempt.status:
+            self.check_answer(attempt)
+
+    def check_answer(self, attempt):
+        request, status, path = attempt.request, attempt.status, attempt.asked[1]
+        kind = status if attempt.whole else "cut"
+        self.counts[kind] = self.counts.get(kind, 0) + 1
+        if status in (408, 421, 429, 503) and not self.sent[request]["idempotent"]:
+            self.not_run.add(request)
+            if self.runs.get(request, 0):
+                self.fail("%s was reported as not run with %d but had run" % (request, status))
+        if status == 404:
+            return self.fail("%s got 404" % request)
+        if status != 200:
+            return
+        if not attempt.headers.get("x-hawthorndrum-response-seal", "").endswith("." + request):
+            return self.fail("%s got a success without its worker's seal" % request)
+        if path.startswith("/stream/"):
+            want = b"".join(self.event(request, n) for n in range(1, self.EVENTS + 1))
+            correct = attempt.body == want if attempt.whole else want.startswith(attempt.body)
+        else:
+            correct = attempt.body == self.body(request) or not attempt.whole
+        if not correct:
+            self.fail("%s got %r" % (request, attempt.body[-80:]))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,15 +19,15 @@
 import tempfile
 import time
 
+from caller import HOST, Caller
 from fault_proxy import FaultProxy
 from platform_standin import Store, Worker
+from records import Records
 
 GATEWAYS = 3
 ENGINES = 6
 DESKS = 3
-CLIENTS = 12
-HOST = "shop.example"
-MIN_HOLDER_CHANGE_S = 3.0
+CALLERS = 12
 ROUTES = [
     {"name": "look", "path_prefix": "/look/", "kind": "safe", "service": "desk", "attempts": 2},
     {"name": "pay", "path_prefix": "/pay/", "kind": "unsafe", "service": "desk", "attempts": 1},
@@ -37,76 +37,6 @@
      "attempts": 1, "resumable": False, "gap_aim_ms": 200}]
 
 
-class Records:
-    """Records what callers sent and workers ran, and checks it."""
-
-    EVENTS = 12
-
-    def __init__(self):
-        self.sent, self.runs, self.not_run, self.failures = {}, {}, set(), []
-        self.orders = []
-        self.counts = {}
-
-    def fail(self, what):
-        self.failures.append("%.3f %s" % (time.time(), what))
-        print("FAILED:", what, flush=True)
-
-    @staticmethod
-    def seal(worker, request):
-        return "%s.%s" % (worker, request)
-
-    @staticmethod
-    def body(request):
-        return ("answer to %s " % request).encode() * 20
-
-    @staticmethod
-    def event(request, number):
-        return b"id: %d\ndata: %s-%d\n\n" % (number, request.encode(), number)
-
-    def on_run(self, worker, request, method, target, body):
-        known = self.sent.get(request)
-        if known is None or known["asked"] != (method, target, body):
-            self.fail("%s ran a request that no caller sent: %s %s" % (worker, request, target))
-            return
-        self.runs[request] = self.runs.get(request, 0) + 1
-        if not known["idempotent"] and self.runs[request] > 1:
-            self.fail("%s ran %d times" % (request, self.runs[request]))
-        if request in self.not_run:
-            self.fail("%s ran after its caller was told that it had not run" % request)
-
-    def on_order(self, worker, order):
-        now = time.monotonic()
-        for at, holder, fence in self.orders[-20:]:
-            if holder != order["holder"] and fence == order["fence"]:
-                self.fail("two holders sent orders with fencing number %d" % fence)
-            if holder != order["holder"] and now - at < MIN_HOLDER_CHANGE_S:
-                self.fail("two holders sent orders within %.1f s" % (now - at))
-            if fence > order["fence"]:
-                self.fail("fencing number %d after %d" % (order["fence"], fence))
-        self.orders.append((now, order["holder"], order["fence"]))
-
-    def on_answer(self, request, status, headers, body, whole):
-        known = self.sent[request]
-        self.counts[status if whole else "cut"] = self.counts.get(status if whole else "cut", 0) + 1
-        if status in (408, 421, 429, 503) and not known["idempotent"]:
-            self.not_run.add(request)
-            if self.runs.get(request, 0):
-                self.fail("%s was reported as not run with %d but had run" % (request, status))
-        if status not in (200, 404) or not known["asked"][1].startswith("/"):
-            return
-        if status == 404:
-            return self.fail("%s got 404" % request)
-        if not headers.get("x-hawthorndrum-response-seal", "").endswith("." + request):
-            return self.fail("%s got a success without its worker's seal" % request)
-        if known["asked"][1].startswith("/stream/"):
-            want = b"".join(self.event(request, n) for n in range(1, self.EVENTS + 1))
-            correct = body == want if whole else want.startswith(body)
-        else:
-            correct = body == self.body(request) or not whole
-        if not correct:
-            self.fail("%s got %r" % (request, body[-80:]))
-
-
 class Soak:
     def __init__(self, options):
         self.options = options
@@ -117,10 +47,14 @@
         self.version, self.number, self.folder = 1, 0, tempfile.mkdtemp(prefix="soak-")
         self.faults_stopped, self.finished = False, False
 
-    async def start_worker(self, service, stage):
+    def next_name(self, letter):
         self.number += 1
+        return "%s%d" % (letter, self.number)
+
+    async def start_worker(self, service, stage):
+        name = self.next_name("w")
         worker = Worker(self.records, random.Random(self.options.seed * 1000 + self.number),
-                        "w%d" % self.number, service, stage)
+                        name, service, stage)
         proxy = FaultProxy(await worker.start())
         address = "127.0.0.1:%d" % await proxy.start()
         self.workers[worker.name], self.proxies[worker.name] = worker, proxy
@@ -165,80 +99,6 @@
         self.start_gateway(gateway)
         self.gateways.append(gateway)
 
-    async def client(self, index):
-        rng = random.Random(self.options.seed * 77 + index)
-        connection = None
-        while not self.finished:
-            port = rng.choice(self.gateways)["port"]
-            try:
-                if connection is None or rng.random() < 0.2:
-                    if connection:
-                        connection[1].close()
-                    connection = await asyncio.wait_for(
-                        asyncio.open_connection("127.0.0.1", port), 1)
-                if not await asyncio.wait_for(self.send_request(rng, connection), 6):
-                    connection = None
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError,
-                    IndexError):
-                if connection:
-                    connection[1].transport.abort()
-                connection = None
-            await asyncio.sleep(rng.uniform(0, 0.05))
-
-    async def send_request(self, rng, connection):
-        reader, writer = connection
-        self.number += 1
-        request = "q%d" % self.number
-        prefix = rng.choice(["/look/", "/pay/", "/stream/tell/", "/stream/note/"])
-        body = b"" if prefix == "/look/" else os.urandom(rng.randrange(1, 2000))
-        method, target = "GET" if prefix == "/look/" else "POST", prefix + request
-        self.records.sent[request] = {"asked": (method, target, body),
-                                      "idempotent": prefix in ("/look/", "/stream/tell/")}
-        lines = ["%s %s HTTP/1.1" % (method, target), "Host: " + HOST,
-                 "X-Hawthorndrum-Request-Id: " + request, "X-Hawthorndrum-Deadline-Ms: 3000",
-                 "X-Hawthorndrum-Kv-Hold: forged", "Content-Length: %d" % len(body)]
-        if prefix.startswith("/stream/"):
-            own = rng.randrange(10, 4000)
-            lines += ["X-Hawthorndrum-Token-Count: %d,50" % (3000 + own),
-                      "X-Hawthorndrum-Prompt-Prefix: a%d:3000,%x:%d"
-                      % (rng.randrange(20), self.number, own)]
-        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-        await writer.drain()
-        return await self.read_answer(request, reader)
-
-    async def read_answer(self, request, reader):
-        """Reads the answer; returns whether the connection may be reused."""
-        status, headers, body, whole = 0, {}, b"", False
-        try:
-            first = (await reader.readline()).split()
-            if not first:
-                return False
-            if not first[0].startswith(b"HTTP/1.1"):
-                self.records.fail("%s got bytes that are no HTTP answer: %r" % (request, first))
-                return False
-            status = int(first[1])
-            while True:
-                line = await reader.readline()
-                if line in (b"\r\n", b""):
-                    break
-                name, _, value = line.decode("latin-1").partition(":")
-                headers[name.strip().lower()] = value.strip()
-            if headers.get("transfer-encoding") == "chunked":
-                while True:
-                    size = int((await reader.readline()), 16)
-                    chunk = await reader.readexactly(size + 2)
-                    if size == 0:
-                        break
-                    body += chunk[:-2]
-            else:
-                body = await reader.readexactly(int(headers["content-length"]))
-            whole = True
-        except (ValueError, KeyError, ConnectionError, asyncio.IncompleteReadError):
-            pass
-        if status:
-            self.records.on_answer(request, status, headers, body, whole)
-        return whole and headers.get("connection", "").lower() != "close"
-
     async def faults(self):
         kinds = [self.kill, self.pause, self.terminate, self.disturb_store, self.disturb_worker,
                  self.crash_worker, self.drain_worker, self.corrupt_worker, self.store_fault,
@@ -331,7 +191,7 @@
         for index in range(GATEWAYS):
             await self.make_gateway(index)
         await asyncio.sleep(2)
-        clients = [asyncio.ensure_future(self.client(i)) for i in range(CLIENTS)]
+        callers = [asyncio.ensure_future(Caller(self, i).run()) for i in range(CALLERS)]
         faults = asyncio.ensure_future(self.faults())
         await asyncio.sleep(self.options.seconds)
         self.faults_stopped = True
@@ -345,7 +205,7 @@
             self.records.fail("after the faults only %d of %d answers were successful"
                               % (good, all_answers))
         self.finished = True
-        await asyncio.gather(*clients)
+        await asyncio.gather(*callers)
         for gateway in self.gateways:
             gateway["process"].send_signal(signal.SIGTERM)
         for gateway in self.gateways:
