Let workers of the soak fall silent and check that no answer ends because of it

Cause: the soak had no fault that keeps a worker working without a byte from it; answers that gateways ended at such workers (LOST) were found by the users only. Change: workers fall silent for 0.8 to 1.6 s, in a sequence of their own which goes on for 2.4 s after the other faults; what was due is delivered afterwards. A request that a silent worker held must end with a worker's complete answer or a 503. Not judged: requests beside a fault of their gateway, of one of their workers, of any worker's proxy, a crash or a connection to a worker that is gone, and those that last 2.9 s of their 3 s. SIGTERM excuses only requests sent over 3 s after it; SIGHUP, configurations and the store's own faults excuse nothing. The counts are printed.

--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -10,8 +10,8 @@
     "back" (only bytes to, or from, the target pass) and "refuse".
     """
 
-    def __init__(self, target):
-        self.target = target
+    def __init__(self, target, on_unreachable=None):
+        self.target, self.on_unreachable = target, on_unreachable
         self.mode = None
         self.server = None
         self.open = set()
@@ -31,6 +31,8 @@
         try:
             target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.target)
         except OSError:
+            if self.on_unreachable:
+                self.on_unreachable()
             writer.transport.abort()
             return
         self.open |= {writer, target_writer}
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -140,6 +140,35 @@
                     pass
 
 
+class HeldWriter:
+    """A connection of a worker; what is written while the worker is silent leaves afterwards."""
+
+    def __init__(self, writer):
+        self.writer, self.transport = writer, writer.transport
+        self.silent, self.closing, self.held = False, False, b""
+
+    def write(self, data):
+        if self.silent:
+            self.held += data
+        else:
+            self.writer.write(data)
+
+    async def drain(self):
+        await self.writer.drain()
+
+    def close(self):
+        self.closing = True
+        if not self.silent:
+            self.writer.close()
+
+    def speak(self):
+        self.silent = False
+        self.writer.write(self.held)
+        self.held = b""
+        if self.closing:
+            self.writer.close()
+
+
 class Worker:
     """One incarnation of a worker: an engine of a stage, or a plain worker if `stage` is None."""
 
@@ -149,7 +178,8 @@
         self.started_ms = int(time.time() * 1000)
         self.orders, self.handles, self.switching = 0, set(), False
         self.fault = None  # None, "refuse", "cut", "extra" or "error".
-        self.writers = set()
+        self.writers, self.silent = set(), False
+        self.running = {}  # Number of calls in progress by request.
         self.server, self.alive = None, True
         self.on_stage_changed = None
 
@@ -163,6 +193,20 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def fall_silent(self):
+        self.silent = True
+        for writer in self.writers:
+            writer.silent = True
+        for request in self.running:
+            self.records.on_silence(request)
+
+    def speak(self):
+        self.silent = False
+        for writer in list(self.writers):
+            writer.speak()
+            if writer.closing:
+                self.writers.discard(writer)
+
     def entry(self, address, state):
         spec = {"service": self.service, "addr": address, "zone": "z1", "version": "v1",
                 "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1, "born": self.started_ms}
@@ -170,7 +214,9 @@
             spec["phase"] = self.stage
         return spec
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, plain_writer):
+        writer = HeldWriter(plain_writer)
+        writer.silent = self.silent
         self.writers.add(writer)
         try:
             while True:
@@ -180,8 +226,9 @@
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             pass
-        self.writers.discard(writer)
         writer.close()
+        if not writer.silent:
+            self.writers.discard(writer)
 
     async def handle(self, message, writer):
         words, headers, body = message
@@ -199,7 +246,17 @@
             self.handles.discard(target.split("/")[-1])
             writer.write(answer(200, {}, b"{}"))
             return True
-        return await self.run(method, target, headers, body, writer)
+        request = headers.get("x-hawthorndrum-request-id", "")
+        self.records.on_offer(self.name, request)
+        if self.silent:
+            self.records.on_silence(request)
+        self.running[request] = self.running.get(request, 0) + 1
+        try:
+            return await self.run(method, target, headers, body, writer)
+        finally:
+            self.running[request] -= 1
+            if not self.running[request]:
+                del self.running[request]
 
     async def order(self, sent, writer):
         self.records.on_order(self.name, sent)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -2,7 +2,10 @@
 
 import time
 
+from disturbances import Disturbances
+
 MIN_HOLDER_CHANGE_S = 3.0
+TIME_LIMIT_S = 2.9  # An answer that ends later than this may have reached its deadline of 3 s.
 
 
 class Records:
@@ -14,6 +17,9 @@
         self.sent, self.runs, self.not_run, self.failures = {}, {}, set(), []
         self.orders = []
         self.counts = {}
+        self.disturbances = Disturbances()
+        self.offers = {}  # The workers that received a request, by request.
+        self.silenced, self.silence_counts = set(), {}
 
     def fail(self, what):
         self.failures.append("%.3f %s" % (time.time(), what))
@@ -42,6 +48,12 @@
         if request in self.not_run:
             self.fail("%s ran after its caller was told that it had not run" % request)
 
+    def on_offer(self, worker, request):
+        self.offers.setdefault(request, set()).add(worker)
+
+    def on_silence(self, request):
+        self.silenced.add(request)
+
     def on_order(self, worker, order):
         now = time.monotonic()
         for at, holder, fence in self.orders[-20:]:
@@ -57,6 +69,26 @@
         """Checks what an attempt brought; its status is 0 if it brought no answer."""
         if attempt.status:
             self.check_answer(attempt)
+        if attempt.request in self.silenced:
+            kind = self.check_silenced(attempt)
+            self.silence_counts[kind] = self.silence_counts.get(kind, 0) + 1
+
+    def check_silenced(self, attempt):
+        """Checks that no answer ended because one of its workers was silent; returns the outcome."""
+        scopes = {"workers", "gateway-%d" % attempt.port} | self.offers[attempt.request]
+        if self.disturbances.overlap(attempt.start, attempt.end, scopes):
+            return "beside another fault"
+        if attempt.end - attempt.start >= TIME_LIMIT_S:
+            return "at the time limit"
+        if attempt.whole and attempt.status == 503:
+            return "refused"
+        seal = attempt.headers.get("x-hawthorndrum-response-seal", "")
+        if attempt.whole and seal.endswith("." + attempt.request):
+            return "complete"
+        self.fail("%s %s ended with %s, %d bytes, after %.3f s beside a silent worker; it was at %s" % (
+            attempt.request, attempt.asked[1], attempt.status if attempt.whole else "a closed connection",
+            len(attempt.body), attempt.end - attempt.start, sorted(self.offers[attempt.request])))
+        return "failed"
 
     def check_answer(self, attempt):
         request, status, path = attempt.request, attempt.status, attempt.asked[1]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,6 +28,9 @@
 ENGINES = 6
 DESKS = 3
 CALLERS = 12
+DEADLINE_S = 3
+STOP_GRACE_S = 6
+MAX_SILENCE_S = 1.6
 ROUTES = [
     {"name": "look", "path_prefix": "/look/", "kind": "safe", "service": "desk", "attempts": 2},
     {"name": "pay", "path_prefix": "/pay/", "kind": "unsafe", "service": "desk", "attempts": 1},
@@ -42,10 +45,11 @@
         self.options = options
         self.rng = random.Random(options.seed)
         self.records = Records()
+        self.disturbances = self.records.disturbances
         self.store = Store(random.Random(options.seed + 1))
         self.gateways, self.workers, self.proxies = [], {}, {}
         self.version, self.number, self.folder = 1, 0, tempfile.mkdtemp(prefix="soak-")
-        self.faults_stopped, self.finished = False, False
+        self.faults_stopped, self.silences_stopped, self.finished = False, False, False
 
     def next_name(self, letter):
         self.number += 1
@@ -55,7 +59,7 @@
         name = self.next_name("w")
         worker = Worker(self.records, random.Random(self.options.seed * 1000 + self.number),
                         name, service, stage)
-        proxy = FaultProxy(await worker.start())
+        proxy = FaultProxy(await worker.start(), lambda: self.disturbances.note("workers"))
         address = "127.0.0.1:%d" % await proxy.start()
         self.workers[worker.name], self.proxies[worker.name] = worker, proxy
         worker.address = address
@@ -92,8 +96,8 @@
         with open(name + ".yaml", "w", encoding="utf-8") as settings:
             settings.write("host: g%d\ndata_centre: z1\ncallers: 127.0.0.1:%d\n"
                            "readiness: 127.0.0.1:%d\nnotices: 127.0.0.1:%d\nstore: 127.0.0.1:%d\n"
-                           "stop_grace: 6s\nretries:\n  ratio: 0.5\n  reserve: 200\n"
-                           % (index, ports[0], ports[1], ports[2], store))
+                           "stop_grace: %ds\nretries:\n  ratio: 0.5\n  reserve: 200\n"
+                           % (index, ports[0], ports[1], ports[2], store, STOP_GRACE_S))
         gateway = {"settings": name + ".yaml", "log": name + ".log", "port": ports[0],
                    "store": proxy, "process": None}
         self.start_gateway(gateway)
@@ -111,13 +115,18 @@
 
     async def kill(self):
         gateway = self.rng.choice(self.gateways)
+        interval = self.disturbances.begin("gateway-%d" % gateway["port"])
         gateway["process"].send_signal(signal.SIGKILL)
         await self.restart(gateway)
+        self.disturbances.end(interval)
 
     async def terminate(self):
         gateway = self.rng.choice(self.gateways)
+        # Requests that are sent sooner end before the gateway's grace does.
+        interval = self.disturbances.begin("gateway-%d" % gateway["port"], STOP_GRACE_S - DEADLINE_S)
         gateway["process"].send_signal(signal.SIGTERM)
         await self.restart(gateway)
+        self.disturbances.end(interval)
 
     async def restart(self, gateway):
         process = gateway["process"]
@@ -128,32 +137,41 @@
             self.start_gateway(gateway)
 
     async def pause(self):
-        process = self.rng.choice(self.gateways)["process"]
+        gateway = self.rng.choice(self.gateways)
+        interval = self.disturbances.begin("gateway-%d" % gateway["port"])
+        process = gateway["process"]
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self.rng.uniform(0.1, 5))
         process.send_signal(signal.SIGCONT)
+        self.disturbances.end(interval)
 
     async def reload(self):
         self.rng.choice(self.gateways)["process"].send_signal(signal.SIGHUP)
 
-    async def inject_proxy_fault(self, proxy):
+    async def inject_proxy_fault(self, proxy, scope):
         if self.rng.random() < 0.3:
+            self.disturbances.note(scope)
             return proxy.reset()
+        interval = self.disturbances.begin(scope)
         proxy.mode = self.rng.choice(["delay", "silence", "forth", "back", "refuse"])
         await asyncio.sleep(self.rng.uniform(0.2, 4))
         proxy.mode = None
+        self.disturbances.end(interval)
 
     async def disturb_store(self):
-        await self.inject_proxy_fault(self.rng.choice(self.gateways)["store"])
+        gateway = self.rng.choice(self.gateways)
+        await self.inject_proxy_fault(gateway["store"], "gateway-%d" % gateway["port"])
 
     def random_worker(self):
         return self.rng.choice([w for w in self.workers.values() if w.alive])
 
     async def disturb_worker(self):
-        await self.inject_proxy_fault(self.proxies[self.random_worker().name])
+        await self.inject_proxy_fault(self.proxies[self.random_worker().name], "workers")
 
     async def crash_worker(self):
         worker = self.random_worker()
+        self.disturbances.note("workers")
+        self.disturbances.begin(worker.name)
         worker.crash()
         await asyncio.sleep(self.rng.uniform(0, 2))
         await self.store.delete("servers", worker.name)
@@ -164,15 +182,31 @@
         await self.start_worker(worker.service, worker.stage)
         await self.store.put("servers", worker.name, worker.entry(worker.address, "draining"))
         await asyncio.sleep(3)
+        self.disturbances.begin(worker.name)
         await self.store.delete("servers", worker.name)
         worker.alive = False
         worker.server.close()
 
     async def corrupt_worker(self):
         worker = self.random_worker()
+        interval = self.disturbances.begin(worker.name)
         worker.fault = self.rng.choice(["refuse", "cut", "extra", "error"])
         await asyncio.sleep(self.rng.uniform(0.5, 4))
         worker.fault = None
+        self.disturbances.end(interval)
+
+    async def silences(self):
+        """Lets workers fall silent, also for a while without other faults at the end."""
+        rng = random.Random(self.options.seed + 2)
+        while not self.silences_stopped:
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
+            asyncio.ensure_future(self.silence_worker(rng))
+
+    async def silence_worker(self, rng):
+        worker = rng.choice([w for w in self.workers.values() if w.alive and not w.silent])
+        worker.fall_silent()
+        await asyncio.sleep(rng.uniform(0.8, MAX_SILENCE_S))
+        worker.speak()
 
     async def store_fault(self):
         self.store.fault = self.rng.choice(["busy", "lost"])
@@ -193,10 +227,14 @@
         await asyncio.sleep(2)
         callers = [asyncio.ensure_future(Caller(self, i).run()) for i in range(CALLERS)]
         faults = asyncio.ensure_future(self.faults())
+        silences = asyncio.ensure_future(self.silences())
         await asyncio.sleep(self.options.seconds)
         self.faults_stopped = True
         await faults
-        await asyncio.sleep(4)
+        await asyncio.sleep(4 - MAX_SILENCE_S)
+        self.silences_stopped = True
+        await silences
+        await asyncio.sleep(MAX_SILENCE_S)
         before = dict(self.records.counts)
         await asyncio.sleep(2)
         good = self.records.counts.get(200, 0) - before.get(200, 0)
@@ -213,6 +251,7 @@
                 await asyncio.sleep(0.05)
             if gateway["process"].returncode != 0:
                 self.records.fail("a gateway exited with code %d" % gateway["process"].returncode)
+        print("beside a silent worker: %s" % self.records.silence_counts)
         print("seed %d: %d requests, answers %s, %d orders, %d failures; logs in %s" % (
             self.options.seed, len(self.records.sent), self.records.counts,
             len(self.records.orders), len(self.records.failures), self.folder), flush=True)
