Serve several software versions in the soak and check that no stream holds events of two

Cause: all workers of the soak had one software version, and no caller took a broken stream up again; streams that go on at another version (ORDER) were found by the users only. An event names its worker, which must have run the attempt. Callers break streams and take them up again at any gateway with Last-Event-Id and Resumes, up to three times. Over all attempts the events must be of one version and their numbers without a gap. Over the run, 12 or more resumptions at gateways that were up and uncut, while two workers of the version served, must go on at least half as often as new streams begin. A resumption keeps its stream's prompt.

--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -7,6 +7,8 @@
 
 HOST = "shop.example"
 CALLER_PATIENCE_S = 6
+RESUMPTIONS = 3
+MAX_WAIT_S = 1.0  # A third of a request's time.
 IDEMPOTENT = ("/look/", "/stream/tell/")
 
 
@@ -17,21 +19,40 @@
         self.request, self.port, self.asked = request, port, asked
         self.start, self.end = time.monotonic(), None
         self.status, self.headers, self.body, self.whole = 0, {}, b"", False
+        self.broken = False  # The caller itself lost its connection.
 
     def is_stream(self):
         return self.asked[1].startswith("/stream/")
 
 
+class Stream:
+    """What a caller has of a stream over all its attempts."""
+
+    def __init__(self, rng, number):
+        own = rng.randrange(10, 4000)
+        self.prompt = ["X-Hawthorndrum-Token-Count: %d,50" % (3000 + own),
+                       "X-Hawthorndrum-Prompt-Prefix: a%d:3000,%x:%d"
+                       % (rng.randrange(20), number, own)]
+        self.first_attempt = None  # Id of the attempt that brought the first event.
+        self.last_event, self.version, self.whole = 0, None, False
+
+
 class Caller:
     def __init__(self, soak, index):
         self.soak, self.records = soak, soak.records
         self.rng = random.Random(soak.options.seed * 77 + index)
         self.connection = None
+        self.current = None  # The attempt in progress.
 
     async def run(self):
         while not self.soak.finished:
             prefix = self.rng.choice(["/look/", "/pay/", "/stream/tell/", "/stream/note/"])
-            await self.call(prefix)
+            stream = None
+            if prefix.startswith("/stream/"):
+                stream = Stream(self.rng, self.soak.number)
+            attempt = await self.call(prefix, stream)
+            if attempt and prefix == "/stream/tell/":
+                await self.resume(attempt, stream)
             await asyncio.sleep(self.rng.uniform(0, 0.05))
 
     async def connect(self):
@@ -48,46 +69,68 @@
             self.connection[1].transport.abort()
         self.connection = None
 
-    async def call(self, prefix):
-        """Makes one attempt; returns None if no connection was made."""
-        try:
-            await self.connect()
-        except (OSError, asyncio.TimeoutError):
-            return None
+    def break_stream(self):
+        if self.current and self.current.is_stream() and self.current.body:
+            self.current.broken = True
+            self.drop_connection()
+
+    async def call(self, prefix, stream):
+        """Makes a request's first attempt; returns None if no connection was made."""
         request = self.soak.next_name("q")
         body = b"" if prefix == "/look/" else os.urandom(self.rng.randrange(1, 2000))
         asked = ("GET" if prefix == "/look/" else "POST", prefix + request, body)
-        return await self.make_attempt(Attempt(request, self.connection[2], asked))
+        return await self.make_attempt(request, asked, stream)
+
+    async def resume(self, attempt, stream):
+        """Takes a broken stream up again, each time on a new connection to any gateway."""
+        for _ in range(RESUMPTIONS):
+            if self.soak.finished or not 0 < stream.last_event < self.records.EVENTS:
+                return
+            self.drop_connection()
+            again = await self.make_attempt(self.soak.next_name("q"), attempt.asked, stream)
+            wait = float(again.headers.get("retry-after", 0)) if again else 0
+            await asyncio.sleep(min(wait, MAX_WAIT_S) + self.rng.uniform(0, 0.1))
 
-    async def make_attempt(self, attempt):
-        """Sends the attempt on the current connection and records what came back."""
-        self.records.sent[attempt.request] = {
-            "asked": attempt.asked, "idempotent": attempt.asked[1].startswith(IDEMPOTENT)}
-        reader, writer, _ = self.connection
+    async def make_attempt(self, request, asked, stream):
+        """Sends an attempt and records what came back; returns None if no connection was made."""
+        try:
+            await self.connect()
+        except (OSError, asyncio.TimeoutError):
+            return None
+        reader, writer, port = self.connection
+        attempt = Attempt(request, port, asked)
+        version, serving = None, 0
+        if stream and stream.last_event:
+            version = stream.version
+            serving = self.soak.serving(version)
+        self.current = attempt
+        self.records.sent[request] = {"asked": asked, "idempotent": asked[1].startswith(IDEMPOTENT)}
         reusable = False
         try:
-            reusable = await asyncio.wait_for(self.exchange(attempt, reader, writer),
+            reusable = await asyncio.wait_for(self.exchange(attempt, stream, reader, writer),
                                               CALLER_PATIENCE_S)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, KeyError,
                 IndexError):
             pass
-        attempt.end = time.monotonic()
+        attempt.end, self.current = time.monotonic(), None
         if not reusable:
             self.drop_connection()
-        self.records.on_attempt(attempt)
+        if version:
+            serving = min(serving, self.soak.serving(version))
+        self.records.on_attempt(attempt, stream, serving)
         return attempt
 
-    async def exchange(self, attempt, reader, writer):
+    async def exchange(self, attempt, stream, reader, writer):
         method, target, body = attempt.asked
         lines = ["%s %s HTTP/1.1" % (method, target), "Host: " + HOST,
                  "X-Hawthorndrum-Request-Id: " + attempt.request,
                  "X-Hawthorndrum-Deadline-Ms: 3000", "X-Hawthorndrum-Kv-Hold: forged",
                  "Content-Length: %d" % len(body)]
         if attempt.is_stream():
-            own = self.rng.randrange(10, 4000)
-            lines += ["X-Hawthorndrum-Token-Count: %d,50" % (3000 + own),
-                      "X-Hawthorndrum-Prompt-Prefix: a%d:3000,%s:%d"
-                      % (self.rng.randrange(20), attempt.request[1:], own)]
+            lines += stream.prompt
+            if stream.last_event:
+                lines += ["Last-Event-Id: %d" % stream.last_event,
+                          "Resumes: " + stream.first_attempt]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
         await writer.drain()
         return await self.read_answer(attempt, reader)
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -172,15 +172,15 @@
 class Worker:
     """One incarnation of a worker: an engine of a stage, or a plain worker if `stage` is None."""
 
-    def __init__(self, records, rng, name, service, stage):
+    def __init__(self, records, rng, name, service, stage, version):
         self.records, self.rng, self.name = records, rng, name
-        self.service, self.stage = service, stage
+        self.service, self.stage, self.version = service, stage, version
         self.started_ms = int(time.time() * 1000)
         self.orders, self.handles, self.switching = 0, set(), False
         self.fault = None  # None, "refuse", "cut", "extra" or "error".
         self.writers, self.silent = set(), False
         self.running = {}  # Number of calls in progress by request.
-        self.server, self.alive = None, True
+        self.server, self.alive, self.leaving = None, True, False
         self.on_stage_changed = None
 
     async def start(self):
@@ -208,7 +208,7 @@
                 self.writers.discard(writer)
 
     def entry(self, address, state):
-        spec = {"service": self.service, "addr": address, "zone": "z1", "version": "v1",
+        spec = {"service": self.service, "addr": address, "zone": "z1", "version": self.version,
                 "slots": 16, "state": state, "cold_left_ms": 0, "seq": 1, "born": self.started_ms}
         if self.stage:
             spec["phase"] = self.stage
@@ -310,7 +310,7 @@
         lines = ["HTTP/1.1 200 OK"] + ["%s: %s" % item for item in head.items()]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
         for number in range(first, self.records.EVENTS + 1):
-            event = self.records.event(request, number)
+            event = self.records.event(request, number, self.name)
             chunk = b"%x\r\n%s\r\n" % (len(event), event)
             if self.fault == "cut" and self.rng.random() < 0.05:
                 writer.write(chunk[: self.rng.randrange(len(chunk))])
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -1,5 +1,6 @@
 """What the soak's callers sent and its workers ran, and the checks over both."""
 
+import re
 import time
 
 from disturbances import Disturbances
@@ -7,6 +8,9 @@
 MIN_HOLDER_CHANGE_S = 3.0
 TIME_LIMIT_S = 2.9  # An answer that ends later than this may have reached its deadline of 3 s.
 
+MIN_RESUMPTIONS = 12  # Fewer do not show a share.
+EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)-(\d+) (\S+)\n\n")
+
 
 class Records:
     """Records what callers sent and workers ran, and checks it."""
@@ -14,12 +18,14 @@
     EVENTS = 12
 
     def __init__(self):
-        self.sent, self.runs, self.not_run, self.failures = {}, {}, set(), []
+        self.sent, self.runs, self.workers_of, self.not_run, self.failures = {}, {}, {}, set(), []
         self.orders = []
         self.counts = {}
         self.disturbances = Disturbances()
         self.offers = {}  # The workers that received a request, by request.
         self.silenced, self.silence_counts = set(), {}
+        self.versions = {}  # Software version of each worker.
+        self.stream_counts = {"new": 0, "begun": 0, "resumed": 0, "gone on": 0}
 
     def fail(self, what):
         self.failures.append("%.3f %s" % (time.time(), what))
@@ -34,8 +40,8 @@
         return ("answer to %s " % request).encode() * 20
 
     @staticmethod
-    def event(request, number):
-        return b"id: %d\ndata: %s-%d\n\n" % (number, request.encode(), number)
+    def event(request, number, worker):
+        return b"id: %d\ndata: %s-%d %s\n\n" % (number, request.encode(), number, worker.encode())
 
     def on_run(self, worker, request, method, target, body):
         known = self.sent.get(request)
@@ -43,6 +49,7 @@
             self.fail("%s ran a request that no caller sent: %s %s" % (worker, request, target))
             return
         self.runs[request] = self.runs.get(request, 0) + 1
+        self.workers_of.setdefault(request, set()).add(worker)
         if not known["idempotent"] and self.runs[request] > 1:
             self.fail("%s ran %d times" % (request, self.runs[request]))
         if request in self.not_run:
@@ -65,11 +72,18 @@
                 self.fail("fencing number %d after %d" % (order["fence"], fence))
         self.orders.append((now, order["holder"], order["fence"]))
 
-    def on_attempt(self, attempt):
-        """Checks what an attempt brought; its status is 0 if it brought no answer."""
+    def on_attempt(self, attempt, stream, serving):
+        """Checks what an attempt brought; its status is 0 if it brought no answer.
+
+        `stream` is None for other requests; `serving` is the number of workers that had the
+        stream's software version while the attempt lasted.
+        """
+        before = stream.last_event if stream else 0
         if attempt.status:
-            self.check_answer(attempt)
-        if attempt.request in self.silenced:
+            self.check_answer(attempt, stream)
+        if stream and attempt.asked[1].startswith("/stream/tell/"):
+            self.count_stream(attempt, before, stream.last_event > before, serving)
+        if attempt.request in self.silenced and not attempt.broken:
             kind = self.check_silenced(attempt)
             self.silence_counts[kind] = self.silence_counts.get(kind, 0) + 1
 
@@ -90,9 +104,23 @@
             len(attempt.body), attempt.end - attempt.start, sorted(self.offers[attempt.request])))
         return "failed"
 
-    def check_answer(self, attempt):
-        request, status, path = attempt.request, attempt.status, attempt.asked[1]
-        kind = status if attempt.whole else "cut"
+    def count_stream(self, attempt, before, progress, serving):
+        scopes = {"gateway-%d" % attempt.port, "stopping-%d" % attempt.port}
+        if self.disturbances.overlap(attempt.start, attempt.end, scopes) or before and serving < 2:
+            return
+        self.stream_counts["resumed" if before else "new"] += 1
+        self.stream_counts["gone on" if before else "begun"] += progress
+
+    def check_resumptions(self):
+        counts = self.stream_counts
+        if counts["resumed"] < MIN_RESUMPTIONS:
+            return
+        if 2 * counts["gone on"] * counts["new"] < counts["begun"] * counts["resumed"]:
+            self.fail("resumptions go on under half as often as new streams begin: %s" % counts)
+
+    def check_answer(self, attempt, stream):
+        request, status = attempt.request, attempt.status
+        kind = status if attempt.whole else "broken" if attempt.broken else "cut"
         self.counts[kind] = self.counts.get(kind, 0) + 1
         if status in (408, 421, 429, 503) and not self.sent[request]["idempotent"]:
             self.not_run.add(request)
@@ -104,10 +132,34 @@
             return
         if not attempt.headers.get("x-hawthorndrum-response-seal", "").endswith("." + request):
             return self.fail("%s got a success without its worker's seal" % request)
-        if path.startswith("/stream/"):
-            want = b"".join(self.event(request, n) for n in range(1, self.EVENTS + 1))
-            correct = attempt.body == want if attempt.whole else want.startswith(attempt.body)
-        else:
-            correct = attempt.body == self.body(request) or not attempt.whole
-        if not correct:
+        if stream:
+            return self.check_events(attempt, stream)
+        if attempt.body != self.body(request) and attempt.whole:
             self.fail("%s got %r" % (request, attempt.body[-80:]))
+
+    def check_events(self, attempt, stream):
+        """Checks each event of an attempt and what goes on from the attempts before."""
+        request, first = attempt.request, stream.last_event + 1
+        at, seen = 0, set()
+        while (event := EVENT.match(attempt.body, at)) is not None:
+            worker = event[4].decode()
+            number = stream.last_event + 1
+            if event[0] != self.event(request, number, worker) or number > self.EVENTS or \
+                    worker not in self.workers_of.get(request, ()):
+                return self.fail("%s got %r as event %d" % (request, event[0], number))
+            seen.add(self.versions[worker])
+            stream.last_event, at = number, event.end()
+            stream.first_attempt = stream.first_attempt or request
+            stream.version = stream.version or self.versions[worker]
+        if not seen <= {stream.version}:
+            runs = b" ".join(b"-".join(event) for event in
+                             re.findall(rb"id: (\d+)\n.* (\S+)\n", attempt.body)).decode()
+            self.fail("%s, of the stream that %s began at %s, holds events of %s from event %d on: %s" % (
+                request, stream.first_attempt, stream.version, sorted(seen), first, runs))
+        rest = attempt.body[at:]
+        workers = self.workers_of.get(request, ())
+        starts = [self.event(request, stream.last_event + 1, worker) for worker in workers]
+        if attempt.whole and (rest or stream.last_event != self.EVENTS):
+            self.fail("%s ended as complete after event %d" % (request, stream.last_event))
+        if rest and not any(start.startswith(rest) for start in starts):
+            self.fail("%s got %r after event %d" % (request, rest, stream.last_event))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -47,7 +47,9 @@
         self.records = Records()
         self.disturbances = self.records.disturbances
         self.store = Store(random.Random(options.seed + 1))
-        self.gateways, self.workers, self.proxies = [], {}, {}
+        self.gateways, self.workers, self.proxies, self.callers = [], {}, {}, []
+        # Every third run has one software version of the engines, the others have two or three.
+        self.software = ["v1", "v1.1", "v1.2"][: 1 + (self.options.seed + 2) % 3]
         self.version, self.number, self.folder = 1, 0, tempfile.mkdtemp(prefix="soak-")
         self.faults_stopped, self.silences_stopped, self.finished = False, False, False
 
@@ -55,10 +57,11 @@
         self.number += 1
         return "%s%d" % (letter, self.number)
 
-    async def start_worker(self, service, stage):
+    async def start_worker(self, service, stage, version="v1"):
         name = self.next_name("w")
         worker = Worker(self.records, random.Random(self.options.seed * 1000 + self.number),
-                        name, service, stage)
+                        name, service, stage, version)
+        self.records.versions[name] = version
         proxy = FaultProxy(await worker.start(), lambda: self.disturbances.note("workers"))
         address = "127.0.0.1:%d" % await proxy.start()
         self.workers[worker.name], self.proxies[worker.name] = worker, proxy
@@ -106,7 +109,10 @@
     async def faults(self):
         kinds = [self.kill, self.pause, self.terminate, self.disturb_store, self.disturb_worker,
                  self.crash_worker, self.drain_worker, self.corrupt_worker, self.store_fault,
-                 self.discard_store_history, self.configure, self.reload]
+                 self.discard_store_history, self.configure, self.reload,
+                 self.break_streams, self.break_streams]
+        if len(self.software) > 1:
+            kinds.append(self.release)
         tasks = []
         while not self.faults_stopped:
             await asyncio.sleep(self.rng.uniform(0.1, 1.2))
@@ -129,12 +135,14 @@
         self.disturbances.end(interval)
 
     async def restart(self, gateway):
+        stopping = self.disturbances.begin("stopping-%d" % gateway["port"])
         process = gateway["process"]
         while process.poll() is None:
             await asyncio.sleep(0.05)
         await asyncio.sleep(self.rng.uniform(0.1, 1))
         if gateway["process"] is process:
             self.start_gateway(gateway)
+        self.disturbances.end(stopping)
 
     async def pause(self):
         gateway = self.rng.choice(self.gateways)
@@ -175,11 +183,20 @@
         worker.crash()
         await asyncio.sleep(self.rng.uniform(0, 2))
         await self.store.delete("servers", worker.name)
-        await self.start_worker(worker.service, worker.stage)
+        await self.start_worker(worker.service, worker.stage, worker.version)
 
     async def drain_worker(self):
         worker = self.random_worker()
-        await self.start_worker(worker.service, worker.stage)
+        await self.replace(worker, worker.version)
+
+    async def release(self):
+        """Replaces an engine by one of another software version."""
+        engines = [w for w in self.workers.values() if w.alive and w.service == "llm"]
+        await self.replace(self.rng.choice(engines), self.rng.choice(self.software))
+
+    async def replace(self, worker, version):
+        await self.start_worker(worker.service, worker.stage, version)
+        worker.leaving = True
         await self.store.put("servers", worker.name, worker.entry(worker.address, "draining"))
         await asyncio.sleep(3)
         self.disturbances.begin(worker.name)
@@ -195,6 +212,18 @@
         worker.fault = None
         self.disturbances.end(interval)
 
+    async def break_streams(self):
+        """Has callers lose connections in the middle of streams, which they take up again."""
+        for _ in range(10):
+            for caller in self.callers:
+                if self.rng.random() < 0.5:
+                    caller.break_stream()
+            await asyncio.sleep(0.1)
+
+    def serving(self, version):
+        return sum(w.alive and not w.leaving and w.service == "llm" and w.version == version
+                   for w in self.workers.values())
+
     async def silences(self):
         """Lets workers fall silent, also for a while without other faults at the end."""
         rng = random.Random(self.options.seed + 2)
@@ -217,15 +246,16 @@
         self.store.discard_history()
 
     async def run(self):
-        for _ in range(ENGINES):
-            await self.start_worker("llm", "decode")
+        for index in range(ENGINES):
+            await self.start_worker("llm", "decode", self.software[index % len(self.software)])
         for _ in range(DESKS):
             await self.start_worker("desk", None)
         await self.configure()
         for index in range(GATEWAYS):
             await self.make_gateway(index)
         await asyncio.sleep(2)
-        callers = [asyncio.ensure_future(Caller(self, i).run()) for i in range(CALLERS)]
+        self.callers = [Caller(self, i) for i in range(CALLERS)]
+        callers = [asyncio.ensure_future(caller.run()) for caller in self.callers]
         faults = asyncio.ensure_future(self.faults())
         silences = asyncio.ensure_future(self.silences())
         await asyncio.sleep(self.options.seconds)
@@ -251,6 +281,8 @@
                 await asyncio.sleep(0.05)
             if gateway["process"].returncode != 0:
                 self.records.fail("a gateway exited with code %d" % gateway["process"].returncode)
+        self.records.check_resumptions()
+        print("streams at sound gateways: %s" % self.records.stream_counts)
         print("beside a silent worker: %s" % self.records.silence_counts)
         print("seed %d: %d requests, answers %s, %d orders, %d failures; logs in %s" % (
             self.options.seed, len(self.records.sent), self.records.counts,
