Send some requests of the soak with Expect: 100-continue

Cause: no caller of the soak asked for an interim answer, though daemons must keep the connection in order after one. Change: callers send one in twenty requests that have a body with Expect: 100-continue, on kept and new connections, and the body after the interim answer or 200 ms. The run prints what came; all checks hold as for other requests.

--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -9,6 +9,9 @@
 CALLER_PATIENCE_S = 6
 RESUMPTIONS = 3
 MAX_WAIT_S = 1.0  # A third of a request's time.
+EXPECT_SHARE = 0.05
+EXPECT_WAIT_S = 0.2
+INTERIM = b"HTTP/1.1 100"
 IDEMPOTENT = ("/look/", "/stream/tell/")
 
 
@@ -19,6 +22,7 @@
         self.request, self.port, self.asked = request, port, asked
         self.start, self.end = time.monotonic(), None
         self.status, self.headers, self.body, self.whole = 0, {}, b"", False
+        self.expects = False  # It has Expect: 100-continue.
         self.broken = False  # The caller itself lost its connection.
 
     def is_stream(self):
@@ -131,13 +135,36 @@
             if stream.last_event:
                 lines += ["Last-Event-Id: %d" % stream.last_event,
                           "Resumes: " + stream.first_attempt]
-        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+        line = b""
+        if body and self.rng.random() < EXPECT_SHARE:
+            lines.append("Expect: 100-continue")
+            attempt.expects = True
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        if attempt.expects:
+            line = await self.read_first_line(reader)
+            if line is not None and not line.startswith(INTERIM):
+                self.records.count_expect("final answer")  # The body may still be due.
+                await self.read_answer(attempt, reader, line)
+                return False
+            self.records.count_expect("no answer" if line is None else "interim answer")
+        writer.write(body)
         await writer.drain()
-        return await self.read_answer(attempt, reader)
+        return await self.read_answer(attempt, reader, line or await reader.readline())
 
-    async def read_answer(self, attempt, reader):
-        """Reads the answer; returns whether the connection may be reused."""
-        first = (await reader.readline()).split()
+    async def read_first_line(self, reader):
+        """Returns None if none comes in time; a late one is read afterwards."""
+        try:
+            return await asyncio.wait_for(reader.readline(), EXPECT_WAIT_S)
+        except asyncio.TimeoutError:
+            return None
+
+    async def read_answer(self, attempt, reader, line):
+        """Reads the answer that begins with `line`; returns whether the connection may be reused."""
+        if attempt.expects and line.startswith(INTERIM):
+            while await reader.readline() not in (b"\r\n", b""):
+                pass
+            line = await reader.readline()
+        first = line.split()
         if not first:
             return False
         if not first[0].startswith(b"HTTP/1.1"):
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -24,6 +24,7 @@
         self.disturbances = Disturbances()
         self.offers = {}  # The workers that received a request, by request.
         self.silenced, self.silence_counts = set(), {}
+        self.expect_counts = {}
         self.versions = {}  # Software version of each worker.
         self.stream_counts = {"new": 0, "begun": 0, "resumed": 0, "gone on": 0}
 
@@ -111,6 +112,9 @@
         self.stream_counts["resumed" if before else "new"] += 1
         self.stream_counts["gone on" if before else "begun"] += progress
 
+    def count_expect(self, what):
+        self.expect_counts[what] = self.expect_counts.get(what, 0) + 1
+
     def check_resumptions(self):
         counts = self.stream_counts
         if counts["resumed"] < MIN_RESUMPTIONS:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -283,6 +283,7 @@
                 self.records.fail("a gateway exited with code %d" % gateway["process"].returncode)
         self.records.check_resumptions()
         print("streams at sound gateways: %s" % self.records.stream_counts)
+        print("after Expect: 100-continue: %s" % self.records.expect_counts)
         print("beside a silent worker: %s" % self.records.silence_counts)
         print("seed %d: %d requests, answers %s, %d orders, %d failures; logs in %s" % (
             self.options.seed, len(self.records.sent), self.records.counts,
