Have the soak's callers break streams in every run

Change: breaks have a sequence of their own, for as long as the faults last, and leave the list of random faults.

--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -159,7 +159,7 @@
             return None
 
     async def read_answer(self, attempt, reader, line):
-        """Reads the answer that begins with `line`; returns whether the connection may be reused."""
+        """Reads the answer that begins with `line`; returns whether the connection is reusable."""
         if attempt.expects and line.startswith(INTERIM):
             while await reader.readline() not in (b"\r\n", b""):
                 pass
--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -39,7 +39,7 @@
         try:
             await asyncio.gather(self.copy(reader, target_writer, "forth"),
                                  self.copy(target_reader, writer, "back"))
-        except asyncio.CancelledError:  # The soak ends; asyncio prints an error if this leaves here.
+        except asyncio.CancelledError:  # The soak ends; asyncio would print an error.
             pass
         self.open -= {writer, target_writer}
 
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -89,7 +89,7 @@
             self.silence_counts[kind] = self.silence_counts.get(kind, 0) + 1
 
     def check_silenced(self, attempt):
-        """Checks that no answer ended because one of its workers was silent; returns the outcome."""
+        """Checks that no answer ended because a worker was silent; returns the outcome."""
         scopes = {"workers", "gateway-%d" % attempt.port} | self.offers[attempt.request]
         if self.disturbances.overlap(attempt.start, attempt.end, scopes):
             return "beside another fault"
@@ -100,9 +100,10 @@
         seal = attempt.headers.get("x-hawthorndrum-response-seal", "")
         if attempt.whole and seal.endswith("." + attempt.request):
             return "complete"
-        self.fail("%s %s ended with %s, %d bytes, after %.3f s beside a silent worker; it was at %s" % (
-            attempt.request, attempt.asked[1], attempt.status if attempt.whole else "a closed connection",
-            len(attempt.body), attempt.end - attempt.start, sorted(self.offers[attempt.request])))
+        outcome = attempt.status if attempt.whole else "a closed connection"
+        self.fail("%s %s ended with %s, %d bytes, after %.3f s beside a silent worker, at %s" % (
+            attempt.request, attempt.asked[1], outcome, len(attempt.body),
+            attempt.end - attempt.start, sorted(self.offers[attempt.request])))
         return "failed"
 
     def count_stream(self, attempt, before, progress, serving):
@@ -143,7 +144,7 @@
 
     def check_events(self, attempt, stream):
         """Checks each event of an attempt and what goes on from the attempts before."""
-        request, first = attempt.request, stream.last_event + 1
+        request = attempt.request
         at, seen = 0, set()
         while (event := EVENT.match(attempt.body, at)) is not None:
             worker = event[4].decode()
@@ -158,8 +159,8 @@
         if not seen <= {stream.version}:
             runs = b" ".join(b"-".join(event) for event in
                              re.findall(rb"id: (\d+)\n.* (\S+)\n", attempt.body)).decode()
-            self.fail("%s, of the stream that %s began at %s, holds events of %s from event %d on: %s" % (
-                request, stream.first_attempt, stream.version, sorted(seen), first, runs))
+            self.fail("%s, of the stream that %s began at %s, holds events of %s: %s" % (
+                request, stream.first_attempt, stream.version, sorted(seen), runs))
         rest = attempt.body[at:]
         workers = self.workers_of.get(request, ())
         starts = [self.event(request, stream.last_event + 1, worker) for worker in workers]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -100,7 +100,7 @@
             settings.write("host: g%d\ndata_centre: z1\ncallers: 127.0.0.1:%d\n"
                            "readiness: 127.0.0.1:%d\nnotices: 127.0.0.1:%d\nstore: 127.0.0.1:%d\n"
                            "stop_grace: %ds\nretries:\n  ratio: 0.5\n  reserve: 200\n"
-                           % (index, ports[0], ports[1], ports[2], store, STOP_GRACE_S))
+                           % (index, *ports, store, STOP_GRACE_S))
         gateway = {"settings": name + ".yaml", "log": name + ".log", "port": ports[0],
                    "store": proxy, "process": None}
         self.start_gateway(gateway)
@@ -109,8 +109,7 @@
     async def faults(self):
         kinds = [self.kill, self.pause, self.terminate, self.disturb_store, self.disturb_worker,
                  self.crash_worker, self.drain_worker, self.corrupt_worker, self.store_fault,
-                 self.discard_store_history, self.configure, self.reload,
-                 self.break_streams, self.break_streams]
+                 self.discard_store_history, self.configure, self.reload]
         if len(self.software) > 1:
             kinds.append(self.release)
         tasks = []
@@ -128,8 +127,8 @@
 
     async def terminate(self):
         gateway = self.rng.choice(self.gateways)
-        # Requests that are sent sooner end before the gateway's grace does.
-        interval = self.disturbances.begin("gateway-%d" % gateway["port"], STOP_GRACE_S - DEADLINE_S)
+        late = STOP_GRACE_S - DEADLINE_S  # Requests that are sent sooner end within the grace.
+        interval = self.disturbances.begin("gateway-%d" % gateway["port"], late)
         gateway["process"].send_signal(signal.SIGTERM)
         await self.restart(gateway)
         self.disturbances.end(interval)
@@ -214,11 +213,14 @@
 
     async def break_streams(self):
         """Has callers lose connections in the middle of streams, which they take up again."""
-        for _ in range(10):
-            for caller in self.callers:
-                if self.rng.random() < 0.5:
-                    caller.break_stream()
-            await asyncio.sleep(0.1)
+        rng = random.Random(self.options.seed + 3)
+        while not self.faults_stopped:
+            await asyncio.sleep(rng.uniform(0.5, 2))
+            for _ in range(5):
+                for caller in self.callers:
+                    if rng.random() < 0.5:
+                        caller.break_stream()
+                await asyncio.sleep(0.1)
 
     def serving(self, version):
         return sum(w.alive and not w.leaving and w.service == "llm" and w.version == version
@@ -258,9 +260,10 @@
         callers = [asyncio.ensure_future(caller.run()) for caller in self.callers]
         faults = asyncio.ensure_future(self.faults())
         silences = asyncio.ensure_future(self.silences())
+        breaks = asyncio.ensure_future(self.break_streams())
         await asyncio.sleep(self.options.seconds)
         self.faults_stopped = True
-        await faults
+        await asyncio.gather(faults, breaks)
         await asyncio.sleep(4 - MAX_SILENCE_S)
         self.silences_stopped = True
         await silences
