Give the first wanted upstream a default

Cause: the compiler warned of missing initializers at seven places. Change: a default member initializer. No behaviour. Measured: builds without these warnings.

--- a/src/libhawthorndrum/gateway/placement.h
+++ b/src/libhawthorndrum/gateway/placement.h
@@ -56,7 +56,7 @@
   std::string_view reason;
   duration retry_after{0};
   /** The upstream that can be tried first, if all have asked for time. */
-  upstream_id first_wanted;
+  upstream_id first_wanted{};
 };
 
 }  // namespace hawthorndrum
