Cut callers' headers in the log line of a resumed stream

Cause: found in the reading of the change: the line held the whole header, up to the limit on headers. Change: at most 64 bytes of each value are logged. Measured: ResumesTest.ALongNameOfAnAttemptIsCutInTheLog is new; test_gateway and test_settings pass.

--- a/src/libhawthorndrum/gateway/gateway_resumes.cpp
+++ b/src/libhawthorndrum/gateway/gateway_resumes.cpp
@@ -16,6 +16,8 @@
 
 /** Daemons that did not answer may have been cut off for a moment. */
 constexpr duration kRetryOriginUnknown = milliseconds(500);
+/** Bytes of a caller's header in a log line. */
+constexpr std::size_t kMaxLoggedValue = 64;
 
 }  // namespace
 
@@ -87,12 +89,14 @@
 
 void gateway::LogOrigin(const caller_terms& terms, std::string_view source, time_point asked_at,
                         time_point now) {
+  const std::string_view resumes(terms.resumes);
+  const std::string_view last_event(terms.last_event_id);
   ports_.metrics->Counter("gateway_resumes_total", MetricLabel("origin", source)).Add();
   ports_.log->Write(log_importance::kNotable,
                     log_record("stream_origin")
                         .Text("request", terms.caller_id)
-                        .Text("resumes", terms.resumes)
-                        .Text("last_event", terms.last_event_id)
+                        .Text("resumes", resumes.substr(0, kMaxLoggedValue))
+                        .Text("last_event", last_event.substr(0, kMaxLoggedValue))
                         .Text("source", source)
                         .Number("after_ms", ToMilliseconds(now - asked_at)));
 }
--- a/tests/gateway/resumes.cpp
+++ b/tests/gateway/resumes.cpp
@@ -144,6 +144,14 @@
   EXPECT_EQ(CallerOf(second).status, 503);
 }
 
+TEST_F(ResumesTest, ALongNameOfAnAttemptIsCutInTheLog) {
+  List("old0", "v1");
+  ResumeAfterFirstEvent(std::string(8000, 'x'));
+  ASSERT_EQ(origins.asked.size(), 1u);
+  served.OnOrigin(origins.asked[0], std::nullopt);
+  EXPECT_LT(log.LastOf("stream_origin").size(), 400u);
+}
+
 TEST_F(ResumesTest, AResumptionGoesToTheServiceThatBeganTheStreamWhateverTheWeights) {
   List("old0", "v1");
   auto config = MakeConfig(2);
