--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -163,7 +163,7 @@
   placement_failure ExplainFailure(const exchange& each, const placement_failure& failure,
                                    time_point now);
   /** Returns whether all upstreams asked for time that ends too late for the request. */
-  bool WaitsInVain(const exchange& each, time_point now);
+  bool CannotBePlacedInTime(const exchange& each, time_point now);
   /** Returns whether other daemons should hear that the upstream asked for time. */
   static bool IsNewsForPeers(const upstream_statements& said, time_point now);
 
--- a/src/libhawthorndrum/gateway/gateway_resumes.cpp
+++ b/src/libhawthorndrum/gateway/gateway_resumes.cpp
@@ -23,7 +23,7 @@
 
 void gateway::Resume(arrived_request arrived, const route& matched, time_point now) {
   if (arrived.terms.resumes.empty()) {
-    // Callers that do not name the attempt get by while there is no other version.
+    // Callers that do not name the attempt are served while there is one version only.
     const auto only = OnlyBuildOf(matched);
     LogOrigin(arrived.terms, only ? "only_version" : "not_named", now, now);
     if (only) return Admit(std::move(arrived), only);
--- a/src/libhawthorndrum/gateway/gateway_stalls.cpp
+++ b/src/libhawthorndrum/gateway/gateway_stalls.cpp
@@ -30,7 +30,7 @@
     each.call.stalls_at = now + kStallCheckInterval;
     const auto place = PlaceAgain(each, now);
     if (place) return SendAgain(each, *place, now);
-    if (WaitsInVain(each, now)) EndWait(each);
+    if (CannotBePlacedInTime(each, now)) EndWait(each);
     return;
   }
   // An upstream that sends any byte to this daemon, or to one that reports it, is alive, so silence
@@ -109,7 +109,7 @@
   // Before its first run a request is refused, and its caller told when to come back.
   return each.moved && !each.caller_gone && each.runs > 0 && each.runs < each.matched->attempts &&
          each.TimeLeft(now) >= exchange::kMinTimeForAttempt &&
-         !crashes_.IsConvicted(each.fingerprint, now) && !WaitsInVain(each, now);
+         !crashes_.IsConvicted(each.fingerprint, now) && !CannotBePlacedInTime(each, now);
 }
 
 void gateway::EndWait(exchange& each) {
--- a/src/libhawthorndrum/gateway/gateway_statements.cpp
+++ b/src/libhawthorndrum/gateway/gateway_statements.cpp
@@ -92,7 +92,7 @@
   return {kUpstreamsWantNothing, wanted->at - now, wanted->id};
 }
 
-bool gateway::WaitsInVain(const exchange& each, time_point now) {
+bool gateway::CannotBePlacedInTime(const exchange& each, time_point now) {
   const auto wanted = EarliestWanted(fleet_, QueryFor(each, now), now);
   return wanted && wanted->at + exchange::kMinTimeForAttempt > each.deadline;
 }
