--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -22,6 +22,9 @@
 constexpr duration kSweepPeriod = seconds(1);
 /** File descriptors reserved for connections to upstreams and the store, and for files. */
 constexpr std::uint32_t kReservedDescriptors = 1200;
+/** Connections of other daemons that pass requests on, and the headers that they add. */
+constexpr std::size_t kRelayConnections = 400;
+constexpr std::uint32_t kRelayHeaderBytes = 4096;
 
 http_limits LimitsOf(const caller_limits& limits, std::uint32_t file_limit) {
   http_limits result;
@@ -34,6 +37,14 @@
   return result;
 }
 
+http_limits RelayLimits(const caller_limits& limits) {
+  http_limits result;
+  result.header_bytes = limits.header_bytes + kRelayHeaderBytes;
+  result.body_bytes = limits.body_bytes;
+  result.connections = kRelayConnections;
+  return result;
+}
+
 gateway_ports PortsOf(const gateway_settings& settings, caller_port& callers,
                       upstream_calls& upstreams, const wire_dialect& dialect, const clock& time,
                       random_source& random, event_log& log, metrics_registry& metrics,
@@ -64,17 +75,20 @@
       log_(clock_, metrics_, settings.host),
       ticks_(io, *this, clock_, metrics_),
       client_(io),
+      daemons_(settings.host),
       caller_endpoint_(ticks_),
+      relay_endpoint_(ticks_, daemons_),
       ready_endpoint_([this] { return ReadyPage(); }),
       metrics_endpoint_([this] {
         return http_answer{200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.ToText()};
       }),
       caller_server_(io, caller_endpoint_, random_, metrics_, "callers",
                      LimitsOf({}, settings.file_limit)),
+      relay_server_(io, relay_endpoint_, random_, metrics_, "daemons", RelayLimits({})),
+      answers_(caller_server_, relay_server_),
       ready_server_(io, ready_endpoint_, random_, metrics_, "readiness", {}),
       metrics_server_(io, metrics_endpoint_, random_, metrics_, "metrics", {}),
       upstream_calls_(client_, ticks_, std::string(dialect.answer_id_header())),
-      daemons_(settings.host),
       notices_(
           io, daemons_, clock_, metrics_,
           [this](const load_notice& notice) { gateway_.OnNotice(notice); },
@@ -86,7 +100,7 @@
           }),
       origins_(daemons_, notices_, settings.host, settings.data_centre),
       crashes_(daemons_, notices_, random_, log_, settings.host),
-      gateway_(PortsOf(settings, caller_server_, upstream_calls_, dialect, clock_, random_, log_,
+      gateway_(PortsOf(settings, answers_, upstream_calls_, dialect, clock_, random_, log_,
                        metrics_, origins_, crashes_)),
       exchange_(gateway_, daemons_, settings.host, settings.data_centre),
       stop_timer_(io) {
@@ -105,6 +119,8 @@
 expected<void> gateway_daemon::Start() {
   auto port = caller_server_.Listen(settings_.callers_address);
   if (!port) return tl::make_unexpected(port.error());
+  port = relay_server_.Listen(settings_.notices_address);
+  if (!port) return tl::make_unexpected(port.error());
   port = ready_server_.Listen(settings_.readiness_address);
   if (!port) return tl::make_unexpected(port.error());
   if (!settings_.metrics_address.empty()) {
@@ -130,11 +146,15 @@
 
 void gateway_daemon::Receive(event new_event) {
   if (auto* arrived = std::get_if<request_arrived>(&new_event)) {
+    if (arrived->from_peer)
+      return gateway_.OnPassedOn(arrived->request, std::move(arrived->message));
     return gateway_.OnRequest(arrived->request, std::move(arrived->message));
   }
   if (const auto* gone = std::get_if<caller_gone>(&new_event)) {
     return gateway_.OnCallerGone(gone->request);
   }
+  if (const auto* connected = std::get_if<attempt_connected>(&new_event))
+    return gateway_.OnAttemptConnected(*connected);
   if (const auto* head = std::get_if<attempt_head>(&new_event))
     return gateway_.OnAttemptHead(*head);
   if (const auto* bytes = std::get_if<attempt_bytes>(&new_event)) {
@@ -160,6 +180,7 @@
   if (!config || config->version == limits_version_) return;
   limits_version_ = config->version;
   caller_server_.SetLimits(LimitsOf(config->limits, settings_.file_limit));
+  relay_server_.SetLimits(RelayLimits(config->limits));
 }
 
 void gateway_daemon::Run(time_point now) {
@@ -184,6 +205,7 @@
                  .Number("in_flight", static_cast<std::int64_t>(gateway_.in_flight()))
                  .Number("connections", static_cast<std::int64_t>(caller_server_.connections())));
   caller_server_.CloseAfterAnswers();
+  relay_server_.CloseAfterAnswers();
   stop_timer_.expires_after(std::min<duration>(kServeAfterStop, settings_.stop_grace / 2));
   stop_timer_.async_wait([this](boost::system::error_code failed) {
     if (!failed) StopAccepting();
@@ -192,11 +214,13 @@
 
 void gateway_daemon::StopAccepting() {
   caller_server_.StopListening();
+  relay_server_.StopListening();
   StopWhenIdle();
 }
 
 void gateway_daemon::StopWhenIdle() {
-  const bool idle = gateway_.in_flight() == 0 && caller_server_.busy_connections() == 0;
+  const bool idle = gateway_.in_flight() == 0 && caller_server_.busy_connections() == 0 &&
+                    relay_server_.busy_connections() == 0;
   const bool late = clock_.Now() - stop_began_ > settings_.stop_grace - kStopReserve;
   if (idle || late) {
     log_.Write(log_importance::kImportant,
--- a/src/gatewayd/gateway_daemon.h
+++ b/src/gatewayd/gateway_daemon.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <string>
 
+#include "answer_router.h"
 #include "base/error.h"
 #include "base/metrics_registry.h"
 #include "boot_time_clock.h"
@@ -21,6 +22,7 @@
 #include "notice_socket.h"
 #include "origins/origin_exchange.h"
 #include "page_endpoint.h"
+#include "relay_endpoint.h"
 #include "system_random_source.h"
 #include "systems/event_receiver.h"
 #include "systems/system.h"
@@ -79,14 +81,18 @@
   json_log log_;
   tick_driver ticks_;
   http_client client_;
+  daemon_directory daemons_;
   gateway_endpoint caller_endpoint_;
+  relay_endpoint relay_endpoint_;
   page_endpoint ready_endpoint_;
   page_endpoint metrics_endpoint_;
   http_server caller_server_;
+  /** Requests of other daemons, at the address for notices but over TCP. */
+  http_server relay_server_;
+  answer_router answers_;
   http_server ready_server_;
   http_server metrics_server_;
   http_upstream_calls upstream_calls_;
-  daemon_directory daemons_;
   notice_socket notices_;
   origin_exchange origins_;
   crash_exchange crashes_;
--- a/src/gatewayd/http_upstream_calls.cpp
+++ b/src/gatewayd/http_upstream_calls.cpp
@@ -64,6 +64,11 @@
   return found == attempts_.end() ? attempt_id() : found->second;
 }
 
+void http_upstream_calls::OnConnected(http_call_id id) {
+  const attempt_id attempt = AttemptOf(id);
+  if (attempt) events_.Post(attempt_connected{attempt});
+}
+
 void http_upstream_calls::OnHead(http_call_id id, int status, std::vector<http_header> headers) {
   const attempt_id attempt = AttemptOf(id);
   if (attempt) events_.Post(attempt_head{attempt, status, std::move(headers)});
--- a/src/gatewayd/http_upstream_calls.h
+++ b/src/gatewayd/http_upstream_calls.h
@@ -25,6 +25,7 @@
   void Probe(upstream_id upstream, const std::string& address) override;
   void Notify(const std::string& address, http_request request) override;
 
+  void OnConnected(http_call_id id) override;
   void OnHead(http_call_id id, int status, std::vector<http_header> headers) override;
   void OnBody(http_call_id id, std::string bytes) override;
   void OnFinished(http_call_id id) override;
--- /dev/null
+++ b/src/gatewayd/relay_endpoint.h
@@ -0,0 +1,42 @@
+/// The endpoint for requests that other daemons pass on.
+#pragma once
+
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "gateway/daemon_directory.h"
+#include "http_handler.h"
+#include "ports/event_sink.h"
+#include "relay/relay_headers.h"
+
+namespace hawthorndrum {
+
+/**
+ * Posts the requests of listed daemons as events. Requests of other hosts are declined, since the
+ * headers between daemons are not for callers to set.
+ */
+class relay_endpoint : public http_handler {
+ public:
+  relay_endpoint(event_sink& events, daemon_directory& daemons)
+      : events_(events), daemons_(daemons) {}
+
+  std::optional<http_answer> RefusalFor(std::string_view ip) override {
+    if (daemons_.IsKnownHost(ip)) return std::nullopt;
+    daemons_.RequestRefresh();
+    http_answer declined;
+    declined.status = 503;
+    SetRelayAnswer({relay_outcome::kDeclined, {}}, declined.headers);
+    return declined;
+  }
+  void OnRequest(request_id request, http_request message) override {
+    events_.Post(request_arrived{request, std::move(message), true});
+  }
+  void OnCallerGone(request_id request) override { events_.Post(caller_gone{request}); }
+
+ private:
+  event_sink& events_;
+  daemon_directory& daemons_;
+};
+
+}  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -15,6 +15,7 @@
 #include "gateway/fleet_upstream.h"
 #include "gateway/gateway_config.h"
 #include "gateway/wire_dialect.h"
+#include "relay/relay_answer.h"
 
 namespace hawthorndrum {
 
@@ -25,11 +26,15 @@
   kRunning,
   /** The request was moved from a silent upstream and waits until another one takes it. */
   kWaiting,
+  /** Another daemon serves the request, since this one reaches no upstream. */
+  kPassedOn,
 };
 
 /** The part of an upstream's answer that has been received. */
 struct upstream_answer {
   answer_terms terms;
+  /** What the daemon says that the request was passed on to. */
+  relay_answer relayed;
   std::vector<http_header> headers;
   std::string body;
 };
@@ -60,9 +65,10 @@
 };
 
 /**
- * Invariants: exactly one call is open (`call`), or none while waiting; `head_sent` is set for
- * streams only; after `head_sent` the caller receives one continuous series of events, whichever
- * upstreams send them.
+ * Invariants: exactly one call is open (`call`), or none while waiting; a call to another daemon
+ * has no upstream; a request that another daemon passed on is never passed on again; `head_sent` is
+ * set for streams only; after `head_sent` the caller receives one continuous series of events,
+ * whichever upstreams send them.
  */
 struct exchange {
   /** Minimum time left for another attempt. */
@@ -117,6 +123,13 @@
   duration longest_pause{0};
   bool caller_gone = false;
 
+  /** Whether another daemon passed the request on to this one. */
+  bool from_peer = false;
+  /** Whether the retries that the request earns were counted, here or by that daemon. */
+  bool earned = false;
+  /** The hosts of the daemons that this one passed it on to; the last one serves it or declined. */
+  std::vector<std::string> passed_to;
+
   bool is_engine() const { return service->is_engine && terms.asked.has_value(); }
   bool is_stream() const { return matched->kind == route_kind::kStream; }
   duration TimeLeft(time_point now) const { return deadline - now; }
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include "ports/clock.h"
 #include "ports/event_log.h"
 #include "ports/random_source.h"
+#include "relay/relay_headers.h"
 
 namespace hawthorndrum {
 
@@ -60,6 +61,8 @@
       services_(fleet_, ports.data_centre),
       allowance_(ports.retries),
       reachability_(fleet_, *ports.upstreams, *ports.random, *ports.log),
+      cut_off_(fleet_, reachability_, *ports.random, *ports.log, *ports.metrics),
+      relay_peers_(ports.host, *ports.random),
       peers_(fleet_, reachability_, ports.incarnation, ports.data_centre) {}
 
 gateway::~gateway() = default;
@@ -84,11 +87,13 @@
 void gateway::OnRequest(request_id id, http_request request) {
   const time_point now = ports_.time->Now();
   caller_terms terms = ports_.dialect->TakeCallerTerms(request);
-  if (!is_ready()) return RefuseUnplaced(id, terms, 503, "not_started", kRetryUnavailable);
-  const route* matched = config_->FindRoute(WithoutPort(terms.host), PathOf(request.target));
-  const bool has_events = !terms.last_event_id.empty() || !terms.resumes.empty();
-  const bool resumes = matched != nullptr && matched->resumable && has_events;
   arrived_request arrived{id, std::move(request), std::move(terms), now};
+  if (!is_ready()) return RefuseUnplaced(arrived, 503, "not_started", kRetryUnavailable);
+  const caller_terms& asked = arrived.terms;
+  const route* matched =
+      config_->FindRoute(WithoutPort(asked.host), PathOf(arrived.request.target));
+  const bool has_events = !asked.last_event_id.empty() || !asked.resumes.empty();
+  const bool resumes = matched != nullptr && matched->resumable && has_events;
   if (resumes) return Resume(std::move(arrived), *matched, now);
   Admit(std::move(arrived), std::nullopt);
 }
@@ -97,12 +102,16 @@
   const time_point now = ports_.time->Now();
   const std::string_view host = WithoutPort(arrived.terms.host);
   const route* matched = config_->FindRoute(host, PathOf(arrived.request.target));
-  if (matched == nullptr)
-    return RefuseUnplaced(arrived.id, arrived.terms, 404, "no_route", duration(0));
+  if (matched == nullptr) return RefuseUnplaced(arrived, 404, "no_route", duration(0));
   const weighted_service* target =
       build ? TargetOfBuild(*matched, *build, now) : &PickTarget(*matched);
   exchange& each = exchanges_[arrived.id];
   each.id = arrived.id;
+  each.from_peer = arrived.relayed.has_value();
+  if (arrived.relayed) {
+    each.runs = arrived.relayed->runs;
+    each.earned = arrived.relayed->earned;
+  }
   each.request = std::move(arrived.request);
   each.terms = std::move(arrived.terms);
   each.config = config_;
@@ -117,7 +126,8 @@
   if (target == nullptr) return Refuse(each, {"no_upstream_of_version", kRetryUnavailable});
   each.service = config_->FindService(target->service);
   if (each.service == nullptr) return Refuse(each, {"no_service", kRetryUnavailable});
-  allowance_.Earn(each.service->name, now);
+  if (ShouldPassOn(each, now) && PassOn(each, now)) return;
+  if (!std::exchange(each.earned, true)) allowance_.Earn(each.service->name, now);
   const auto place = Place(each, now);
   if (!place) return Refuse(each, place.error());
   Send(each, *place, now);
@@ -189,30 +199,36 @@
   return answer;
 }
 
-void gateway::RefuseUnplaced(request_id id, const caller_terms& terms, int status,
-                             std::string_view reason, duration retry_after) {
+void gateway::RefuseUnplaced(const arrived_request& arrived, int status, std::string_view reason,
+                             duration retry_after) {
   ports_.log->Write(log_importance::kNotable,
                     log_record("request_refused")
-                        .Text("request", terms.caller_id)
+                        .Text("request", arrived.terms.caller_id)
                         .Text("reason", reason)
-                        .Text("host", terms.host)
+                        .Text("host", arrived.terms.host)
                         .Number("status", status)
                         .Number("config", static_cast<std::int64_t>(config_version()))
                         .Flag("fleet_known", fleet_known_));
   ports_.metrics->Counter("gateway_refused_total", MetricLabel("reason", reason)).Add();
-  ports_.callers->Answer(id, ProblemAnswer(status, reason, retry_after));
+  http_answer answer = ProblemAnswer(status, reason, retry_after);
+  // The daemon that passed it on may know a newer configuration.
+  if (arrived.relayed) SetRelayAnswer({relay_outcome::kDeclined, {}}, answer.headers);
+  ports_.callers->Answer(arrived.id, std::move(answer));
 }
 
 void gateway::Refuse(exchange& each, const placement_failure& why) {
-  DropHandle(each);
   const time_point now = ports_.time->Now();
+  if (IsForLackOfUpstreams(why.reason) && PassOn(each, now)) return;
+  DropHandle(each);
   if (MayWait(each, now)) return Wait(each, why.reason, now);
   // The caller has part of a stream; a refusal must not be appended to it.
   if (each.head_sent) return AbortStream(each);
   // "Not run" is answered only for requests that certainly never ran.
   if (each.runs > 0) return FailUnknown(each, why.reason, 502);
   ports_.metrics->Counter("gateway_refused_total", MetricLabel("reason", why.reason)).Add();
-  ports_.callers->Answer(each.id, ProblemAnswer(503, why.reason, why.retry_after));
+  const bool declined = IsForLackOfUpstreams(why.reason);
+  AnswerCaller(each, ProblemAnswer(503, why.reason, why.retry_after),
+               declined ? relay_outcome::kDeclined : relay_outcome::kRefused);
   const fleet_upstream* first_wanted = fleet_.Find(why.first_wanted);
   ports_.log->Write(log_importance::kNotable,
                     log_record("request_refused")
@@ -251,6 +267,9 @@
   notice.fleet_revision = fleet_revision_;
   fleet_.ForEach([&](fleet_upstream& row) {
     const duration ago = now - row.last_active_at;
+    // A host that is cut off knows nothing of an upstream that others may reach.
+    const bool is_cut_off =
+        cut_off_.IsCutOff(row.entry.service) && cut_off_.PeersMayReach(row.entry.service, now);
     if (row.own.running > 0 || ago < kMaxReportedSilence)
       notice.work.push_back({row.id, row.own, ago});
     ReportLimits(notice, row, now);
@@ -258,6 +277,8 @@
       notice.avoided.push_back({row.id, row.changes_until - now, avoidance_reason::kChangingStage});
     } else if (!row.takes_work(now)) {
       notice.avoided.push_back({row.id, kLeavingAvoidance, avoidance_reason::kLeaving});
+    } else if (is_cut_off) {
+      return;
     } else if (row.reachability.is_lost) {
       notice.avoided.push_back({row.id, kUnreachableAvoidance, avoidance_reason::kLost});
     } else if (row.failures > 0 && row.avoid_until > now) {
@@ -295,6 +316,8 @@
 void gateway::Run(time_point now) {
   DetectDelay(now);
   peers_.Run(now);
+  CheckSilence(now);
+  cut_off_.Run(now);
   reachability_.Run(now);
   CheckClosedAnswers(now);
   // Expire and Stall may erase exchanges, so the ids are collected first.
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/http_message.h"
+#include "gateway/cut_off_detector.h"
 #include "gateway/daemon_directory.h"
 #include "gateway/demand_meter.h"
 #include "gateway/engine_placement.h"
@@ -24,6 +25,9 @@
 #include "gateway/service_placement.h"
 #include "origins/origin_listener.h"
 #include "ports/attempt_event.h"
+#include "relay/relay_answer.h"
+#include "relay/relay_peers.h"
+#include "relay/relay_terms.h"
 #include "systems/system.h"
 
 namespace hawthorndrum {
@@ -56,7 +60,10 @@
   void SetOtherDaemons(std::size_t others) { allowance_.SetDaemons(others + 1); }
 
   void OnRequest(request_id id, http_request request);
+  /** Another daemon, which reaches no upstream, passed the request on to this one. */
+  void OnPassedOn(request_id id, http_request request);
   void OnCallerGone(request_id id);
+  void OnAttemptConnected(const attempt_connected& connected);
   void OnAttemptHead(const attempt_head& head);
   void OnAttemptBytes(const attempt_bytes& bytes);
   void OnAttemptFinished(const attempt_finished& finished);
@@ -77,6 +84,8 @@
   peer_load_table& peers() { return peers_; }
   std::uint64_t config_version() const { return config_ ? config_->version : 0; }
   std::shared_ptr<const gateway_config> config() const { return config_; }
+  /** Whether this daemon reaches no upstream at all. */
+  bool is_cut_off() const { return cut_off_.IsCutOffFromAll(); }
   bool is_ready() const { return config_ != nullptr && fleet_known_; }
   std::size_t in_flight() const { return exchanges_.size() + resumes_.size(); }
 
@@ -87,6 +96,9 @@
   /** Failure reason: no connection could be made, and nothing was sent. */
   static constexpr std::string_view kNotConnected = "not_connected";
   static constexpr std::string_view kConnectionLost = "connection_lost";
+  /** Refusal reasons: no upstream of the service can be called. */
+  static constexpr std::string_view kNoUpstream = "no_upstream";
+  static constexpr std::string_view kNoEngine = "no_engine";
   /** Refusal reason: a part of its prompt, or the request itself, crashes upstreams. */
   static constexpr std::string_view kCrashesUpstreams = "crashed_upstreams";
   /** An upstream that goes on for this long after it began an answer was not crashed by it. */
@@ -111,6 +123,8 @@
     http_request request;
     caller_terms terms;
     time_point at;
+    /** Set if another daemon passed it on. */
+    std::optional<relay_terms> relayed{};
   };
 
   // Resuming streams.
@@ -144,6 +158,27 @@
   void Open(exchange& each, fleet_upstream& row, const run_terms& terms, time_point now);
   int UpstreamPriority(const exchange& each, bool fetches) const;
 
+  // Passing requests on to other daemons.
+  /** Returns whether the request should not be placed here, since no upstream is reached. */
+  bool ShouldPassOn(const exchange& each, time_point now) const;
+  /** Returns whether the reason is one that other daemons may not have. */
+  static bool IsForLackOfUpstreams(std::string_view reason);
+  /** Passes a request that is not running on to another daemon; returns whether it did. */
+  bool PassOn(exchange& each, time_point now);
+  bool MayPassOn(const exchange& each, time_point now) const;
+  void OnPassedOnHead(exchange& each, const attempt_head& head);
+  void FinishPassedOn(exchange& each, time_point now);
+  void RecoverPassedOn(exchange& each, const attempt_lost& lost, time_point now);
+  /** Avoids the daemon that has been silent; its answer is still waited for. */
+  void StallPassedOn(exchange& each, time_point now);
+  /** Ends a request that the daemon it was passed on to has not run. */
+  void OnNotRunElsewhere(exchange& each, time_point now);
+  /** Sends a complete answer, to another daemon with what became of the request. */
+  void AnswerCaller(const exchange& each, http_answer answer, relay_outcome outcome);
+  void BeginAnswer(const exchange& each);
+  /** Raises a suspicion if calls are open and all upstreams are silent. */
+  void CheckSilence(time_point now);
+
   // Forwarding answers to the caller.
   void RecordFirstByte(exchange& each, time_point now);
   void FinishPrefill(exchange& each, time_point now);
@@ -214,7 +249,7 @@
   void ShortenStallTimeouts(const fleet_upstream& row, time_point now);
   void RecordFailure(fleet_upstream& row, const call_problem& problem, time_point now);
 
-  void RefuseUnplaced(request_id id, const caller_terms& terms, int status, std::string_view reason,
+  void RefuseUnplaced(const arrived_request& arrived, int status, std::string_view reason,
                       duration retry_after);
   void Refuse(exchange& each, const placement_failure& why);
 
@@ -248,6 +283,8 @@
   service_placement services_;
   retry_allowance allowance_;
   reachability_monitor reachability_;
+  cut_off_detector cut_off_;
+  relay_peers relay_peers_;
   peer_load_table peers_;
   std::vector<daemon_record> other_daemons_;
   std::shared_ptr<const gateway_config> config_;
@@ -266,6 +303,8 @@
   };
   /** The last ones, at most kMaxClosedAnswers, oldest first. */
   std::deque<closed_answer> closed_answers_;
+  /** When a byte of any upstream last arrived. */
+  time_point heard_at_;
   std::uint64_t notices_ = 0;
   time_point last_sweep_;
   time_point last_run_;
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -42,6 +42,8 @@
   exchange* each = FindByAttempt(head.attempt);
   if (each == nullptr) return;
   const time_point now = ports_.time->Now();
+  if (each->state == exchange_state::kPassedOn) return OnPassedOnHead(*each, head);
+  heard_at_ = now;
   each->call.head_seen = true;
   each->answer.terms = ports_.dialect->ReadAnswer(head.status, head.headers);
   each->answer.headers = head.headers;
@@ -53,7 +55,8 @@
   if (row != nullptr && !each->answer.terms.is_wrong_upstream) {
     row->last_active_at = now;
     row->failures = 0;
-    reachability_.OnAnswer(*row, now);
+    // Connections that were open before a cut may go on.
+    if (!cut_off_.IsCutOff(row->entry.service)) reachability_.OnAnswer(*row, now);
     if (!each->answer.terms.not_run) {
       row->refusal_share *= 1 - kRefusalDecay;
       row->refusals = 0;
@@ -65,18 +68,22 @@
   exchange* each = FindByAttempt(bytes.attempt);
   if (each == nullptr) return;
   each->call.stalled = false;
+  const bool passed_on = each->state == exchange_state::kPassedOn;
+  if (!passed_on) heard_at_ = ports_.time->Now();
   if (fleet_upstream* row = fleet_.Find(each->call.upstream))
     row->last_active_at = ports_.time->Now();
   const answer_terms& terms = each->answer.terms;
   const bool success = IsSuccess(terms.status) && terms.sealed;
   if (success || each->state == exchange_state::kPrefilling)
     RecordFirstByte(*each, ports_.time->Now());
-  if (each->state == exchange_state::kRunning && each->is_stream() && success) {
+  const bool runs = each->state == exchange_state::kRunning || passed_on;
+  if (runs && each->is_stream() && success) {
     return RelayEvents(*each, bytes.bytes);
   }
   each->answer.body += bytes.bytes;
   if (FitsBuffer(*each)) return;
   ports_.upstreams->Cancel(each->call.attempt);
+  if (passed_on) return FailUnknown(*each, "answer_too_large", 502);
   Recover(*each, {"answer_too_large", true, false, false}, ports_.time->Now());
 }
 
@@ -97,19 +104,21 @@
   std::string complete_events;
   if (!each.events.Feed(bytes, complete_events)) {
     ports_.upstreams->Cancel(each.call.attempt);
+    if (each.state == exchange_state::kPassedOn) return FailUnknown(each, "event_too_large", 502);
     return Recover(each, {"event_too_large", true, false, false}, now);
   }
-  if (now - each.call.first_byte_at >= kLivedOn) RecordLivedOn(each, now);
+  const bool runs_here = each.state == exchange_state::kRunning;
+  if (runs_here && now - each.call.first_byte_at >= kLivedOn) RecordLivedOn(each, now);
   if (complete_events.empty()) return;
   if (!each.head_sent) {
     each.head_sent = true;
     each.first_event_at = now;
-    RecordOrigin(each, now);
-    ports_.callers->Begin(each.id, each.answer.terms.status, each.answer.headers);
+    if (runs_here) RecordOrigin(each, now);
+    BeginAnswer(each);
   } else {
     const duration interval = now - each.last_event_at;
     each.longest_pause = std::max(each.longest_pause, interval);
-    speeds_.ObserveInterval(each.service->name, interval);
+    if (runs_here) speeds_.ObserveInterval(each.service->name, interval);
   }
   each.last_event_at = now;
   ports_.callers->Write(each.id, complete_events);
@@ -119,6 +128,7 @@
   exchange* each = FindByAttempt(finished.attempt);
   if (each == nullptr) return;
   const time_point now = ports_.time->Now();
+  if (each->state == exchange_state::kPassedOn) return FinishPassedOn(*each, now);
   if (each->state == exchange_state::kPrefilling) return FinishPrefill(*each, now);
   each->call.ended_by_close = finished.by_close;
   if (each->is_stream() && IsSuccess(each->answer.terms.status) && each->answer.terms.sealed) {
@@ -165,8 +175,7 @@
     return Recover(each, {"ended_inside_an_event", true, false, false}, now);
   }
   RecordLivedOn(each, now);
-  if (!each.head_sent)
-    ports_.callers->Begin(each.id, each.answer.terms.status, each.answer.headers);
+  if (!each.head_sent) BeginAnswer(each);
   ports_.callers->End(each.id);
   Close(each, "answered", each.answer.terms.status);
 }
@@ -219,7 +228,8 @@
 void gateway::Deliver(exchange& each) {
   if (each.head_sent) return AbortStream(each);
   const int status = each.answer.terms.status;
-  ports_.callers->Answer(each.id, {status, each.answer.headers, std::move(each.answer.body)});
+  AnswerCaller(each, {status, each.answer.headers, std::move(each.answer.body)},
+               relay_outcome::kAnswered);
   Close(each, IsSuccess(status) ? "answered" : "upstream_error", status);
 }
 
--- a/src/libhawthorndrum/gateway/gateway_limits.cpp
+++ b/src/libhawthorndrum/gateway/gateway_limits.cpp
@@ -94,6 +94,7 @@
   if (std::equal(others.begin(), others.end(), other_daemons_.begin(), other_daemons_.end(), same))
     return;
   other_daemons_ = others;
+  relay_peers_.SetDaemons(others);
   const time_point now = ports_.time->Now();
   fleet_.ForEach([&](fleet_upstream& row) {
     if (row.said.limit.is_set()) row.said.limit.SetRank(RankFor(row), now);
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -35,10 +35,18 @@
 
 }  // namespace
 
+void gateway::OnAttemptConnected(const attempt_connected& connected) {
+  const exchange* each = FindByAttempt(connected.attempt);
+  if (each == nullptr) return;
+  if (fleet_upstream* row = fleet_.Find(each->call.upstream))
+    cut_off_.OnConnected(*row, ports_.time->Now());
+}
+
 void gateway::OnAttemptLost(const attempt_lost& lost) {
   exchange* each = FindByAttempt(lost.attempt);
   if (each == nullptr) return;
   const time_point now = ports_.time->Now();
+  if (each->state == exchange_state::kPassedOn) return RecoverPassedOn(*each, lost, now);
   call_problem problem;
   problem.may_have_run = lost.bytes_sent;
   problem.upstream_failed = lost.failure != attempt_failure::kMalformed;
@@ -56,13 +64,16 @@
       problem.reason = "no_answer_in_time";
       break;
   }
-  if (lost.failure == attempt_failure::kConnectionLost && lost.bytes_sent) RecordCrash(*each, now);
+  const bool may_be_cut_off = cut_off_.IsSuspected(each->service->name);
+  if (lost.failure == attempt_failure::kConnectionLost && lost.bytes_sent && !may_be_cut_off)
+    RecordCrash(*each, now);
   Recover(*each, problem, now);
 }
 
 void gateway::RecordFailure(fleet_upstream& row, const call_problem& problem, time_point now) {
   if (problem.reason == kNotConnected) {
     reachability_.OnNotConnected(row, now);
+    cut_off_.OnNotConnected(row, now);
     return ShortenStallTimeouts(row, now);
   }
   // Perhaps only the connection broke; a probe finds out before the next request fails.
@@ -98,8 +109,11 @@
 void gateway::OnProbeEnded(const probe_ended& ended) {
   const time_point now = ports_.time->Now();
   reachability_.OnProbeEnded(ended.upstream, ended.connected, now);
-  const fleet_upstream* row = fleet_.Find(ended.upstream);
-  if (row != nullptr && !ended.connected) ShortenStallTimeouts(*row, now);
+  fleet_upstream* row = fleet_.Find(ended.upstream);
+  if (row == nullptr) return;
+  if (ended.connected) return cut_off_.OnConnected(*row, now);
+  cut_off_.OnNotConnected(*row, now);
+  ShortenStallTimeouts(*row, now);
 }
 
 void gateway::LogFailedCall(const exchange& each, const call_problem& problem, time_point now) {
@@ -139,13 +153,18 @@
   // may have dropped it.
   const bool refused = problem.reason == kRefusedByUpstream;
   if (problem.may_have_run || (refused && each.refusals > 1)) DropHandle(each);
-  if (!MayTryAgain(each, problem, now)) return GiveUp(each, problem, now);
+  if (!MayTryAgain(each, problem, now)) {
+    if (problem.reason == kNotConnected && PassOn(each, now)) return;
+    return GiveUp(each, problem, now);
+  }
   if (each.handle) return SendPrefilledPrompt(each, now);
   // Only the first prefill is not charged to the retry budget.
   if (each.sent_to_prefill) each.may_split = allowance_.Spend(each.service->name, now);
   const auto place = Place(each, now);
-  if (!place) return GiveUp(each, problem, now);
-  Send(each, *place, now);
+  if (place) return Send(each, *place, now);
+  const bool reaches_none = IsForLackOfUpstreams(place.error().reason);
+  if (reaches_none && !problem.has_answer && PassOn(each, now)) return;
+  GiveUp(each, problem, now);
 }
 
 bool gateway::MayTryAgain(const exchange& each, const call_problem& problem, time_point now) {
@@ -194,7 +213,8 @@
 }
 
 void gateway::FailUnknown(exchange& each, std::string_view reason, int status) {
-  ports_.callers->Answer(each.id, ProblemAnswer(status, reason, duration(0)));
+  if (each.head_sent) return AbortStream(each);
+  AnswerCaller(each, ProblemAnswer(status, reason, duration(0)), relay_outcome::kUnknown);
   Close(each, "failed", status);
 }
 
--- a/src/libhawthorndrum/gateway/gateway_resumes.cpp
+++ b/src/libhawthorndrum/gateway/gateway_resumes.cpp
@@ -27,8 +27,7 @@
     const auto only = OnlyBuildOf(matched);
     LogOrigin(arrived.terms, only ? "only_version" : "not_named", now, now);
     if (only) return Admit(std::move(arrived), only);
-    return RefuseUnplaced(arrived.id, arrived.terms, 503, "stream_origin_unknown",
-                          kRetryOriginUnknown);
+    return RefuseUnplaced(arrived, 503, "stream_origin_unknown", kRetryOriginUnknown);
   }
   const stream_key key = StreamKeyOf(arrived.terms.resumes);
   if (const auto build = ports_.origins->Find(key, now)) {
@@ -50,7 +49,7 @@
     if (build) {
       Admit(std::move(each), build);
     } else {
-      RefuseUnplaced(each.id, each.terms, 503, "stream_origin_unknown", kRetryOriginUnknown);
+      RefuseUnplaced(each, 503, "stream_origin_unknown", kRetryOriginUnknown);
     }
   }
 }
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -134,7 +134,9 @@
 }
 
 void gateway::Release(exchange& each) {
-  attempts_.erase(each.call.attempt);
+  const bool was_open = attempts_.erase(each.call.attempt) > 0;
+  if (was_open && each.state == exchange_state::kPassedOn)
+    relay_peers_.OnEnded(each.passed_to.back());
   if (fleet_upstream* row = fleet_.Find(each.call.upstream)) row->own -= each.call.reserved;
   each.call.reserved = {};
 }
--- a/src/libhawthorndrum/gateway/gateway_stalls.cpp
+++ b/src/libhawthorndrum/gateway/gateway_stalls.cpp
@@ -26,6 +26,7 @@
 }  // namespace
 
 void gateway::Stall(exchange& each, time_point now) {
+  if (each.state == exchange_state::kPassedOn) return StallPassedOn(each, now);
   if (each.state == exchange_state::kWaiting) {
     each.call.stalls_at = now + kStallCheckInterval;
     const auto place = PlaceAgain(each, now);
--- a/src/libhawthorndrum/gateway/peer_load_table.cpp
+++ b/src/libhawthorndrum/gateway/peer_load_table.cpp
@@ -78,8 +78,10 @@
   newest_fleet_revision_ = std::max(newest_fleet_revision_, notice.fleet_revision);
   for (const reported_work& reported : notice.work) {
     fleet_upstream* known = fleet_.Find(reported.upstream);
-    if (known != nullptr)
-      known->last_active_at = std::max(known->last_active_at, now - reported.since_last_answer);
+    if (known == nullptr) continue;
+    const time_point heard_at = now - reported.since_last_answer;
+    known->peers_heard_at = std::max(known->peers_heard_at, heard_at);
+    known->last_active_at = std::max(known->last_active_at, heard_at);
   }
   ApplyAvoidances(notice, now);
 }
--- a/src/libhawthorndrum/gateway/reachability_monitor.cpp
+++ b/src/libhawthorndrum/gateway/reachability_monitor.cpp
@@ -2,6 +2,7 @@
 #include "gateway/reachability_monitor.h"
 
 #include <algorithm>
+#include <vector>
 
 #include "base/log_record.h"
 #include "gateway/fleet_table.h"
@@ -17,6 +18,8 @@
 constexpr duration kInitialProbeBackoff = milliseconds(100);
 constexpr duration kMaxProbeBackoff = milliseconds(800);
 constexpr int kMaxDoublings = 3;
+/** Bounds the connections and the processor time of a daemon that reaches none of its upstreams. */
+constexpr std::size_t kMaxOpenProbes = 32;
 /** Other daemons repeat a loss in each notice; it starts at most one probe in this time. */
 constexpr duration kLossReportInterval = milliseconds(500);
 
@@ -64,6 +67,7 @@
 }
 
 void reachability_monitor::OnProbeEnded(upstream_id upstream, bool connected, time_point now) {
+  if (open_probes_ > 0) open_probes_ -= 1;
   fleet_upstream* row = fleet_.Find(upstream);
   if (row == nullptr) return;
   reachability_state& reachability = row->reachability;
@@ -80,18 +84,38 @@
       duration(static_cast<std::int64_t>(random_.Below(backoff.count() / 2 + 1)));
 }
 
+void reachability_monitor::ProbeAt(fleet_upstream& row, time_point when) {
+  if (row.reachability.probing) return;
+  row.reachability.next_probe = std::min(row.reachability.next_probe, when);
+  if (!row.reachability.is_lost) row.reachability.next_probe = when;
+  monitored_.insert(row.id);
+}
+
+void reachability_monitor::ProbeNow(fleet_upstream& row, time_point now) {
+  ProbeAt(row, now);
+  if (!row.reachability.probing && open_probes_ < kMaxOpenProbes) StartProbe(row);
+}
+
+void reachability_monitor::StartProbe(fleet_upstream& row) {
+  row.reachability.probing = true;
+  open_probes_ += 1;
+  calls_.Probe(row.id, row.entry.address);
+}
+
 void reachability_monitor::Run(time_point now) {
-  for (auto it = monitored_.begin(); it != monitored_.end();) {
-    fleet_upstream* row = fleet_.Find(*it);
+  // Starts after the last probed upstream, so that each gets its turn when too many are lost.
+  std::vector<upstream_id> order(monitored_.upper_bound(last_probed_), monitored_.end());
+  order.insert(order.end(), monitored_.begin(), monitored_.upper_bound(last_probed_));
+  for (const upstream_id id : order) {
+    fleet_upstream* row = fleet_.Find(id);
     if (row == nullptr || !row->takes_work(now)) {
-      it = monitored_.erase(it);
+      monitored_.erase(id);
       continue;
     }
-    if (!row->reachability.probing && now >= row->reachability.next_probe) {
-      row->reachability.probing = true;
-      calls_.Probe(row->id, row->entry.address);
-    }
-    ++it;
+    if (row->reachability.probing || now < row->reachability.next_probe) continue;
+    if (open_probes_ >= kMaxOpenProbes) continue;
+    last_probed_ = id;
+    StartProbe(*row);
   }
 }
 
--- a/src/libhawthorndrum/gateway/reachability_monitor.h
+++ b/src/libhawthorndrum/gateway/reachability_monitor.h
@@ -5,6 +5,7 @@
 /// attempts.
 #pragma once
 
+#include <cstddef>
 #include <set>
 
 #include "base/ids.h"
@@ -24,7 +25,7 @@
  * that an upstream is lost only starts a probe, so that a loss is found before a request fails.
  *
  * Invariant: `monitored_` contains the upstreams that are lost or whose probe is due or open,
- * including those that have left the fleet since.
+ * including those that have left the fleet since; `open_probes_` of their probes are open.
  */
 class reachability_monitor {
  public:
@@ -38,10 +39,15 @@
   /** The upstream answered a request or accepted a connection. */
   void OnAnswer(fleet_upstream& row, time_point now);
   void OnProbeEnded(upstream_id upstream, bool connected, time_point now);
+  /** Probes the upstream at that time, or before. */
+  void ProbeAt(fleet_upstream& row, time_point when);
+  /** Probes it at once, unless too many probes are open. */
+  void ProbeNow(fleet_upstream& row, time_point now);
   /** Starts the probes that are due. */
   void Run(time_point now);
 
  private:
+  void StartProbe(fleet_upstream& row);
   void MarkLost(fleet_upstream& row, time_point now);
 
   fleet_table& fleet_;
@@ -49,6 +55,9 @@
   random_source& random_;
   event_log& log_;
   std::set<upstream_id> monitored_;
+  std::size_t open_probes_ = 0;
+  /** Probes are started in the order of ids, from the one after this. */
+  upstream_id last_probed_;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/reachability_state.h
+++ b/src/libhawthorndrum/gateway/reachability_state.h
@@ -1,13 +1,15 @@
 /// Whether this daemon can connect to an upstream.
 #pragma once
 
+#include <optional>
+
 #include "base/units.h"
 
 namespace hawthorndrum {
 
-/** Maintained by reachability_monitor in the upstream's row. */
+/** Maintained by reachability_monitor and cut_off_detector in the upstream's row. */
 struct reachability_state {
-  /** The last attempt to connect failed; the upstream gets no requests. */
+  /** An attempt to connect failed and nothing was heard since; the upstream gets no requests. */
   bool is_lost = false;
   time_point lost_at;
   /** A probe is open. */
@@ -15,6 +17,11 @@
   /** Consecutive failed probes. */
   int failed_probes = 0;
   time_point next_probe;
+  /** When a new connection was last opened, and when an attempt last failed. */
+  time_point connected_at;
+  time_point refused_at;
+  /** The first of the failed attempts since then. */
+  std::optional<time_point> refused_since;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/ports/attempt_event.h
+++ b/src/libhawthorndrum/ports/attempt_event.h
@@ -9,6 +9,11 @@
 
 namespace hawthorndrum {
 
+/** A new connection was opened for the attempt. */
+struct attempt_connected {
+  attempt_id attempt;
+};
+
 /** The answer's status line and headers have arrived. */
 struct attempt_head {
   attempt_id attempt;
--- a/src/libhawthorndrum/systems/event.h
+++ b/src/libhawthorndrum/systems/event.h
@@ -18,10 +18,12 @@
 class order_listener;
 class store_listener;
 
-/** A complete request arrived on the callers' port. */
+/** A complete request arrived on the callers' port, or on the port for other daemons. */
 struct request_arrived {
   request_id request;
   http_request message;
+  /** Another daemon passed the request on; it arrived on the port for daemons. */
+  bool from_peer = false;
 };
 
 /** A caller closed its connection before its answer was complete. */
@@ -57,8 +59,9 @@
   std::vector<host_entry> hosts;
 };
 
-using event = std::variant<request_arrived, caller_gone, attempt_head, attempt_bytes,
-                           attempt_finished, attempt_lost, probe_ended, store_answered,
-                           order_answered, load_reported, load_failed, hosts_listed>;
+using event =
+    std::variant<request_arrived, caller_gone, attempt_connected, attempt_head, attempt_bytes,
+                 attempt_finished, attempt_lost, probe_ended, store_answered, order_answered,
+                 load_reported, load_failed, hosts_listed>;
 
 }  // namespace hawthorndrum
--- a/src/libtransport/http_call_listener.h
+++ b/src/libtransport/http_call_listener.h
@@ -11,12 +11,14 @@
 namespace hawthorndrum {
 
 /**
- * Receives OnHead, any number of OnBody calls and then OnFinished, or OnLost at any point. Never
- * called from within Start or Cancel.
+ * Receives OnConnected if a connection is opened, OnHead, any number of OnBody calls and then
+ * OnFinished, or OnLost at any point. Never called from within Start or Cancel.
  */
 class http_call_listener {
  public:
   virtual ~http_call_listener() = default;
+  /** A new connection was opened for the call; not called if an open one is reused. */
+  virtual void OnConnected(http_call_id id) {}
   virtual void OnHead(http_call_id id, int status, std::vector<http_header> headers) = 0;
   virtual void OnBody(http_call_id id, std::string bytes) = 0;
   virtual void OnFinished(http_call_id id) = 0;
--- a/src/libtransport/http_client.cpp
+++ b/src/libtransport/http_client.cpp
@@ -183,7 +183,8 @@
   if (ended_) return;
   if (failed) return Fail(attempt_failure::kNotConnected);
   SetClientOptions(connection_->socket);
-  Send();
+  listener_.OnConnected(id_);
+  if (!ended_) Send();
 }
 
 void http_client::impl::running_call::Send() {
--- a/src/libtransport/http_handler.h
+++ b/src/libtransport/http_handler.h
@@ -1,6 +1,9 @@
 /// Handles the requests of an HTTP server.
 #pragma once
 
+#include <optional>
+#include <string_view>
+
 #include "base/http_message.h"
 #include "base/ids.h"
 
@@ -12,6 +15,8 @@
 class http_handler {
  public:
   virtual ~http_handler() = default;
+  /** Returns the answer to all requests from that IP address, unless they are to be handled. */
+  virtual std::optional<http_answer> RefusalFor(std::string_view ip) { return std::nullopt; }
   virtual void OnRequest(request_id request, http_request message) = 0;
   /** The caller closed its connection before its answer was complete. */
   virtual void OnCallerGone(request_id request) = 0;
--- a/src/libtransport/http_server.cpp
+++ b/src/libtransport/http_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ssl/context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <list>
+#include <string>
 #include <unordered_map>
 
 #include "base/counter.h"
@@ -69,6 +70,8 @@
  private:
   struct session_entry {
     std::shared_ptr<http_session> session;
+    /** The IP address of the other end. */
+    std::string remote;
     bool idle = false;
     /** The position in idle_ while the connection is idle. */
     std::list<http_session*>::iterator idle_position;
@@ -79,7 +82,7 @@
   bool EvictIdle();
   void OnAccepted(tcp::socket socket);
   template <typename Stream>
-  void Open(Stream stream);
+  void Open(Stream stream, std::string remote);
 
   tcp::acceptor acceptor_;
   asio::steady_timer retry_timer_;
@@ -176,16 +179,20 @@
   }
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
+  std::string remote = socket.remote_endpoint(ignored).address().to_string();
   boost::beast::tcp_stream stream(std::move(socket));
-  if (!tls_) return Open(std::move(stream));
-  Open(boost::beast::ssl_stream<boost::beast::tcp_stream>(std::move(stream), *tls_));
+  if (!tls_) return Open(std::move(stream), std::move(remote));
+  Open(boost::beast::ssl_stream<boost::beast::tcp_stream>(std::move(stream), *tls_),
+       std::move(remote));
 }
 
 template <typename Stream>
-void http_server::impl::Open(Stream stream) {
+void http_server::impl::Open(Stream stream, std::string remote) {
   auto session =
       std::make_shared<http_stream_session<Stream>>(std::move(stream), weak_from_this(), limits_);
-  sessions_[session.get()].session = session;
+  session_entry& entry = sessions_[session.get()];
+  entry.session = session;
+  entry.remote = std::move(remote);
   open_.Set(sessions_.size());
   if (close_after_answers_) session->CloseAfterAnswer();
   session->Start();
@@ -194,7 +201,11 @@
 request_id http_server::impl::OnSessionRequest(http_session& session, http_request request) {
   const request_id id(random_.Draw());
   requests_[id] = &session;
-  handler_.OnRequest(id, std::move(request));
+  if (auto refusal = handler_.RefusalFor(sessions_[&session].remote)) {
+    session.Answer(std::move(*refusal));
+  } else {
+    handler_.OnRequest(id, std::move(request));
+  }
   return requests_.count(id) > 0 ? id : request_id();
 }
 
@@ -241,6 +252,10 @@
   impl_->ReplaceTls(std::move(tls));
 }
 
+bool http_server::IsOpen(request_id request) const {
+  return impl_->FindSession(request) != nullptr;
+}
+
 std::size_t http_server::connections() const { return impl_->connections(); }
 
 std::size_t http_server::busy_connections() const { return impl_->busy_connections(); }
--- a/src/libtransport/http_server.h
+++ b/src/libtransport/http_server.h
@@ -50,6 +50,8 @@
   void StopListening();
   /** Sets the TLS context of connections made from now on. */
   void ReplaceTls(std::shared_ptr<boost::asio::ssl::context> tls);
+  /** Whether the request arrived here and its answer is not complete. */
+  bool IsOpen(request_id request) const;
   std::size_t connections() const;
   /** The number of connections on which a request is being read or answered. */
   std::size_t busy_connections() const;
--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -1,9 +1,27 @@
 """A loopback TCP proxy that delays, resets or blocks traffic, in one or both directions."""
 
 import asyncio
+import random
 import socket
 import struct
 
+PORTS = (20000, 32000)  # Below those that the kernel gives to outgoing connections.
+PORT_RETRY_S = 0.05
+random_ports = random.Random()  # Unseeded, so that runs beside each other differ.
+
+
+def free_port():
+    """Returns a port that is free for TCP and UDP."""
+    while True:
+        port = random_ports.randrange(*PORTS)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as free:
+                    free.bind(("127.0.0.1", port))
+            return port
+        except OSError:
+            continue
+
 
 def reset_connection(writer):
     """Closes with a reset; a plain close would end an answer that has no length."""
@@ -23,12 +41,51 @@
     def __init__(self, target, on_unreachable=None):
         self.target, self.on_unreachable = target, on_unreachable
         self.mode = None
-        self.server = None
+        self.server, self.port = None, free_port()
+        self.plug = []  # Sockets that keep the port's queue of new connections full.
         self.open = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
-        return self.server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", self.port)
+        return self.port
+
+    def cut(self, how):
+        """Lets no new connection be made until mend().
+
+        "refuse": new ones are refused and open ones live on; "reset": open ones are reset too;
+        "hang": new and open ones get no answer.
+        """
+        self.server.close()
+        if how == "reset":
+            self.reset()
+        if how != "hang":
+            return
+        self.mode = "silence"
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind(("127.0.0.1", self.port))
+        except OSError:  # Refused in place of hanging.
+            listener.close()
+            return
+        listener.listen(0)
+        self.plug = [listener]
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self.plug.append(filler)
+
+    async def mend(self):
+        for plug in self.plug:
+            plug.close()
+        self.plug = []
+        self.mode = None
+        while not self.server.is_serving():
+            try:
+                await self.start()
+            except OSError:  # The kernel has not released the port yet.
+                await asyncio.sleep(PORT_RETRY_S)
 
     def reset(self):
         for writer in list(self.open):
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -48,6 +48,16 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def seen_by(content, gateway):
+    """Returns the content with the addresses at which that gateway reaches the workers."""
+    if isinstance(content, dict):
+        return {key: value[gateway] if key == "addr" and isinstance(value, list)
+                else seen_by(value, gateway) for key, value in content.items()}
+    if isinstance(content, list):
+        return [seen_by(item, gateway) for item in content]
+    return content
+
+
 class Store:
     """Objects by kind and name, with revisions and watches."""
 
@@ -83,7 +93,7 @@
         self.history.clear()
         self.oldest = self.revision
 
-    async def serve(self, reader, writer):
+    async def serve(self, gateway, reader, writer):
         try:
             while True:
                 message = await read_message(reader)
@@ -91,6 +101,7 @@
                     break
                 words, _, body = message
                 status, content = await self.call(words[0], words[1], body)
+                content = seen_by(content, gateway)
                 if self.fault == "lost" and self.rng.random() < 0.5:
                     break
                 writer.write(answer(status, {}, json.dumps(content).encode()))
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -4,6 +4,7 @@
 import time
 
 from crash_records import CrashRecords
+from cut_records import CutRecords
 from disturbances import Disturbances
 from limit_records import LimitRecords
 
@@ -30,6 +31,7 @@
         self.crashing_parts = set()
         self.crashes = CrashRecords(self.disturbances)
         self.limits = LimitRecords(self.disturbances)
+        self.cuts = CutRecords(self.disturbances)
         self.versions = {}  # Software version of each worker.
         self.stream_counts = {"new": 0, "begun": 0, "resumed": 0, "gone on": 0}
 
@@ -92,6 +94,7 @@
         stream's software version while the attempt lasted.
         """
         self.limits.on_attempt(attempt)
+        self.cuts.on_attempt(attempt, stream)
         before = stream.last_event if stream else 0
         if attempt.status:
             self.check_answer(attempt, stream)
@@ -106,7 +109,7 @@
 
     def check_silenced(self, attempt):
         """Checks that no answer ended because a worker was silent; returns the outcome."""
-        scopes = {"workers", "gateway-%d" % attempt.port} | self.offers[attempt.request]
+        scopes = {"workers", "gateway-%d" % attempt.port, "cut-%d" % attempt.port} | self.offers[attempt.request]
         if self.disturbances.overlap(attempt.start, attempt.end, scopes):
             return "beside another fault"
         if attempt.end - attempt.start >= TIME_LIMIT_S:
@@ -123,7 +126,7 @@
         return "failed"
 
     def count_stream(self, attempt, before, progress, serving):
-        scopes = {"gateway-%d" % attempt.port, "stopping-%d" % attempt.port}
+        scopes = {"%s-%d" % (kind, attempt.port) for kind in ("gateway", "stopping", "cut")}
         if self.disturbances.overlap(attempt.start, attempt.end, scopes) or before and serving < 2:
             return
         self.stream_counts["resumed" if before else "new"] += 1
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,27 +10,29 @@
 
 import argparse
 import asyncio
+import functools
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
 
 from caller import HOST, Caller
-from fault_proxy import FaultProxy
+from fault_proxy import FaultProxy, free_port
 from platform_standin import Store, Worker
 from records import Records
 
-GATEWAYS = 3
+GATEWAYS = 4
 ENGINES = 6
 DESKS = 3
 CALLERS = 12
 DEADLINE_S = 3
 STOP_GRACE_S = 6
 MAX_SILENCE_S = 1.6
+MIN_CUT_S, MAX_CUT_S = 3.5, 6
+REACHED_AGAIN_S = 1  # After a cut, requests are passed on for a while.
 MAX_LIMITED = 2  # Workers that name limits at once.
 ROUTES = [
     {"name": "look", "path_prefix": "/look/", "kind": "safe", "service": "desk", "attempts": 2},
@@ -52,6 +54,7 @@
         # Every third run has one software version of the engines, the others have two or three.
         self.software = ["v1", "v1.1", "v1.2"][: 1 + (self.options.seed + 2) % 3]
         self.version, self.number, self.folder = 1, 0, tempfile.mkdtemp(prefix="soak-")
+        self.cuts = [None] * GATEWAYS  # How each gateway is cut off from all workers.
         self.crashing_part = None  # A part of prompts that crashes engines.
         self.faults_stopped, self.silences_stopped, self.finished = False, False, False
 
@@ -64,9 +67,14 @@
         worker = Worker(self.records, random.Random(self.options.seed * 1000 + self.number),
                         name, service, stage, version)
         self.records.versions[name] = version
-        proxy = FaultProxy(await worker.start(), lambda: self.disturbances.note("workers"))
-        address = "127.0.0.1:%d" % await proxy.start()
-        self.workers[worker.name], self.proxies[worker.name] = worker, proxy
+        port = await worker.start()
+        proxies = [FaultProxy(port, lambda: self.disturbances.note("workers"))
+                   for _ in range(GATEWAYS)]
+        address = ["127.0.0.1:%d" % await proxy.start() for proxy in proxies]
+        for proxy, how in zip(proxies, self.cuts):
+            if how:
+                proxy.cut(how)
+        self.workers[worker.name], self.proxies[worker.name] = worker, proxies
         worker.address = address
         worker.on_crashed = self.on_part_crashed
         worker.on_stage_changed = lambda w: asyncio.ensure_future(
@@ -90,12 +98,9 @@
         gateway["stopped"] = False
 
     async def make_gateway(self, index):
-        ports = []
-        for kind in (socket.SOCK_STREAM, socket.SOCK_STREAM, socket.SOCK_DGRAM):
-            with socket.socket(socket.AF_INET, kind) as free:
-                free.bind(("127.0.0.1", 0))
-                ports.append(free.getsockname()[1])
-        server = await asyncio.start_server(self.store.serve, "127.0.0.1", 0)
+        ports = [free_port() for _ in range(3)]
+        server = await asyncio.start_server(functools.partial(self.store.serve, index),
+                                            "127.0.0.1", 0)
         proxy = FaultProxy(server.sockets[0].getsockname()[1])
         store = await proxy.start()
         name = os.path.join(self.folder, "gateway-%d" % index)
@@ -172,11 +177,43 @@
         gateway = self.rng.choice(self.gateways)
         await self.inject_proxy_fault(gateway["store"], "gateway-%d" % gateway["port"])
 
+    async def cut_gateways(self):
+        """Cuts gateways off from all workers, one or two at a time, each time in one of three ways."""
+        rng = random.Random(self.options.seed + 5)
+        while not self.faults_stopped:
+            await asyncio.sleep(rng.uniform(0.5, 2))
+            cut = rng.sample(range(GATEWAYS), rng.choice([1, 1, 2]))
+            how = rng.choice(["refuse", "reset", "hang"])
+            await self.cut_off(cut, how, rng.uniform(MIN_CUT_S, MAX_CUT_S))
+
+    async def cut_off(self, gateways, how, length):
+        ports = [self.gateways[index]["port"] for index in gateways]
+        intervals = [self.disturbances.begin("cut-%d" % port) for port in ports]
+        begin = time.monotonic()
+        for index in gateways:
+            self.cuts[index] = how
+            for name, worker in self.workers.items():
+                if worker.alive:
+                    self.proxies[name][index].cut(how)
+        await asyncio.sleep(length)
+        self.records.cuts.on_cut(ports, begin, time.monotonic())
+        for index in gateways:
+            self.cuts[index] = None
+            await asyncio.gather(*(proxies[index].mend() for proxies in self.proxies.values()
+                                   if not proxies[index].server.is_serving()))
+        await asyncio.sleep(REACHED_AGAIN_S)
+        for interval in intervals:
+            self.disturbances.end(interval)
+
     def random_worker(self):
         return self.rng.choice([w for w in self.workers.values() if w.alive])
 
     async def disturb_worker(self):
-        await self.inject_proxy_fault(self.proxies[self.random_worker().name], "workers")
+        """Disturbs the links of a worker to all gateways, or to one."""
+        proxies = self.proxies[self.random_worker().name]
+        if self.rng.random() < 0.3:
+            proxies = [self.rng.choice(proxies)]
+        await asyncio.gather(*(self.inject_proxy_fault(proxy, "workers") for proxy in proxies))
 
     async def crash_worker(self):
         worker = self.random_worker()
@@ -300,6 +337,7 @@
         await self.configure()
         for index in range(GATEWAYS):
             await self.make_gateway(index)
+        self.records.cuts.ports = {gateway["port"] for gateway in self.gateways}
         await asyncio.sleep(2)
         self.callers = [Caller(self, i) for i in range(CALLERS)]
         callers = [asyncio.ensure_future(caller.run()) for caller in self.callers]
@@ -308,9 +346,10 @@
         breaks = asyncio.ensure_future(self.break_streams())
         crashes = asyncio.ensure_future(self.crash_by_part())
         limits = asyncio.ensure_future(self.limits())
+        cuts = asyncio.ensure_future(self.cut_gateways())
         await asyncio.sleep(self.options.seconds)
         self.faults_stopped = True
-        await asyncio.gather(faults, breaks, crashes, limits)
+        await asyncio.gather(faults, breaks, crashes, limits, cuts)
         await asyncio.sleep(4 - MAX_SILENCE_S)
         self.silences_stopped = True
         await silences
@@ -334,6 +373,8 @@
         self.records.check_resumptions()
         self.records.crashes.check(self.records.fail)
         self.records.limits.check(self.records.fail)
+        self.records.cuts.check(self.records.fail)
+        print("first tries during cuts: %s" % self.records.cuts.counts)
         print("workers that name limits: %s" % self.records.limits.counts)
         print("a part that crashes engines: %s" % self.records.crashes.counts)
         print("streams at sound gateways: %s" % self.records.stream_counts)
