--- a/src/libhawthorndrum/systems/lease_system.cpp
+++ b/src/libhawthorndrum/systems/lease_system.cpp
@@ -45,11 +45,11 @@
   if (held_) Announce(now);
   if (!record_.idle()) return;
   if (held_) {
-    if (stopped_ || release_requested_) return Release();
+    if (stopped_ || release_requested_ || !eligible_) return Release();
     if (now >= renew_at_) Renew();
     return;
   }
-  if (!stopped_) PollStore(now);
+  if (!stopped_ && eligible_) PollStore(now);
 }
 
 void lease_system::PollStore(time_point now) {
@@ -73,7 +73,7 @@
   // A holder reads only to resolve a write; a record of another incarnation means that another
   // daemon wrote it.
   if (held_ && seen_.incarnation != self_) return Lose();
-  if (held_ || stopped_) return;
+  if (held_ || stopped_ || !eligible_) return;
   TakeIfAvailable(now);
 }
 
--- a/src/libhawthorndrum/systems/lease_system.h
+++ b/src/libhawthorndrum/systems/lease_system.h
@@ -74,6 +74,11 @@
 
   /** Notes a term seen outside the lease object (journal, engine, peer). */
   void NoteTerm(lease_term seen);
+  /**
+   * Sets whether this daemon may hold the lease. One that may not releases it and takes none; it
+   * may take it again later like any other daemon.
+   */
+  void SetEligible(bool eligible) { eligible_ = eligible; }
   /** Makes Run() release the lease once no store call is open, and takes none afterwards. */
   void Stop();
 
@@ -116,6 +121,7 @@
   bool held_ = false;
   bool stopped_ = false;
   bool release_requested_ = false;
+  bool eligible_ = true;
   lease_term term_;
   lease_term highest_;
   /** The latest era of the store, and when this daemon first saw it. */
--- a/tests/lease/test_lease.cpp
+++ b/tests/lease/test_lease.cpp
@@ -95,6 +95,25 @@
   EXPECT_EQ(bench.Holder(), 1 - first);
 }
 
+TEST(Lease, AHolderThatMayNotHoldItAnyMoreLeavesItToOthers) {
+  authority_bench bench(2, {});
+  bench.Run(kTakeover);
+  const int first = bench.Holder();
+  const lease_term term = bench.daemon(first).core.lease->term();
+  bench.daemon(first).core.lease->SetEligible(false);
+  bench.Run(seconds(12));
+  EXPECT_FALSE(bench.daemon(first).core.lease->Holds());
+  EXPECT_EQ(bench.Holder(), 1 - first);
+  EXPECT_LT(term, bench.daemon(1 - first).core.lease->term());
+  bench.daemon(first).core.lease->SetEligible(true);
+  bench.Run(kTakeover);
+  EXPECT_EQ(bench.Holder(), 1 - first);
+  bench.daemon(1 - first).core.lease->SetEligible(false);
+  bench.Run(kTakeover);
+  EXPECT_EQ(bench.Holder(), first);
+  EXPECT_EQ(bench.Violations(), "");
+}
+
 TEST(Lease, DaemonsThatReceiveNoticesDoNotPollTheStore) {
   authority_bench bench(20, {});
   bench.Run(seconds(60));
