Add failing tests of calls in the time that an upstream asked for

An upstream that has asked a host for time without requests still gets calls of it (BUDGET): after another writer's entry without the time of birth it counts as a new instance, its handles are dropped one by one, and it is ordered to another stage.

--- a/tests/stages/test_stages.cpp
+++ b/tests/stages/test_stages.cpp
@@ -212,6 +212,16 @@
   EXPECT_EQ(first.engines.orders.size(), before);
 }
 
+TEST_F(StageKeeperTest, EnginesThatAskedForTimeGetNoOrder) {
+  prefill_demand = 3 * kEngineTokens;
+  for (const char* id : {"a", "b", "c", "d"})
+    served.fleet().FindEntry(id)->said.next_call = clock.Now() + seconds(20);
+  Tick(seconds(5), true, false);
+  ASSERT_FALSE(first.engines.orders.empty());
+  for (const engine_order& order : first.engines.orders)
+    EXPECT_FALSE(served.fleet().Find(order.engine)->said.next_call);
+}
+
 // Guards against too few prefill engines after a release, which replaces engines by new ones in
 // their initial stage: changing those one at a time left the fleet short for most of such a day.
 TEST_F(StageKeeperTest, IdleEnginesChangeTogetherWhileOthersAreBusy) {
