Take an entry without the time of birth for the instance that is listed

An upstream that had asked a host for time, or said that it leaves, got requests again at once when another writer listed it without its time of birth (BUDGET, DRAIN): the id of an instance is a hash of name and time of birth, so the row was made anew and forgot what the upstream had said.

The time of birth that is known at that address is now kept; if it becomes known later, what was said before stays. An entry with another time of birth is a new instance as before. TimeAskedHoldsTest.AnEntryWithoutTheTimeOfBirthIsNoNewInstance and AnInstanceWhoseTimeOfBirthIsListedLaterIsTheSame failed before.

--- a/src/libhawthorndrum/gateway/fleet_table.cpp
+++ b/src/libhawthorndrum/gateway/fleet_table.cpp
@@ -12,18 +12,22 @@
   return upstream_id(Hash64(entry.id, entry.born));
 }
 
-fleet_upstream& fleet_table::Put(const upstream_entry& entry) {
-  const upstream_id id = IdOf(entry);
+fleet_upstream& fleet_table::Put(const upstream_entry& written) {
+  upstream_entry entry = written;
   upstream_id& listed = by_entry_[entry.id];
-  if (listed && listed != id) {
-    // The upstream restarted; the work and the cache of the previous instance are lost.
-    if (fleet_upstream* previous = Find(listed)) previous->gone_at = time_point();
-  }
+  fleet_upstream* previous = Find(listed);
+  const bool same_place = previous != nullptr && previous->entry.address == entry.address;
+  // An entry without the time of birth does not show another instance.
+  if (same_place && entry.born == 0) entry.born = previous->entry.born;
+  const bool may_be_same = same_place && previous->entry.born == 0;
+  const upstream_id id = IdOf(entry);
+  // The upstream restarted; the work and the cache of the previous instance are lost.
+  if (previous != nullptr && listed != id) previous->gone_at = time_point();
   listed = id;
   fleet_upstream& row = rows_[id];
   const bool moved = row.id && row.entry.service != entry.service;
   if (moved) RemoveFromService(row);
-  if (!row.id) row.said = departed_.Take(id);
+  if (!row.id) row.said = may_be_same ? previous->said : departed_.Take(id);
   if (!row.id || moved) by_service_[entry.service].push_back(&row);
   if (row.id && row.entry.stage != entry.stage) row.cache.Clear();
   row.id = id;
--- a/src/libhawthorndrum/gateway/fleet_table.h
+++ b/src/libhawthorndrum/gateway/fleet_table.h
@@ -25,8 +25,11 @@
   /** Returns the id of this instance of an upstream; the same at every daemon. */
   static upstream_id IdOf(const upstream_entry& entry);
 
-  /** Adds or updates the upstream; another instance under the same name replaces the row. */
-  fleet_upstream& Put(const upstream_entry& entry);
+  /**
+   * Adds or updates the upstream; another instance under the same name replaces the row. Where the
+   * time of birth is not known, the name and the address tell the instance.
+   */
+  fleet_upstream& Put(const upstream_entry& written);
   /** Marks the entry as removed; it gets no new work from `when` on. */
   void Remove(std::string_view entry_id, time_point when);
 
