Drop no handle at an engine that asked for time

Engines that had asked a host for time still got its calls that drop handles of prompts (BUDGET). Such a handle now expires by itself. TimeAskedHoldsTest.NoHandleIsDroppedThere failed before.

--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -270,7 +270,7 @@
   /** Frees the capacity reserved for the call; further events of the call are ignored. */
   void Release(exchange& each);
   void Cancel(exchange& each);
-  /** Asks the engine that prefilled the prompt to drop its KV cache. */
+  /** Asks the engine that prefilled the prompt to drop its KV cache, unless it wants no calls. */
   void DropHandle(exchange& each);
   void Close(exchange& each, std::string_view outcome, int status);
   route_meters& MetersOf(const route& matched);
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -148,7 +148,11 @@
 
 void gateway::DropHandle(exchange& each) {
   if (!each.handle) return;
-  ports_.upstreams->Notify(each.handle->address, ports_.dialect->WriteDrop(*each.handle));
+  // A handle that is not dropped expires.
+  const fleet_upstream* row = fleet_.Find(each.prefilled_by);
+  const bool may_call = row == nullptr || !row->said.WantsNothing(ports_.time->Now());
+  if (may_call)
+    ports_.upstreams->Notify(each.handle->address, ports_.dialect->WriteDrop(*each.handle));
   each.handle.reset();
 }
 
