Order no engine to another stage in the time for which it asked for no calls

An order is two calls to the engine, a report and the order, and both were sent to engines that had asked this host for time without any (BUDGET). Such an engine now keeps its stage in the plan until its time ends. StageKeeperTest.EnginesThatAskedForTimeGetNoOrder failed before.

--- a/src/libhawthorndrum/gateway/stage_controller.cpp
+++ b/src/libhawthorndrum/gateway/stage_controller.cpp
@@ -127,8 +127,8 @@
     planned_engine each{row->id, row->entry.stage, row->entry.data_centre, row->all_work().running,
                         false};
     const auto open = open_.find(row->id);
-    each.changing = open != open_.end();
-    if (each.changing) each.stage = open->second.stage;
+    if (open != open_.end()) each.stage = open->second.stage;
+    each.keeps_stage = open != open_.end() || row->said.WantsNothing(now);
     engines.push_back(std::move(each));
   }
   return engines;
@@ -203,14 +203,14 @@
     const auto staying =
         static_cast<double>(std::count_if(engines.begin(), engines.end(),
                                           [&](const planned_engine& each) {
-                                            return each.stage == from && !each.changing;
+                                            return each.stage == from && !each.keeps_stage;
                                           }) -
                             1);
     const double load_from = from == engine_stage::kPrefill ? load.prefill : load.decode;
     const bool rest_carries = load_from <= staying * kMaxUtilisationOfRest;
     if (!open_.empty() && changing->running > 0 && !rest_carries) return;
     changing->stage = change.stage;
-    changing->changing = true;
+    changing->keeps_stage = true;
     Open(change, now);
   }
 }
--- a/src/libhawthorndrum/gateway/stage_plan.cpp
+++ b/src/libhawthorndrum/gateway/stage_plan.cpp
@@ -28,7 +28,7 @@
 
   std::vector<const planned_engine*> candidates;
   for (const planned_engine& each : engines) {
-    if (each.stage == from && !each.changing) candidates.push_back(&each);
+    if (each.stage == from && !each.keeps_stage) candidates.push_back(&each);
   }
   std::vector<stage_change> changes;
   while (changes.size() < deviation && !candidates.empty()) {
--- a/src/libhawthorndrum/gateway/stage_plan.h
+++ b/src/libhawthorndrum/gateway/stage_plan.h
@@ -17,8 +17,11 @@
   std::string data_centre;
   /** Requests that run there. */
   std::size_t running = 0;
-  /** A change is in progress; `stage` is already the new stage. */
-  bool changing = false;
+  /**
+   * It takes no order now: a change is in progress, with `stage` already the new stage, or it wants
+   * no calls.
+   */
+  bool keeps_stage = false;
 };
 
 /** An engine that should change to `stage`. */
