Have workers of the soak ask for time, and count what they get in it

The soak knew no worker that turns requests away and asks a gateway for time without any (BUDGET). One worker at a time does now, in every run; a gateway may send at most two requests there between half a second after and the end.

--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -54,8 +54,9 @@
     "back" (only bytes to, or from, the target pass) and "refuse".
     """
 
-    def __init__(self, port, target, on_unreachable=None):
+    def __init__(self, port, target, on_unreachable=None, on_connected=None):
         self.target, self.on_unreachable = target, on_unreachable
+        self.on_connected = on_connected  # Called with the port of each connection to the target.
         self.mode = None
         self.server, self.port = None, port
         self.plug = []  # Sockets that keep the port's queue of new connections full.
@@ -118,6 +119,8 @@
                 self.on_unreachable()
             reset_connection(writer)
             return
+        if self.on_connected:
+            self.on_connected(target_writer.get_extra_info("sockname")[1])
         self.open |= {writer, target_writer}
         try:
             await asyncio.gather(self.copy(reader, target_writer, "forth"),
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -39,6 +39,7 @@
     return words, headers, body
 
 
+ASKED_S = (1, 4)  # Shortest and longest time without requests that a worker asks for.
 UNFRAMED_SHARE = 0.1  # Share of the answers that have neither a length nor chunks.
 
 
@@ -199,6 +200,8 @@
         self.server, self.alive, self.leaving = None, True, False
         self.on_stage_changed = None
         self.limit = None  # Requests a second that it takes from all gateways together.
+        self.gateways = {}  # The gateway of each connection, by its port.
+        self.asks_for_time = False  # It turns requests away and wants no others for a time.
         self.on_crashed = None  # Called when a request has crashed it.
 
     async def start(self):
@@ -239,7 +242,8 @@
         try:
             while True:
                 message = await read_message(reader)
-                if message is None or not await self.handle(message, writer):
+                gateway = self.gateways.get(plain_writer.get_extra_info("peername")[1])
+                if message is None or not await self.handle(message, writer, gateway):
                     break
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
@@ -248,7 +252,7 @@
         if not writer.silent:
             self.writers.discard(writer)
 
-    async def handle(self, message, writer):
+    async def handle(self, message, writer, gateway):
         words, headers, body = message
         method, target = words[0], words[1]
         if headers.get("x-hawthorndrum-expect-instance", self.name) != self.name:
@@ -266,6 +270,14 @@
             return True
         request = headers.get("x-hawthorndrum-request-id", "")
         self.records.on_offer(self.name, request)
+        self.records.rests.on_offer(self.name, gateway)
+        if self.asks_for_time and not self.silent:
+            seconds = round(self.rng.uniform(*ASKED_S), 1)
+            self.records.rests.on_asked(self.name, gateway, seconds)
+            writer.write(answer(503, {"X-Hawthorndrum-Request-Id": request,
+                                      "X-Hawthorndrum-Not-Executed": "1",
+                                      "Retry-After": "%g" % seconds}, b""))
+            return True
         part = self.crashing_part(headers)
         if part:
             self.records.on_crashing_offer(request, part)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -7,6 +7,7 @@
 from cut_records import CutRecords
 from disturbances import Disturbances
 from limit_records import LimitRecords
+from rest_records import RestRecords
 
 MIN_HOLDER_CHANGE_S = 3.0
 TIME_LIMIT_S = 2.9  # An answer that ends later than this may have reached its deadline of 3 s.
@@ -32,6 +33,7 @@
         self.crashes = CrashRecords(self.disturbances)
         self.limits = LimitRecords(self.disturbances)
         self.cuts = CutRecords(self.disturbances)
+        self.rests = RestRecords(self.disturbances)
         self.versions = {}  # Software version of each worker.
         self.stream_counts = {"new": 0, "begun": 0, "resumed": 0, "gone on": 0}
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -69,8 +69,9 @@
                         name, service, stage, version)
         self.records.versions[name] = version
         port = await worker.start()
-        proxies = [FaultProxy(self.ports.next(), port, lambda: self.disturbances.note("workers"))
-                   for _ in range(GATEWAYS)]
+        proxies = [FaultProxy(self.ports.next(), port, lambda: self.disturbances.note("workers"),
+                              functools.partial(self.on_connected, worker, index))
+                   for index in range(GATEWAYS)]
         address = ["127.0.0.1:%d" % await proxy.start() for proxy in proxies]
         for proxy, how in zip(proxies, self.cuts):
             if how:
@@ -82,6 +83,10 @@
             self.store.put("servers", w.name, w.entry(w.address, "ready")))
         await self.store.put("servers", worker.name, worker.entry(address, "ready"))
 
+    @staticmethod
+    def on_connected(worker, gateway, port):
+        worker.gateways[port] = gateway
+
     async def configure(self):
         self.version += self.rng.randrange(1, 4)
         routes = [dict(r, host=HOST, timeout_ms=3000, goal_ms=500, priority=1) for r in ROUTES]
@@ -315,6 +320,16 @@
         self.records.limits.end(period)
         worker.limit = None
 
+    async def rests(self):
+        """Has workers ask for time without requests, one at a time."""
+        rng = random.Random(self.options.seed + 6)
+        while not self.faults_stopped:
+            await asyncio.sleep(rng.uniform(0.5, 2))
+            worker = rng.choice([w for w in self.workers.values() if w.alive and not w.leaving])
+            worker.asks_for_time = True
+            await asyncio.sleep(rng.uniform(1, 4))
+            worker.asks_for_time = False
+
     def serving(self, version):
         return sum(w.alive and not w.leaving and w.service == "llm" and w.version == version
                    for w in self.workers.values())
@@ -348,7 +363,8 @@
         await self.configure()
         for index in range(GATEWAYS):
             await self.make_gateway(index)
-        self.records.cuts.ports = {gateway["port"] for gateway in self.gateways}
+        self.records.rests.ports = [gateway["port"] for gateway in self.gateways]
+        self.records.cuts.ports = set(self.records.rests.ports)
         await asyncio.sleep(2)
         self.callers = [Caller(self, i) for i in range(CALLERS)]
         callers = [asyncio.ensure_future(caller.run()) for caller in self.callers]
@@ -358,9 +374,10 @@
         crashes = asyncio.ensure_future(self.crash_by_part())
         limits = asyncio.ensure_future(self.limits())
         cuts = asyncio.ensure_future(self.cut_gateways())
+        rests = asyncio.ensure_future(self.rests())
         await asyncio.sleep(self.options.seconds)
         self.faults_stopped = True
-        await asyncio.gather(faults, breaks, crashes, limits, cuts)
+        await asyncio.gather(faults, breaks, crashes, limits, cuts, rests)
         await asyncio.sleep(4 - MAX_SILENCE_S)
         self.silences_stopped = True
         await silences
@@ -385,6 +402,8 @@
         self.records.crashes.check(self.records.fail)
         self.records.limits.check(self.records.fail)
         self.records.cuts.check(self.records.fail)
+        self.records.rests.check(self.records.fail)
+        print("workers that ask for time: %s" % self.records.rests.counts)
         print("first tries during cuts: %s" % self.records.cuts.counts)
         print("workers that name limits: %s" % self.records.limits.counts)
         print("a part that crashes engines: %s" % self.records.crashes.counts)
