Exclude only daemons that serve nothing from passing requests on

Causes: a daemon that had no upstream for one request, as of one build, was excluded for all; one that was restarted stayed excluded for up to 8 s.

A daemon now says whether it declines the request or takes none for now (cut off itself, not started, full, host not listed). Only the latter excludes it; one that cannot be reached is tried again after 250 ms, then up to 2 s. CutOffTest.ADaemonThatDeclinesOneRequestIsAskedForTheNext plays the first.

--- a/src/gatewayd/relay_endpoint.h
+++ b/src/gatewayd/relay_endpoint.h
@@ -26,7 +26,7 @@
     daemons_.RequestRefresh();
     http_answer declined;
     declined.status = 503;
-    SetRelayAnswer({relay_outcome::kDeclined, {}}, declined.headers);
+    SetRelayAnswer({relay_outcome::kUnavailable, {}}, declined.headers);
     return declined;
   }
   void OnRequest(request_id request, http_request message) override {
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -88,7 +88,7 @@
   const time_point now = ports_.time->Now();
   caller_terms terms = ports_.dialect->TakeCallerTerms(request);
   arrived_request arrived{id, std::move(request), std::move(terms), now};
-  if (!is_ready()) return RefuseUnplaced(arrived, 503, "not_started", kRetryUnavailable);
+  if (!is_ready()) return RefuseUnplaced(arrived, 503, kNotStarted, kRetryUnavailable);
   const caller_terms& asked = arrived.terms;
   const route* matched =
       config_->FindRoute(WithoutPort(asked.host), PathOf(arrived.request.target));
@@ -211,8 +211,11 @@
                         .Flag("fleet_known", fleet_known_));
   ports_.metrics->Counter("gateway_refused_total", MetricLabel("reason", reason)).Add();
   http_answer answer = ProblemAnswer(status, reason, retry_after);
-  // The daemon that passed it on may know a newer configuration.
-  if (arrived.relayed) SetRelayAnswer({relay_outcome::kDeclined, {}}, answer.headers);
+  // Without a route: the daemon that passed it on may know a newer configuration.
+  const bool is_unavailable = reason == kNotStarted || reason == kRelayFull;
+  const relay_outcome outcome =
+      is_unavailable ? relay_outcome::kUnavailable : relay_outcome::kDeclined;
+  if (arrived.relayed) SetRelayAnswer({outcome, {}}, answer.headers);
   ports_.callers->Answer(arrived.id, std::move(answer));
 }
 
@@ -226,9 +229,7 @@
   // "Not run" is answered only for requests that certainly never ran.
   if (each.runs > 0) return FailUnknown(each, why.reason, 502);
   ports_.metrics->Counter("gateway_refused_total", MetricLabel("reason", why.reason)).Add();
-  const bool declined = IsForLackOfUpstreams(why.reason);
-  AnswerCaller(each, ProblemAnswer(503, why.reason, why.retry_after),
-               declined ? relay_outcome::kDeclined : relay_outcome::kRefused);
+  AnswerCaller(each, ProblemAnswer(503, why.reason, why.retry_after), OutcomeOf(each, why.reason));
   const fleet_upstream* first_wanted = fleet_.Find(why.first_wanted);
   ports_.log->Write(log_importance::kNotable,
                     log_record("request_refused")
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -96,6 +96,9 @@
   /** Failure reason: no connection could be made, and nothing was sent. */
   static constexpr std::string_view kNotConnected = "not_connected";
   static constexpr std::string_view kConnectionLost = "connection_lost";
+  /** Refusal reasons: this daemon serves nothing yet, or enough requests of other daemons. */
+  static constexpr std::string_view kNotStarted = "not_started";
+  static constexpr std::string_view kRelayFull = "relay_full";
   /** Refusal reasons: no upstream of the service can be called. */
   static constexpr std::string_view kNoUpstream = "no_upstream";
   static constexpr std::string_view kNoEngine = "no_engine";
@@ -163,6 +166,8 @@
   bool ShouldPassOn(const exchange& each, time_point now) const;
   /** Returns whether the reason is one that other daemons may not have. */
   static bool IsForLackOfUpstreams(std::string_view reason);
+  /** What a refusal for that reason means to a daemon that passed the request on. */
+  relay_outcome OutcomeOf(const exchange& each, std::string_view reason) const;
   /** Passes a request that is not running on to another daemon; returns whether it did. */
   bool PassOn(exchange& each, time_point now);
   bool MayPassOn(const exchange& each, time_point now) const;
--- a/src/libhawthorndrum/gateway/gateway_relay.cpp
+++ b/src/libhawthorndrum/gateway/gateway_relay.cpp
@@ -38,6 +38,12 @@
   return reason == kNoUpstream || reason == kNoEngine || reason == kNotConnected;
 }
 
+relay_outcome gateway::OutcomeOf(const exchange& each, std::string_view reason) const {
+  if (!IsForLackOfUpstreams(reason)) return relay_outcome::kRefused;
+  const bool is_cut_off = cut_off_.IsCutOff(each.service->name);
+  return is_cut_off ? relay_outcome::kUnavailable : relay_outcome::kDeclined;
+}
+
 bool gateway::ShouldPassOn(const exchange& each, time_point now) const {
   return cut_off_.IsCutOff(each.service->name) && cut_off_.PeersMayReach(each.service->name, now);
 }
@@ -120,6 +126,7 @@
   switch (each.answer.relayed.outcome) {
     case relay_outcome::kRefused:
     case relay_outcome::kDeclined:
+    case relay_outcome::kUnavailable:
       return OnNotRunElsewhere(each, now);
     case relay_outcome::kUnknown:
       return FailUnknown(each, "unknown_elsewhere", terms.status == 504 ? 504 : 502);
@@ -137,9 +144,11 @@
 }
 
 void gateway::OnNotRunElsewhere(exchange& each, time_point now) {
-  const bool declined = each.answer.relayed.outcome == relay_outcome::kDeclined;
+  const relay_outcome outcome = each.answer.relayed.outcome;
+  const bool declined = outcome != relay_outcome::kRefused;
   each.runs -= 1;
-  if (declined) relay_peers_.OnDeclined(each.passed_to.back(), now);
+  if (outcome == relay_outcome::kUnavailable)
+    relay_peers_.OnUnavailable(each.passed_to.back(), now);
   Release(each);
   if (each.caller_gone) return Close(each, "caller_gone", 0);
   if (declined) {
@@ -196,11 +205,10 @@
   arrived_request arrived{id, std::move(request), std::move(terms), ports_.time->Now(),
                           relayed.value_or(relay_terms())};
   if (!relayed) return RefuseUnplaced(arrived, 503, "relay_malformed", duration(0));
-  if (!is_ready()) return RefuseUnplaced(arrived, 503, "not_started", kRetryAfterDeclined);
+  if (!is_ready()) return RefuseUnplaced(arrived, 503, kNotStarted, kRetryAfterDeclined);
   const auto taken = std::count_if(exchanges_.begin(), exchanges_.end(),
                                    [](const auto& entry) { return entry.second.from_peer; });
-  if (taken >= kMaxTakenOver)
-    return RefuseUnplaced(arrived, 503, "relay_full", kRetryAfterDeclined);
+  if (taken >= kMaxTakenOver) return RefuseUnplaced(arrived, 503, kRelayFull, kRetryAfterDeclined);
   ports_.metrics->Counter("gateway_taken_over_total").Add();
   ports_.log->Write(log_importance::kRoutine,
                     log_record("request_taken_over")
--- a/src/libhawthorndrum/relay/relay_answer.h
+++ b/src/libhawthorndrum/relay/relay_answer.h
@@ -12,6 +12,8 @@
   kRefused,
   /** The same, but another daemon may serve it. */
   kDeclined,
+  /** The same, and the daemon serves no such requests for now. */
+  kUnavailable,
   /** The request may have run. */
   kUnknown,
 };
--- a/src/libhawthorndrum/relay/relay_headers.cpp
+++ b/src/libhawthorndrum/relay/relay_headers.cpp
@@ -23,7 +23,8 @@
 constexpr std::string_view kUpstream = "Hawthorndrum-Relay-Upstream";
 
 /** In the order of relay_outcome. */
-constexpr std::string_view kOutcomes[] = {"answered", "refused", "declined", "unknown"};
+constexpr std::string_view kOutcomes[] = {"answered", "refused", "declined", "unavailable",
+                                          "unknown"};
 
 /** A day; no caller waits for longer. */
 constexpr std::uint64_t kLongestTimeMs = 24 * 3600 * 1000;
--- a/src/libhawthorndrum/relay/relay_peers.cpp
+++ b/src/libhawthorndrum/relay/relay_peers.cpp
@@ -1,4 +1,4 @@
-/// Ranks daemons and excludes those that decline requests or cannot be reached.
+/// Ranks daemons and excludes those that serve no requests or cannot be reached.
 #include "relay/relay_peers.h"
 
 #include <algorithm>
@@ -81,8 +81,8 @@
   if (candidate* peer = Find(host)) peer->avoid_until = now + kSilentAvoidance;
 }
 
-void relay_peers::OnDeclined(const std::string& host, time_point now) {
-  if (candidate* peer = Find(host)) peer->excluded_until = now + kDeclinedExclusion;
+void relay_peers::OnUnavailable(const std::string& host, time_point now) {
+  if (candidate* peer = Find(host)) peer->excluded_until = now + kUnavailableExclusion;
 }
 
 void relay_peers::OnUnreachable(const std::string& host, time_point now) {
--- a/src/libhawthorndrum/relay/relay_peers.h
+++ b/src/libhawthorndrum/relay/relay_peers.h
@@ -28,11 +28,11 @@
   static constexpr std::size_t kPartners = 16;
   /** Daemons of later ranks are never asked, so that a host that reaches no daemon soon knows. */
   static constexpr std::size_t kRanked = 32;
-  /** How long a daemon that declined a request is excluded. */
-  static constexpr duration kDeclinedExclusion = milliseconds(500);
+  /** How long a daemon that serves no requests of others is excluded. */
+  static constexpr duration kUnavailableExclusion = milliseconds(500);
   /** How long one that could not be reached is; doubles with each failure in a row. */
-  static constexpr duration kUnreachableExclusion = seconds(1);
-  static constexpr duration kMaxExclusion = seconds(8);
+  static constexpr duration kUnreachableExclusion = milliseconds(250);
+  static constexpr duration kMaxExclusion = seconds(2);
   /** How long a silent daemon is avoided. */
   static constexpr duration kSilentAvoidance = seconds(1);
 
@@ -51,7 +51,7 @@
   void OnEnded(const std::string& host);
   /** The daemon answered; its failures are over. */
   void OnAnswered(const std::string& host);
-  void OnDeclined(const std::string& host, time_point now);
+  void OnUnavailable(const std::string& host, time_point now);
   /** No connection to the daemon could be made, or it was lost. */
   void OnUnreachable(const std::string& host, time_point now);
   /** The daemon has not answered for long; it may be stopped, or wait for a slow upstream. */
--- a/tests/gateway/cut_off.cpp
+++ b/tests/gateway/cut_off.cpp
@@ -187,6 +187,20 @@
   EXPECT_EQ(FindHeader(CallerOf(id).headers, "Hawthorndrum-Relay-Outcome"), "");
 }
 
+TEST_F(CutOffTest, ADaemonThatDeclinesOneRequestIsAskedForTheNext) {
+  CutOff();
+  Ask("/pay/x");
+  AnswerFromPeer(last().call, 503, "declined", "");
+  Done();
+  Ask("/look/x");
+  ASSERT_TRUE(IsPassedOn());
+  const std::size_t sent = upstreams.sent.size();
+  AnswerFromPeer(last().call, 503, "unavailable", "");
+  Done();
+  Ask("/look/x");
+  EXPECT_EQ(upstreams.sent.size(), sent) << "it takes nothing for now";
+}
+
 TEST_F(CutOffTest, ARequestThatAllDaemonsDeclineIsRefusedOnce) {
   CutOff();
   const request_id id = Ask("/pay/x");
--- a/tests/gateway/taken_over.cpp
+++ b/tests/gateway/taken_over.cpp
@@ -164,7 +164,7 @@
   for (int i = 0; i < 100; ++i) Add("p" + std::to_string(i), "desk");
   int declined = 0;
   for (int i = 0; i < 300; ++i)
-    declined += SaidTo(PassOn("/look/x")).outcome == relay_outcome::kDeclined ? 1 : 0;
+    declined += SaidTo(PassOn("/look/x")).outcome == relay_outcome::kUnavailable ? 1 : 0;
   EXPECT_EQ(declined, 44);
 }
 
--- a/tests/relay/ports.cpp
+++ b/tests/relay/ports.cpp
@@ -114,7 +114,7 @@
   ASSERT_TRUE(WaitForAnswer(1));
   std::vector<http_header> headers = reported.Of<attempt_head>()[0].headers;
   EXPECT_EQ(reported.Of<attempt_head>()[0].status, 503);
-  EXPECT_EQ(TakeRelayAnswer(headers).outcome, relay_outcome::kDeclined);
+  EXPECT_EQ(TakeRelayAnswer(headers).outcome, relay_outcome::kUnavailable);
   EXPECT_TRUE(arrived.all.empty());
   EXPECT_TRUE(daemons.TakeRefreshRequest());
 }
--- a/tests/relay/test_relay.cpp
+++ b/tests/relay/test_relay.cpp
@@ -66,8 +66,9 @@
     std::vector<http_header> headers = {{"Hawthorndrum-Relay-Outcome", text}};
     EXPECT_EQ(TakeRelayAnswer(headers).outcome, relay_outcome::kUnknown) << text;
   }
-  for (const relay_outcome outcome : {relay_outcome::kAnswered, relay_outcome::kRefused,
-                                      relay_outcome::kDeclined, relay_outcome::kUnknown}) {
+  for (const relay_outcome outcome :
+       {relay_outcome::kAnswered, relay_outcome::kRefused, relay_outcome::kDeclined,
+        relay_outcome::kUnavailable, relay_outcome::kUnknown}) {
     std::vector<http_header> headers;
     SetRelayAnswer({outcome, upstream_id(5)}, headers);
     const relay_answer read = TakeRelayAnswer(headers);
@@ -106,7 +107,7 @@
         tried.push_back(chosen->name);
         partners.insert(chosen->name);
         if (!is_cut(*chosen)) break;
-        peers.OnDeclined(chosen->name, clock.Now());
+        peers.OnUnavailable(chosen->name, clock.Now());
       }
       load[tried.back()] += 1;
     }
@@ -122,9 +123,9 @@
   peers.SetDaemons(Daemons(1));
   EXPECT_TRUE(peers.Choose({}, clock.Now()));
   EXPECT_FALSE(peers.Choose({"host-0"}, clock.Now()));
-  peers.OnDeclined("host-0", clock.Now());
+  peers.OnUnavailable("host-0", clock.Now());
   EXPECT_FALSE(peers.Choose({}, clock.Now()));
-  clock.Advance(relay_peers::kDeclinedExclusion);
+  clock.Advance(relay_peers::kUnavailableExclusion);
   EXPECT_TRUE(peers.Choose({}, clock.Now()));
   int tries = 0;
   for (int i = 0; i < 600; ++i) {
@@ -134,8 +135,8 @@
     // Calls that fail together count once.
     for (int call = 0; call < 5; ++call) peers.OnUnreachable("host-0", clock.Now());
   }
-  EXPECT_GE(tries, 7);
-  EXPECT_LE(tries, 11);
+  EXPECT_GE(tries, 27);
+  EXPECT_LE(tries, 34);
   peers.OnAnswered("host-0");
   clock.Advance(relay_peers::kMaxExclusion);
   EXPECT_TRUE(peers.Choose({}, clock.Now()));
