Pass nothing on for a connection that failed long ago

A failed connection counted until a new one to the same upstream succeeded, which may never be needed. If all upstreams of the service were full later, requests that every daemon would refuse were passed on to others, which doubles the load just then. Only failures of the last two seconds count now. CutOffTest.AFailureOfLongAgoIsNoReasonToPassRequestsOnWhenUpstreamsAreFull failed before; found by reading.

--- a/src/libhawthorndrum/gateway/cut_off_detector.cpp
+++ b/src/libhawthorndrum/gateway/cut_off_detector.cpp
@@ -36,7 +36,7 @@
 constexpr std::size_t kRegained = 2;
 /** After a cut, probes of the other upstreams are spread over this time. */
 constexpr duration kRegainSpread = milliseconds(200);
-/** Notices of other daemons that are older say nothing about an upstream. */
+/** Failures here, and notices of other daemons, that are older say nothing about an upstream. */
 constexpr duration kRecentNews = seconds(2);
 
 /** Whether the last attempt to connect failed, and not before that time. */
@@ -209,13 +209,12 @@
 
 bool cut_off_detector::PeersMayReach(const std::string& service, time_point now) const {
   if (cut_off_from_all_) return true;
-  for (const fleet_upstream* row : UpstreamsOf(service, now)) {
-    const auto refused_since = row->reachability.refused_since;
-    if (refused_since && row->peers_heard_at > *refused_since &&
-        now - row->peers_heard_at < kRecentNews)
-      return true;
-  }
-  return false;
+  const time_point recently = now - kRecentNews;
+  const std::vector<fleet_upstream*> rows = UpstreamsOf(service, now);
+  return std::any_of(rows.begin(), rows.end(), [&](const fleet_upstream* row) {
+    return FailedSince(*row, recently) && row->peers_heard_at > recently &&
+           row->peers_heard_at > *row->reachability.refused_since;
+  });
 }
 
 }  // namespace hawthorndrum
--- a/tests/gateway/cut_off.cpp
+++ b/tests/gateway/cut_off.cpp
@@ -145,6 +145,19 @@
   }
 }
 
+TEST_F(CutOffTest, AFailureOfLongAgoIsNoReasonToPassRequestsOnWhenUpstreamsAreFull) {
+  for (const upstream_id id : desks) {
+    fleet_upstream& row = *served.fleet().Find(id);
+    row.reachability.refused_since = row.reachability.refused_at = clock.Now();
+    row.refuses_until = clock.Now() + seconds(20);
+  }
+  Pass(seconds(10));
+  for (const upstream_id id : desks) served.fleet().Find(id)->peers_heard_at = clock.Now();
+  const request_id id = Ask("/look/x");
+  EXPECT_EQ(CallerOf(id).status, 503);
+  EXPECT_TRUE(upstreams.sent.empty());
+}
+
 TEST_F(CutOffTest, TheSilenceOfAllUpstreamsIsNoCutIfTheyAcceptConnections) {
   AskPrompt("/tell/x", "aa", 100, 50);
   for (int i = 0; i < 15; ++i) {
