Show the cut behind a request that was passed on

hawthorndrumctl why shows changes of the ten seconds before a request; a cut of a host may have begun long before. Its lines now count for ten minutes, like an upstream's leaving. RequestTimeline.ShowsTheCutBehindAPassedOnRequestAndItsWayAtBothHosts failed before.

--- a/src/hawthorndrumctl/request_timeline.cpp
+++ b/src/hawthorndrumctl/request_timeline.cpp
@@ -19,6 +19,8 @@
  */
 constexpr double kTimeAskedSeconds = 31;
 constexpr double kLeavingSeconds = 600;
+/** A host may be cut off from its upstreams for long before a request is passed on. */
+constexpr double kCutSeconds = 600;
 /** A conviction lasts as long as requests with it come. */
 constexpr double kConvictionSeconds = 24 * 3600;
 constexpr std::string_view kJudgement = "suspect_judged";
@@ -26,6 +28,8 @@
 double SecondsBefore(const log_entry& entry) {
   if (entry.event == "upstream_wants_nothing") return kTimeAskedSeconds;
   if (entry.event == "upstream_leaving" || entry.event == "upstream_limit") return kLeavingSeconds;
+  if (entry.event == "upstreams_cut_off" || entry.event == "upstreams_reached_again")
+    return kCutSeconds;
   if (entry.event == kJudgement) return kConvictionSeconds;
   return kBeforeSeconds;
 }
--- a/tests/ctl/request_timelines.cpp
+++ b/tests/ctl/request_timelines.cpp
@@ -72,6 +72,22 @@
   EXPECT_EQ(shown, (std::vector<std::string>{"suspect_judged 5f", "request_refused 5f"}));
 }
 
+TEST(RequestTimeline, ShowsTheCutBehindAPassedOnRequestAndItsWayAtBothHosts) {
+  std::istringstream lines(
+      R"({"at":50.0,"host":"front-1","event":"upstreams_cut_off","service":"llm"}
+{"at":51.0,"host":"front-3","event":"upstreams_cut_off","service":"llm"}
+{"at":100.0,"host":"front-1","event":"request_passed_on","request":"q1","to":"front-2"}
+{"at":100.1,"host":"front-2","event":"request_taken_over","request":"q1","from":"front-1"}
+{"at":100.2,"host":"front-2","event":"run_sent","request":"q1","upstream":"i-9"}
+)");
+  request_timeline timeline;
+  timeline.Read(lines);
+  std::vector<std::string> shown;
+  for (const log_entry& each : timeline.EntriesFor("q1")) shown.push_back(each.event);
+  EXPECT_EQ(shown, (std::vector<std::string>{"upstreams_cut_off", "request_passed_on",
+                                             "request_taken_over", "run_sent"}));
+}
+
 TEST(RequestTimeline, WhyReadsALogFile) {
   const std::string file = testing::TempDir() + "/hawthorndrum-why.log";
   std::ofstream(file) << kLines;
