--- a/src/gatewayd/relay_endpoint.h
+++ b/src/gatewayd/relay_endpoint.h
@@ -13,7 +13,7 @@
 namespace hawthorndrum {
 
 /**
- * Posts the requests of listed daemons as events. Requests of other hosts are declined, since the
+ * Posts the requests of listed daemons as events. Those of other hosts are turned away, since the
  * headers between daemons are not for callers to set.
  */
 class relay_endpoint : public http_handler {
@@ -24,10 +24,10 @@
   std::optional<http_answer> RefusalFor(std::string_view ip) override {
     if (daemons_.IsKnownHost(ip)) return std::nullopt;
     daemons_.RequestRefresh();
-    http_answer declined;
-    declined.status = 503;
-    SetRelayAnswer({relay_outcome::kUnavailable, {}}, declined.headers);
-    return declined;
+    http_answer refusal;
+    refusal.status = 503;
+    SetRelayAnswer({relay_outcome::kUnavailable, {}}, refusal.headers);
+    return refusal;
   }
   void OnRequest(request_id request, http_request message) override {
     events_.Post(request_arrived{request, std::move(message), true});
--- a/tests/stages/test_stages.cpp
+++ b/tests/stages/test_stages.cpp
@@ -10,6 +10,7 @@
 #include "fake_object_store.h"
 #include "gateway/daemon_directory.h"
 #include "gateway/directory_peers.h"
+#include "gateway/order_eligibility.h"
 #include "gateway/stage_controller.h"
 #include "gateway/stage_plan.h"
 #include "gateway_fixture.h"
@@ -212,6 +213,28 @@
   EXPECT_EQ(first.engines.orders.size(), before);
 }
 
+TEST_F(StageKeeperTest, AHolderThatReachesNoEngineLeavesTheLeaseToOthers) {
+  Tick(seconds(3), true, true);
+  ASSERT_TRUE(first.lease.Holds());
+  order_eligibility eligibility(served, first.lease);
+  const auto pass = [&](duration time) {
+    for (duration passed{0}; passed < time; passed += milliseconds(50)) {
+      for (const upstream_id id : std::exchange(upstreams.probes, {}))
+        served.OnProbeEnded({id, false});
+      served.Run(clock.Now());
+      eligibility.Run(clock.Now());
+      Tick(milliseconds(50), true, true);
+    }
+  };
+  AskPrompt("/tell/x", "aa", 100, 50);
+  pass(seconds(1));
+  ASSERT_TRUE(served.is_cut_off());
+  EXPECT_TRUE(first.lease.Holds()) << "a short cut is waited out";
+  pass(seconds(2));
+  EXPECT_FALSE(first.lease.Holds());
+  EXPECT_TRUE(second.lease.Holds());
+}
+
 TEST_F(StageKeeperTest, EnginesThatAskedForTimeGetNoOrder) {
   prefill_demand = 3 * kEngineTokens;
   for (const char* id : {"a", "b", "c", "d"})
