--- a/src/gatewayd/gateway_daemon.h
+++ b/src/gatewayd/gateway_daemon.h
@@ -58,6 +58,7 @@
 
   gateway& served() { return gateway_; }
   daemon_directory& daemons() { return daemons_; }
+  notice_socket& notices() { return notices_; }
   http_client& client() { return client_; }
   const clock& time() const { return clock_; }
   random_source& random() { return random_; }
--- a/src/gatewayd/notice_socket.cpp
+++ b/src/gatewayd/notice_socket.cpp
@@ -86,6 +86,9 @@
     if (const auto crashes = DecodeCrashMessage(bytes, time_.Now())) {
       return on_crashes_(*crashes, ip + ":" + std::to_string(sender_.port()));
     }
+    for (datagram_handler* each : handlers_) {
+      if (each->OnDatagram(bytes, ip + ":" + std::to_string(sender_.port()))) return;
+    }
   }
   metrics_.Counter("notices_passed_over_total").Add();
 }
--- a/src/gatewayd/notice_socket.h
+++ b/src/gatewayd/notice_socket.h
@@ -13,6 +13,7 @@
 #include "base/error.h"
 #include "crashes/crash_message.h"
 #include "crashes/crash_sender.h"
+#include "datagram_handler.h"
 #include "gateway/daemon_directory.h"
 #include "gateway/load_notice.h"
 #include "gateway/notice_exchange.h"
@@ -45,6 +46,11 @@
                 metrics_registry& metrics, notice_handler on_notice, origin_handler on_origins,
                 crash_handler on_crashes);
 
+  /** Adds a handler for further kinds of datagrams; called before Open. */
+  void Add(datagram_handler& handler) { handlers_.push_back(&handler); }
+  /** Sends a datagram of one of those kinds; at most 8 KB. */
+  void SendTo(const std::string& address, const std::vector<std::uint8_t>& bytes);
+
   expected<void> Open(std::string_view address);
   void Close();
   void Send(const outgoing_notice& outgoing);
@@ -54,7 +60,6 @@
  private:
   void Receive();
   void Dispatch(boost::span<const std::uint8_t> bytes);
-  void SendTo(const std::string& address, const std::vector<std::uint8_t>& bytes);
 
   boost::asio::ip::udp::socket socket_;
   daemon_directory& daemons_;
@@ -63,6 +68,7 @@
   notice_handler on_notice_;
   origin_handler on_origins_;
   crash_handler on_crashes_;
+  std::vector<datagram_handler*> handlers_;
   /** Larger than any notice. */
   std::array<std::uint8_t, 8192> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
--- a/src/libhawthorndrum/base/ids.h
+++ b/src/libhawthorndrum/base/ids.h
@@ -25,6 +25,8 @@
 using store_call_id = strong_id<struct store_call_tag>;
 /** One order to an engine. Random, unique in the fleet. */
 using order_id = strong_id<struct order_tag>;
+/** One call to the platform's API. Random, unique in the fleet. */
+using duty_call_id = strong_id<struct duty_call_tag>;
 /** The fencing token of a lease; increases with every change of holder. */
 using lease_term = strong_id<struct lease_term_tag>;
 /** The version of a stored object; 0 means that there is none. */
--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -79,6 +79,8 @@
   request_id id;
   http_request request;
   caller_terms terms;
+  /** The caller's team; empty where callers need no key. */
+  std::string team;
   /** Owns `matched` and `service`, so that they outlive a change of configuration. */
   std::shared_ptr<const gateway_config> config;
   const route* matched = nullptr;
--- a/src/libhawthorndrum/gateway/gateway_config.h
+++ b/src/libhawthorndrum/gateway/gateway_config.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -9,6 +10,8 @@
 
 #include "base/units.h"
 #include "gateway/route.h"
+#include "scaling/scale_limits.h"
+#include "teams/team.h"
 
 namespace hawthorndrum {
 
@@ -28,6 +31,8 @@
   double link_mbps = 0;
   /** How long an engine keeps the KV cache of a prompt that it prefilled for another engine. */
   duration handle_lifetime = seconds(5);
+  /** Set if the number of its upstreams follows the demand. */
+  std::optional<scale_limits> scale;
 };
 
 /** Limits on callers' requests and connections. */
@@ -46,6 +51,8 @@
   std::uint64_t version = 0;
   std::vector<route> routes;
   std::vector<gateway_service> services;
+  /** If there are any, callers need a key. */
+  std::vector<team> teams;
   caller_limits limits;
 
   /** Builds the index for FindRoute; called once after `routes` is filled. */
--- a/src/libhawthorndrum/gateway/gateway_ports.h
+++ b/src/libhawthorndrum/gateway/gateway_ports.h
@@ -16,9 +16,10 @@
 class random_source;
 class stream_origins;
 class upstream_calls;
+class usage_meter;
 class wire_dialect;
 
-/** All pointers are set and outlive the gateway. */
+/** All pointers are set unless said otherwise, and outlive the gateway. */
 struct gateway_ports {
   caller_port* callers = nullptr;
   upstream_calls* upstreams = nullptr;
@@ -29,6 +30,8 @@
   metrics_registry* metrics = nullptr;
   stream_origins* origins = nullptr;
   crash_evidence* crashes = nullptr;
+  /** Null where usage is not counted. */
+  usage_meter* usage = nullptr;
   std::string host;
   std::string data_centre;
   incarnation_id incarnation;
--- a/src/libhawthorndrum/gateway/route.h
+++ b/src/libhawthorndrum/gateway/route.h
@@ -43,6 +43,8 @@
   int priority = 0;
   /** Whether a stream may resume at another upstream after the last forwarded event. */
   bool resumable = false;
+  /** Whether callers need no key. */
+  bool open_to_all = false;
   std::vector<weighted_service> targets;
 
   /** Returns whether a request may run more than once. */
