Cut statements, crash records and notices out of the gateway

Change: what upstreams say about themselves (statement_handler), which answers ended in crashes (crash_recorder) and the writing of notices (notice_writer) are classes of their own that know nothing of the gateway; the code is moved, not changed.

--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -2,7 +2,6 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -11,6 +10,7 @@
 #include "base/log_record.h"
 #include "base/metrics_registry.h"
 #include "gateway/gateway_meters.h"
+#include "gateway/time_asked.h"
 #include "gateway/upstream_calls.h"
 #include "ports/caller_port.h"
 #include "ports/clock.h"
@@ -29,16 +29,6 @@
 constexpr duration kSweepPeriod = milliseconds(500);
 /** Ticks are at most 100 ms apart unless the loop or the whole process was held up. */
 constexpr duration kLateTick = milliseconds(300);
-/** Notices report no work for upstreams that run nothing here and were silent for longer. */
-constexpr duration kMaxReportedSilence = seconds(1);
-/**
- * How long a notice makes other daemons avoid a leaving upstream; their own host lists show it by
- * then, and later notices repeat it.
- */
-constexpr duration kLeavingAvoidance = milliseconds(500);
-/** How long other daemons avoid an unreachable upstream while they probe it themselves. */
-constexpr duration kUnreachableAvoidance = milliseconds(300);
-
 std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
 std::string_view WithoutPort(std::string_view host) { return host.substr(0, host.find(':')); }
@@ -56,11 +46,6 @@
   return suspects;
 }
 
-const std::vector<gateway_service>& ServicesOf(const gateway_config* config) {
-  static const std::vector<gateway_service> kNone;
-  return config == nullptr ? kNone : config->services;
-}
-
 }  // namespace
 
 gateway::gateway(const gateway_ports& ports)
@@ -71,7 +56,10 @@
       reachability_(fleet_, *ports.upstreams, *ports.random, *ports.log),
       cut_off_(fleet_, reachability_, *ports.random, *ports.log, *ports.metrics),
       relay_peers_(ports.host, *ports.random),
-      peers_(fleet_, reachability_, ports.incarnation, ports.data_centre) {}
+      peers_(fleet_, reachability_, ports.incarnation, ports.data_centre),
+      statements_(ports_, fleet_),
+      crash_recorder_(fleet_, *ports.crashes),
+      notices_(ports_, fleet_, cut_off_, statements_, demand_, speeds_) {}
 
 gateway::~gateway() = default;
 
@@ -92,6 +80,11 @@
   config_ = std::move(config);
 }
 
+void gateway::SetDaemons(const std::vector<daemon_record>& others) {
+  SetOtherDaemons(others.size());
+  if (statements_.SetDaemons(others, ports_.time->Now())) relay_peers_.SetDaemons(others);
+}
+
 void gateway::OnRequest(request_id id, http_request request) {
   const time_point now = ports_.time->Now();
   caller_terms terms = ports_.dialect->TakeCallerTerms(request);
@@ -173,7 +166,7 @@
 tl::expected<placement, placement_failure> gateway::Choose(const exchange& each,
                                                            const placement_query& query,
                                                            time_point now) {
-  if (CrashesUpstreams(each, now))
+  if (crash_recorder_.CrashesUpstreams(each, now))
     return tl::make_unexpected(placement_failure{kCrashesUpstreams, kRetryConvicted});
   auto place = each.is_engine() ? engines_.Choose(query, now) : services_.Choose(query, now);
   if (!place) place = tl::make_unexpected(ExplainFailure(each, place.error(), now));
@@ -184,6 +177,18 @@
   return Choose(each, QueryFor(each, now), now);
 }
 
+placement_failure gateway::ExplainFailure(const exchange& each, const placement_failure& failure,
+                                          time_point now) {
+  const auto wanted = EarliestWanted(fleet_, QueryFor(each, now), now);
+  if (!wanted) return failure;
+  return {kUpstreamsWantNothing, wanted->at - now, wanted->id};
+}
+
+bool gateway::CannotBePlacedInTime(const exchange& each, time_point now) {
+  const auto wanted = EarliestWanted(fleet_, QueryFor(each, now), now);
+  return wanted && wanted->at + exchange::kMinTimeForAttempt > each.deadline;
+}
+
 void gateway::Send(exchange& each, const placement& place, time_point now) {
   if (place.prefills_at) return SendPrefill(each, place, now);
   SendRun(each, place.runs_at, place.unread_tokens, place.expected, now);
@@ -248,7 +253,7 @@
                         .Number("status", 503)
                         .Number("retry_after_ms", ToMilliseconds(why.retry_after))
                         .Number("left_ms", ToMilliseconds(each.TimeLeft(now)))
-                        .Text("suspect", ConvictedSuspect(each, now))
+                        .Text("suspect", crash_recorder_.ConvictedSuspect(each, now))
                         .Number("refusals", each.refusals)
                         .Number("tried", static_cast<std::int64_t>(each.tried.size()))
                         .Number("config", static_cast<std::int64_t>(each.config->version)));
@@ -261,50 +266,13 @@
   if (notice.sender == ports_.incarnation) return;
   for (const reported_limit& each : notice.limits) {
     fleet_upstream* row = fleet_.Find(each.upstream);
-    if (row != nullptr) SetLimit(*row, each.per_second, now - each.age, "peer", now);
+    if (row != nullptr) statements_.HearLimit(*row, each.per_second, now - each.age, "peer", now);
   }
 }
 
 load_notice gateway::MakeNotice() {
-  const time_point now = ports_.time->Now();
-  load_notice notice;
-  notice.sender = ports_.incarnation;
-  notice.sequence = ++notices_;
-  notice.host = ports_.host;
-  notice.data_centre = ports_.data_centre;
-  notice.config_version = config_version();
+  load_notice notice = notices_.Write(config_.get(), ports_.time->Now());
   notice.fleet_revision = fleet_revision_;
-  // A host that is cut off knows nothing of upstreams that others may reach.
-  std::set<std::string> unknown;
-  for (const gateway_service& service : ServicesOf(config_.get())) {
-    if (cut_off_.IsCutOff(service.name) && cut_off_.PeersMayReach(service.name, now))
-      unknown.insert(service.name);
-  }
-  fleet_.ForEach([&](fleet_upstream& row) {
-    const duration ago = now - row.last_active_at;
-    if (row.own.running > 0 || ago < kMaxReportedSilence)
-      notice.work.push_back({row.id, row.own, ago});
-    ReportLimits(notice, row, now);
-    if (row.changes_until > now) {
-      notice.avoided.push_back({row.id, row.changes_until - now, avoidance_reason::kChangingStage});
-    } else if (!row.takes_work(now)) {
-      notice.avoided.push_back({row.id, kLeavingAvoidance, avoidance_reason::kLeaving});
-    } else if (unknown.count(row.entry.service) > 0) {
-      return;
-    } else if (row.reachability.is_lost) {
-      notice.avoided.push_back({row.id, kUnreachableAvoidance, avoidance_reason::kLost});
-    } else if (row.failures > 0 && row.avoid_until > now) {
-      notice.avoided.push_back({row.id, row.avoid_until - now, avoidance_reason::kFailing});
-    } else if (IsNewsForPeers(row.said, now)) {
-      notice.avoided.push_back({row.id, *row.said.next_call - now, avoidance_reason::kWantsTime});
-    }
-  });
-  notice.demand = demand_.Report(now);
-  for (reported_demand& each : notice.demand) {
-    each.speed_count = static_cast<std::uint64_t>(speeds_.Confidence(each.service));
-    each.speed_sum = static_cast<std::uint64_t>(speeds_.PrefillTokensPerMs(each.service) * 1000) *
-                     each.speed_count;
-  }
   peers_.RecordOwnNotice(notice);
   return notice;
 }
@@ -331,7 +299,7 @@
   CheckSilence(now);
   cut_off_.Run(now);
   reachability_.Run(now);
-  CheckClosedAnswers(now);
+  crash_recorder_.Run(now);
   // Expire and Stall may erase exchanges, so the ids are collected first.
   std::vector<request_id> due;
   for (const auto& [id, each] : exchanges_) {
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -11,6 +10,7 @@
 #include <vector>
 
 #include "base/http_message.h"
+#include "gateway/crash_recorder.h"
 #include "gateway/cut_off_detector.h"
 #include "gateway/daemon_directory.h"
 #include "gateway/demand_meter.h"
@@ -19,10 +19,12 @@
 #include "gateway/exchange.h"
 #include "gateway/fleet_table.h"
 #include "gateway/gateway_ports.h"
+#include "gateway/notice_writer.h"
 #include "gateway/peer_load_table.h"
 #include "gateway/reachability_monitor.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/service_placement.h"
+#include "gateway/statement_handler.h"
 #include "origins/origin_listener.h"
 #include "ports/attempt_event.h"
 #include "relay/relay_answer.h"
@@ -104,9 +106,6 @@
   static constexpr std::string_view kNoEngine = "no_engine";
   /** Refusal reason: a part of its prompt, or the request itself, crashes upstreams. */
   static constexpr std::string_view kCrashesUpstreams = "crashed_upstreams";
-  /** An upstream that goes on for this long after it began an answer was not crashed by it. */
-  static constexpr duration kLivedOn = seconds(1);
-  static constexpr std::size_t kMaxClosedAnswers = 256;
   /** Refusal reason: all upstreams that could take the request asked for time. */
   static constexpr std::string_view kUpstreamsWantNothing = "upstreams_want_nothing";
   /** Why a call ended without an answer that can be forwarded to the caller. */
@@ -199,30 +198,12 @@
   void OnUpstreamReplaced(const fleet_upstream& row, const answer_terms& terms, time_point now);
   bool IsDeliverable(const exchange& each) const;
 
-  // What upstreams say about themselves.
-  /** Remembers what the upstream says about itself in the head of an answer. */
-  void HeedStatements(const exchange& each, fleet_upstream& row, time_point now);
-  void HeedLeaving(fleet_upstream& row, time_point now);
-  void HeedTimeAsked(fleet_upstream& row, duration asked, time_point now);
-  void HeedUnreadableTime(fleet_upstream& row, std::string_view value);
-  /** Heeds the limit that the answer names, or that it names none any more. */
-  void HeedLimit(const exchange& each, fleet_upstream& row, time_point now);
-  /** Sets the limit; no value means that the upstream has none any more. */
-  void SetLimit(fleet_upstream& row, std::optional<double> per_second, time_point said_at,
-                std::string_view source, time_point now);
-  void LogLimit(const fleet_upstream& row, std::string_view outcome, std::string_view source);
-  /** Returns this daemon's place among those that call the upstream, the nearest first. */
-  caller_rank RankFor(const fleet_upstream& row) const;
-  void ReportLimits(load_notice& notice, const fleet_upstream& row, time_point now) const;
-  /** Delays further calls to an upstream that has accepted none since it asked for time. */
-  static void SpaceTrials(fleet_upstream& row, time_point now);
+  // Upstreams that asked for time.
   /** Returns the failure, or that all upstreams asked for time and when the first one's ends. */
   placement_failure ExplainFailure(const exchange& each, const placement_failure& failure,
                                    time_point now);
   /** Returns whether all upstreams asked for time that ends too late for the request. */
   bool CannotBePlacedInTime(const exchange& each, time_point now);
-  /** Returns whether other daemons should hear that the upstream asked for time. */
-  static bool IsNewsForPeers(const upstream_statements& said, time_point now);
 
   // Failure handling.
   void Recover(exchange& each, const call_problem& problem, time_point now);
@@ -258,17 +239,6 @@
                       duration retry_after);
   void Refuse(exchange& each, const placement_failure& why);
 
-  // Requests and parts of prompts that crash upstreams.
-  /** Whether a part of the prompt, or the request, is known to crash the upstreams that answer. */
-  bool CrashesUpstreams(const exchange& each, time_point now) const;
-  /** Returns the logged name of the part or request that is; empty if none is. */
-  std::string ConvictedSuspect(const exchange& each, time_point now) const;
-  /** Records the loss of the call's upstream, unless it had lived on after the answer began. */
-  void RecordCrash(const exchange& each, time_point now);
-  /** Records that the upstream lived on after it began the answer. */
-  void RecordLivedOn(exchange& each, time_point now);
-  /** Records those answers that ended with their connection whose upstreams were heard of again. */
-  void CheckClosedAnswers(time_point now);
   http_answer ProblemAnswer(int status, std::string_view reason, duration retry_after) const;
 
   exchange* FindByAttempt(attempt_id attempt);
@@ -291,7 +261,9 @@
   cut_off_detector cut_off_;
   relay_peers relay_peers_;
   peer_load_table peers_;
-  std::vector<daemon_record> other_daemons_;
+  statement_handler statements_;
+  crash_recorder crash_recorder_;
+  notice_writer notices_;
   std::shared_ptr<const gateway_config> config_;
   bool fleet_known_ = false;
   std::uint64_t fleet_revision_ = 0;
@@ -299,18 +271,8 @@
   /** Requests to resume a stream whose origin other daemons were asked for. */
   std::multimap<stream_key, arrived_request> resumes_;
   std::unordered_map<attempt_id, request_id> attempts_;
-  /** An answer that ended with its connection, as it also would if the upstream had crashed. */
-  struct closed_answer {
-    std::vector<suspect> suspects;
-    upstream_id upstream;
-    time_point begun_at;
-    time_point ended_at;
-  };
-  /** The last ones, at most kMaxClosedAnswers, oldest first. */
-  std::deque<closed_answer> closed_answers_;
   /** When a byte of any upstream last arrived. */
   time_point heard_at_;
-  std::uint64_t notices_ = 0;
   time_point last_sweep_;
   time_point last_run_;
   /** Bytes that arrived before may be unread, so upstreams' silence counts from then on. */
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -51,7 +51,7 @@
   // An engine that runs the request has fetched the prefilled prompt.
   if (each->state == exchange_state::kRunning && !each->answer.terms.not_run) each->handle.reset();
   fleet_upstream* row = fleet_.Find(each->call.upstream);
-  if (row != nullptr) HeedStatements(*each, *row, now);
+  if (row != nullptr) statements_.Heed(*each, *row, now);
   if (row != nullptr && !each->answer.terms.is_wrong_upstream) {
     row->last_active_at = now;
     row->failures = 0;
@@ -108,7 +108,8 @@
     return Recover(each, {"event_too_large", true, false, false}, now);
   }
   const bool runs_here = each.state == exchange_state::kRunning;
-  if (runs_here && now - each.call.first_byte_at >= kLivedOn) RecordLivedOn(each, now);
+  if (runs_here && now - each.call.first_byte_at >= crash_recorder::kLivedOn)
+    crash_recorder_.RecordLivedOn(each, now);
   if (complete_events.empty()) return;
   if (!each.head_sent) {
     each.head_sent = true;
@@ -171,10 +172,10 @@
   const bool resumes = each.events.events() > 0 || !each.terms.last_event_id.empty();
   const bool has_no_event = each.call.ended_by_close && !each.call.first_byte_seen && !resumes;
   if (!each.events.between_events() || has_no_event) {
-    if (each.call.ended_by_close) RecordCrash(each, now);
+    if (each.call.ended_by_close) crash_recorder_.RecordCrash(each, now);
     return Recover(each, {"ended_inside_an_event", true, false, false}, now);
   }
-  RecordLivedOn(each, now);
+  crash_recorder_.RecordLivedOn(each, now);
   if (!each.head_sent) BeginAnswer(each);
   ports_.callers->End(each.id);
   Close(each, "answered", each.answer.terms.status);
@@ -206,7 +207,7 @@
     if (!each.is_engine()) service_placement::Observe(*row, now - each.call.sent_at);
   }
   // An upstream may fail a request before it begins an answer.
-  if (!terms.not_run && IsSuccess(terms.status)) RecordLivedOn(each, now);
+  if (!terms.not_run && IsSuccess(terms.status)) crash_recorder_.RecordLivedOn(each, now);
   if (terms.not_run) {
     if (row != nullptr && terms.is_wrong_upstream) OnUpstreamReplaced(*row, terms, now);
     // The host list shows the change later; until then no other call should go there.
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -66,7 +66,7 @@
   }
   const bool may_be_cut_off = cut_off_.IsSuspected(each->service->name);
   if (lost.failure == attempt_failure::kConnectionLost && lost.bytes_sent && !may_be_cut_off)
-    RecordCrash(*each, now);
+    crash_recorder_.RecordCrash(*each, now);
   Recover(*each, problem, now);
 }
 
@@ -173,7 +173,7 @@
   if (each.head_sent && !each.matched->resumable) return false;
   if (each.runs >= each.matched->attempts) return false;
   if (each.refusals > kMaxRefusals || each.failed_connections > kMaxFailedConnections) return false;
-  if (CrashesUpstreams(each, now)) return false;
+  if (crash_recorder_.CrashesUpstreams(each, now)) return false;
   // A call that never left this host is no extra call to the service.
   const bool sent = problem.may_have_run || problem.reason == kRefusedByUpstream;
   return !sent || allowance_.Spend(each.service->name, now);
--- a/src/libhawthorndrum/gateway/gateway_relay.cpp
+++ b/src/libhawthorndrum/gateway/gateway_relay.cpp
@@ -53,7 +53,8 @@
   if (each.runs > 0 && !each.matched->is_idempotent()) return false;
   if (each.runs >= each.matched->attempts) return false;
   if (each.head_sent && !each.matched->resumable) return false;
-  return cut_off_.PeersMayReach(each.service->name, now) && !CrashesUpstreams(each, now);
+  return cut_off_.PeersMayReach(each.service->name, now) &&
+         !crash_recorder_.CrashesUpstreams(each, now);
 }
 
 bool gateway::PassOn(exchange& each, time_point now) {
@@ -117,7 +118,7 @@
   if (said.outcome != relay_outcome::kAnswered) return;
   // The caller now knows what the upstream says of itself, so this daemon must heed it as well.
   fleet_upstream* row = fleet_.Find(said.upstream);
-  if (row != nullptr && each.answer.terms.leaving) HeedLeaving(*row, now);
+  if (row != nullptr && each.answer.terms.leaving) statements_.HeedLeaving(*row, now);
 }
 
 void gateway::FinishPassedOn(exchange& each, time_point now) {
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -102,7 +102,7 @@
   const upstream_work before = row.all_work();
   each.call.queued_tokens = before.unread_tokens + each.call.reserved.unread_tokens;
   row.own += each.call.reserved;
-  SpaceTrials(row, now);
+  statement_handler::SpaceTrials(row, now);
   row.said.limit.Take(now);
   attempts_[each.call.attempt] = each.id;
   ports_.log->Write(
--- a/src/libhawthorndrum/gateway/gateway_stalls.cpp
+++ b/src/libhawthorndrum/gateway/gateway_stalls.cpp
@@ -57,7 +57,8 @@
   const bool prefilling = each.state == exchange_state::kPrefilling;
   const bool may_run_again =
       prefilling || (each.matched->is_idempotent() && each.runs < each.matched->attempts);
-  if (!may_run_again || CrashesUpstreams(each, now)) return tl::make_unexpected("waits_no_attempt");
+  if (!may_run_again || crash_recorder_.CrashesUpstreams(each, now))
+    return tl::make_unexpected("waits_no_attempt");
   const bool waiting = each.state == exchange_state::kWaiting;
   const double spare = each.head_sent && !waiting ? kSpareRetriesOfStream : 0;
   const double left = allowance_.Remaining(each.service->name, now) - spare;
@@ -108,8 +109,8 @@
 bool gateway::MayWait(const exchange& each, time_point now) {
   // Before its first run a request is refused, and its caller told when to come back.
   return each.moved && !each.caller_gone && each.runs > 0 && each.runs < each.matched->attempts &&
-         each.TimeLeft(now) >= exchange::kMinTimeForAttempt && !CrashesUpstreams(each, now) &&
-         !CannotBePlacedInTime(each, now);
+         each.TimeLeft(now) >= exchange::kMinTimeForAttempt &&
+         !crash_recorder_.CrashesUpstreams(each, now) && !CannotBePlacedInTime(each, now);
 }
 
 void gateway::EndWait(exchange& each) {
