--- a/src/libhawthorndrum/gateway/object_watch.cpp
+++ b/src/libhawthorndrum/gateway/object_watch.cpp
@@ -44,8 +44,20 @@
                            random_source& random, event_log& log)
     : kind_(std::move(kind)), reader_(reader), listener_(listener), random_(random), log_(log) {}
 
+void object_watch::SetHeld(bool held) {
+  held_ = held;
+  if (held_ && phase_ == phase::kWatching) call_open_ = false;
+}
+
+void object_watch::AdvanceTo(std::uint64_t revision, std::uint64_t newest_change) {
+  if (phase_ != phase::kWatching) return;
+  revision_ = std::max(revision_, revision);
+  last_change_revision_ = std::max(last_change_revision_, newest_change);
+}
+
 void object_watch::Run(time_point now) {
   if (call_open_ || now < next_call_) return;
+  if (held_ && phase_ == phase::kWatching) return;
   call_open_ = true;
   call_start_ = now;
   ++call_;
--- a/src/libhawthorndrum/gateway/object_watch.h
+++ b/src/libhawthorndrum/gateway/object_watch.h
@@ -81,6 +81,19 @@
   void OnEvents(std::uint64_t call, std::uint64_t revision, std::uint64_t newest_change,
                 time_point now);
   void OnCallFailed(std::uint64_t call, store_trouble trouble, time_point now);
+  /** Whether the call is the one that is open; the answer to any other one is to be ignored. */
+  bool IsOpen(std::uint64_t call) const { return call_open_ && call == call_; }
+  /**
+   * Sets whether another daemon reads the changes for this one. While it does, no call is started
+   * once all objects are listed, and the open one is abandoned.
+   */
+  void SetHeld(bool held);
+  /** Another daemon read all changes up to the revision. */
+  void AdvanceTo(std::uint64_t revision, std::uint64_t newest_change);
+  /** Whether all objects are listed. */
+  bool is_listed() const { return phase_ == phase::kWatching; }
+  /** Whether the last call that ended succeeded. */
+  bool store_answers() const { return failures_ == 0; }
   /** Starts the next call if it is due; the first call is due at the first run. */
   void Run(time_point now);
 
@@ -106,6 +119,7 @@
   time_point next_call_;
   std::string after_;
   std::uint64_t revision_ = 0;
+  bool held_ = false;
   int failures_ = 0;
   time_point failed_since_;
 };
