Read upstreams at the pace of slow callers

Cause: nothing slowed an upstream down for its caller; up to 8 MiB were held for each connection, beyond which it was closed, and a long answer was cut after 30 s however soundly its caller read. Change: flow_control pauses the reading of upstreams whose callers are behind, counts bodies, buffered answers and unsent bytes, and takes no request beyond a third of the process's memory; the write timeout holds for each 64 KiB.

--- a/src/gatewayd/answer_router.h
+++ b/src/gatewayd/answer_router.h
@@ -27,9 +27,12 @@
   }
   void End(request_id request) override { ServerOf(request).End(request); }
   void Abort(request_id request) override { ServerOf(request).Abort(request); }
+  std::size_t UnsentBytes(request_id request) const override {
+    return ServerOf(request).UnsentBytes(request);
+  }
 
  private:
-  http_server& ServerOf(request_id request) {
+  http_server& ServerOf(request_id request) const {
     return daemons_.IsOpen(request) ? daemons_ : callers_;
   }
 
--- a/src/gatewayd/http_upstream_calls.cpp
+++ b/src/gatewayd/http_upstream_calls.cpp
@@ -45,6 +45,11 @@
   calls_.erase(found);
 }
 
+void http_upstream_calls::SetPaused(attempt_id attempt, bool paused) {
+  const auto found = calls_.find(attempt);
+  if (found != calls_.end()) client_.SetPaused(found->second, paused);
+}
+
 void http_upstream_calls::Probe(upstream_id upstream, const std::string& address) {
   client_.Probe(address, upstream.value(), kConnectTimeout, [this, upstream](bool connected) {
     events_.Post(probe_ended{upstream, connected});
--- a/src/gatewayd/http_upstream_calls.h
+++ b/src/gatewayd/http_upstream_calls.h
@@ -22,6 +22,7 @@
 
   void Send(upstream_call call) override;
   void Cancel(attempt_id attempt) override;
+  void SetPaused(attempt_id attempt, bool paused) override;
   void Probe(upstream_id upstream, const std::string& address) override;
   void Notify(const std::string& address, http_request request) override;
 
--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -51,6 +51,8 @@
   duration stall_timeout{0};
   /** When the call is next checked for a stall; a stalled call may move to another upstream. */
   time_point stalls_at;
+  /** Whether its answer is not read, since the caller reads slowly. */
+  bool paused = false;
   /** Whether the call stalled and goes on because it could not move. */
   bool stalled = false;
   /** Prompt tokens to prefill before the first output token, other requests' tokens included. */
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -59,7 +59,8 @@
       peers_(fleet_, reachability_, ports.incarnation, ports.data_centre),
       statements_(ports_, fleet_),
       crash_recorder_(fleet_, *ports.crashes),
-      notices_(ports_, fleet_, cut_off_, statements_, demand_, speeds_) {}
+      notices_(ports_, fleet_, cut_off_, statements_, demand_, speeds_),
+      flow_(ports.flow) {}
 
 gateway::~gateway() = default;
 
@@ -90,6 +91,8 @@
   caller_terms terms = ports_.dialect->TakeCallerTerms(request);
   arrived_request arrived{id, std::move(request), std::move(terms), now};
   if (!is_ready()) return RefuseUnplaced(arrived, 503, kNotStarted, kRetryUnavailable);
+  if (!flow_.MayTake(arrived.request.body.size()))
+    return RefuseUnplaced(arrived, 503, kHostFull, kRetryUnavailable);
   const caller_terms& asked = arrived.terms;
   const route* matched =
       config_->FindRoute(WithoutPort(asked.host), PathOf(arrived.request.target));
@@ -114,6 +117,7 @@
     each.earned = arrived.relayed->earned;
   }
   each.request = std::move(arrived.request);
+  flow_.SetHeld(each.id, each.request.body.size());
   each.terms = std::move(arrived.terms);
   each.config = config_;
   each.matched = matched;
@@ -225,7 +229,7 @@
   ports_.metrics->Counter("gateway_refused_total", MetricLabel("reason", reason)).Add();
   http_answer answer = ProblemAnswer(status, reason, retry_after);
   // Without a route: the daemon that passed it on may know a newer configuration.
-  const bool is_unavailable = reason == kNotStarted || reason == kRelayFull;
+  const bool is_unavailable = reason == kNotStarted || reason == kRelayFull || reason == kHostFull;
   const relay_outcome outcome =
       is_unavailable ? relay_outcome::kUnavailable : relay_outcome::kDeclined;
   if (arrived.relayed) SetRelayAnswer({outcome, {}}, answer.headers);
@@ -302,9 +306,12 @@
   crash_recorder_.Run(now);
   // Expire and Stall may erase exchanges, so the ids are collected first.
   std::vector<request_id> due;
+  std::vector<request_id> slow;
   for (const auto& [id, each] : exchanges_) {
     if (now >= each.deadline || now >= each.call.stalls_at) due.push_back(id);
+    if (each.call.paused) slow.push_back(id);
   }
+  for (const request_id id : slow) FollowCaller(exchanges_.at(id), now);
   for (const request_id id : due) {
     const auto found = exchanges_.find(id);
     if (found == exchanges_.end()) continue;
@@ -351,6 +358,7 @@
           .Number("runs", each.runs)
           .Number("config", static_cast<std::int64_t>(each.config->version)));
   Release(each);
+  flow_.Forget(each.id);
   exchanges_.erase(each.id);
 }
 
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/http_message.h"
+#include "flow/flow_control.h"
 #include "gateway/crash_recorder.h"
 #include "gateway/cut_off_detector.h"
 #include "gateway/daemon_directory.h"
@@ -101,6 +102,8 @@
   /** Refusal reasons: this daemon serves nothing yet, or enough requests of other daemons. */
   static constexpr std::string_view kNotStarted = "not_started";
   static constexpr std::string_view kRelayFull = "relay_full";
+  /** Refusal reason: this host holds as much for callers and upstreams as it may. */
+  static constexpr std::string_view kHostFull = "host_full";
   /** Refusal reasons: no upstream of the service can be called. */
   static constexpr std::string_view kNoUpstream = "no_upstream";
   static constexpr std::string_view kNoEngine = "no_engine";
@@ -191,6 +194,8 @@
   /** Returns whether more of the answer may be buffered; an upstream may send without end. */
   bool FitsBuffer(const exchange& each) const;
   void RelayEvents(exchange& each, std::string_view bytes);
+  /** Reads the call's upstream no faster than the caller reads. */
+  void FollowCaller(exchange& each, time_point now);
   void Deliver(exchange& each);
   /** Closes the caller's connection in the middle of its stream. */
   void AbortStream(exchange& each);
@@ -264,6 +269,7 @@
   statement_handler statements_;
   crash_recorder crash_recorder_;
   notice_writer notices_;
+  flow_control flow_;
   std::shared_ptr<const gateway_config> config_;
   bool fleet_known_ = false;
   std::uint64_t fleet_revision_ = 0;
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -16,8 +16,6 @@
 
 /** Maximum size of a buffered answer; no plain service sends larger ones. */
 constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
-/** Maximum size of all answers that are being buffered. */
-constexpr std::size_t kMaxBufferedBytes = 64 * 1024 * 1024;
 /** A prefill's answer only names what the engine keeps. */
 constexpr std::size_t kMaxPrefillAnswerBytes = 64 * 1024;
 /** Smaller answers count towards the sum, but none is cut off for it. */
@@ -81,6 +79,7 @@
     return RelayEvents(*each, bytes.bytes);
   }
   each->answer.body += bytes.bytes;
+  flow_.SetHeld(each->id, each->request.body.size() + each->answer.body.size());
   if (FitsBuffer(*each)) return;
   ports_.upstreams->Cancel(each->call.attempt);
   if (passed_on) return FailUnknown(*each, "answer_too_large", 502);
@@ -91,9 +90,7 @@
   const std::size_t size = each.answer.body.size();
   if (each.state == exchange_state::kPrefilling) return size <= kMaxPrefillAnswerBytes;
   if (size <= kSmallAnswerBytes) return true;
-  std::size_t sum = 0;
-  for (const auto& [id, other] : exchanges_) sum += other.answer.body.size();
-  return size <= kMaxAnswerBytes && sum <= kMaxBufferedBytes;
+  return size <= kMaxAnswerBytes && flow_.MayTake(0);
 }
 
 void gateway::RelayEvents(exchange& each, std::string_view bytes) {
@@ -123,6 +120,24 @@
   }
   each.last_event_at = now;
   ports_.callers->Write(each.id, complete_events);
+  FollowCaller(each, now);
+}
+
+void gateway::FollowCaller(exchange& each, time_point now) {
+  const std::size_t unsent = ports_.callers->UnsentBytes(each.id);
+  const bool paused = flow_.IsPaused(each.call.paused, unsent);
+  flow_.SetHeld(each.id, each.request.body.size() + each.answer.body.size() + unsent);
+  // The upstream's silence is no stall while it is not read.
+  if (paused || each.call.paused) each.call.stalls_at = now + each.call.stall_timeout;
+  if (paused == each.call.paused) return;
+  each.call.paused = paused;
+  ports_.upstreams->SetPaused(each.call.attempt, paused);
+  ports_.metrics->Counter("gateway_slow_callers_total").Add(paused ? 1 : 0);
+  ports_.log->Write(log_importance::kNotable,
+                    log_record(paused ? "upstream_paused" : "upstream_resumed")
+                        .Text("request", each.terms.caller_id)
+                        .Number("unsent_bytes", static_cast<std::int64_t>(unsent))
+                        .Number("held_bytes", static_cast<std::int64_t>(flow_.held())));
 }
 
 void gateway::OnAttemptFinished(const attempt_finished& finished) {
--- a/src/libhawthorndrum/gateway/gateway_ports.h
+++ b/src/libhawthorndrum/gateway/gateway_ports.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "base/ids.h"
+#include "flow/flow_limits.h"
 #include "gateway/retry_allowance.h"
 
 namespace hawthorndrum {
@@ -36,6 +37,7 @@
   std::string data_centre;
   incarnation_id incarnation;
   retry_limits retries;
+  flow_limits flow;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/gateway_settings.cpp
+++ b/src/libhawthorndrum/gateway/gateway_settings.cpp
@@ -53,6 +53,7 @@
   fields.Duration("leaving_known_within", settings.leaving_known_within, milliseconds(500),
                   std::chrono::minutes(1));
   fields.Whole("file_limit", settings.file_limit, 64, 1'000'000);
+  fields.Bytes("memory", settings.memory, 16 << 20, std::uint64_t{1} << 40);
   fields.Whole("shared_reading_from", settings.shared_reading_from, 2, 1'000'000);
   ReadRetries(fields, settings.retries, found);
   ReadStages(fields, settings.stages, found);
--- a/src/libhawthorndrum/gateway/gateway_settings.h
+++ b/src/libhawthorndrum/gateway/gateway_settings.h
@@ -32,6 +32,8 @@
   /** An upstream gets no new work from this long after its leaving was written to the store. */
   duration leaving_known_within = seconds(2);
   std::uint32_t file_limit = 4096;
+  /** Memory of the process in bytes; 0 if it is not limited. */
+  std::uint64_t memory = 0;
   /** In a data centre with this many daemons or more, one of them reads the host list for all. */
   std::uint32_t shared_reading_from = 12;
   retry_limits retries;
--- a/src/libhawthorndrum/gateway/upstream_calls.h
+++ b/src/libhawthorndrum/gateway/upstream_calls.h
@@ -32,6 +32,8 @@
   virtual void Send(upstream_call call) = 0;
   /** Closes the call's connection; no further event of it is reported. */
   virtual void Cancel(attempt_id attempt) = 0;
+  /** Stops reading the call's answer, or goes on; what has arrived is still reported. */
+  virtual void SetPaused(attempt_id, bool) {}
   /** Opens a connection without a request; `probe_ended` reports whether it succeeded. */
   virtual void Probe(upstream_id upstream, const std::string& address) = 0;
   /** Sends a call and ignores the answer. */
--- a/src/libhawthorndrum/ports/caller_port.h
+++ b/src/libhawthorndrum/ports/caller_port.h
@@ -1,6 +1,7 @@
 /// The port through which answers are sent to callers.
 #pragma once
 
+#include <cstddef>
 #include <string_view>
 #include <vector>
 
@@ -25,6 +26,8 @@
   virtual void End(request_id request) = 0;
   /** Closes the connection so that the answer can't be mistaken for a complete one. */
   virtual void Abort(request_id request) = 0;
+  /** Returns how many bytes of the answer the caller has not taken yet. */
+  virtual std::size_t UnsentBytes(request_id) const { return 0; }
 };
 
 }  // namespace hawthorndrum
--- a/src/libtransport/http_client.cpp
+++ b/src/libtransport/http_client.cpp
@@ -8,7 +8,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <charconv>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -29,31 +28,12 @@
 
 namespace {
 
-/** How long an idle connection is kept, unless the server's Keep-Alive header asks for less. */
-constexpr duration kDefaultIdleTime = seconds(20);
-/**
- * Subtracted from the server's keep-alive time, so that the server does not close a connection just
- * as a call begins to use it.
- */
-constexpr duration kKeepAliveMargin = milliseconds(500);
 /**
  * Limits on what precedes a call's answer on its connection: interim answers, and late answers to
  * earlier requests.
  */
 constexpr int kMaxUnrelatedAnswers = 16;
 constexpr std::size_t kMaxDiscardedBytes = 4 * 1024 * 1024;
-/** The time to keep a connection idle, limited by the server's Keep-Alive header. */
-duration IdleTimeFrom(const http::fields& fields) {
-  const auto value = fields[http::field::keep_alive];
-  const std::string_view text(value.data(), value.size());
-  const std::size_t position = text.find("timeout=");
-  if (position == std::string_view::npos) return kDefaultIdleTime;
-  int timeout_seconds = 0;
-  const std::string_view digits = text.substr(position + 8);
-  const auto read = std::from_chars(digits.data(), digits.data() + digits.size(), timeout_seconds);
-  if (read.ec != std::errc()) return kDefaultIdleTime;
-  return std::min<duration>(kDefaultIdleTime, seconds(timeout_seconds) - kKeepAliveMargin);
-}
 
 }  // namespace
 
@@ -63,6 +43,7 @@
 
   http_call_id Start(http_call call, http_call_listener& listener);
   void Cancel(http_call_id id);
+  void SetPaused(http_call_id id, bool paused);
   void CancelAll();
   std::size_t open_calls() const { return calls_.size(); }
   void Sweep() { idle_.Sweep(); }
@@ -100,6 +81,7 @@
   void Start(std::unique_ptr<client_connection> reused);
   void Stop();
   void Close();
+  void SetPaused(bool paused);
 
  private:
   void Connect();
@@ -132,6 +114,9 @@
   std::uint64_t idle_timer_uses_ = 0;
   bool bytes_sent_ = false;
   bool written_ = false;
+  /** Whether the body is not read, and whether a read waits for the end of that. */
+  bool paused_ = false;
+  bool read_waits_ = false;
   bool discarding_ = false;
   int unrelated_answers_ = 0;
   std::size_t discarded_bytes_ = 0;
@@ -245,7 +230,17 @@
   return true;
 }
 
+void http_client::impl::running_call::SetPaused(bool paused) {
+  paused_ = paused;
+  if (!paused_ && !ended_ && std::exchange(read_waits_, false)) ReadBody();
+}
+
 void http_client::impl::running_call::ReadBody() {
+  if (paused_ && !discarding_) {
+    read_waits_ = true;
+    // The silence is this host's own.
+    return ExpireAfter(duration(0));
+  }
   ExpireAfter(call_.idle_timeout);
   http::async_read_some(
       connection_->socket, connection_->buffer, *parser_,
@@ -285,7 +280,7 @@
   if (keep && owner && connection_->buffer.size() == 0) {
     auto idle = std::make_unique<client_connection>(io_.get_executor());
     idle->socket = std::move(connection_->socket);
-    owner->idle_.Keep({call_.address, call_.owner}, std::move(idle), IdleTimeFrom(parser_->get()));
+    owner->idle_.Keep({call_.address, call_.owner}, std::move(idle), KeepTimeOf(parser_->get()));
   } else {
     Close();
   }
@@ -342,7 +337,7 @@
         const bool connected = opened != nullptr;
         const auto pool_owner = self.lock();
         if (connected && pool_owner) {
-          pool_owner->idle_.Keep({address, owner}, std::move(opened), kDefaultIdleTime);
+          pool_owner->idle_.Keep({address, owner}, std::move(opened), kDefaultKeepTime);
         }
         if (pool_owner) done(connected);
       });
@@ -357,6 +352,13 @@
   running->Close();
 }
 
+void http_client::impl::SetPaused(http_call_id id, bool paused) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  const auto running = found->second;
+  running->SetPaused(paused);
+}
+
 void http_client::impl::CancelAll() {
   while (!calls_.empty()) Cancel(calls_.begin()->first);
 }
@@ -376,6 +378,8 @@
   impl_->Probe(address, owner, timeout, std::move(done));
 }
 
+void http_client::SetPaused(http_call_id id, bool paused) { impl_->SetPaused(id, paused); }
+
 std::size_t http_client::open_calls() const { return impl_->open_calls(); }
 
 void http_client::Sweep() { impl_->Sweep(); }
--- a/src/libtransport/http_client.h
+++ b/src/libtransport/http_client.h
@@ -29,6 +29,8 @@
   http_call_id Start(http_call call, http_call_listener& listener);
   /** Closes the call's connection. Its listener is not called any more. */
   void Cancel(http_call_id id);
+  /** Stops reading the answer of the call after what has arrived, or goes on. */
+  void SetPaused(http_call_id id, bool paused);
   /**
    * Opens a connection without making a call and keeps it for calls with that owner. `done` is
    * called with the result, never from within Probe.
--- a/src/libtransport/http_server.cpp
+++ b/src/libtransport/http_server.cpp
@@ -278,6 +278,11 @@
   if (http_session* session = impl_->FindSession(request)) session->End();
 }
 
+std::size_t http_server::UnsentBytes(request_id request) const {
+  const http_session* session = impl_->FindSession(request);
+  return session == nullptr ? 0 : session->unsent_bytes();
+}
+
 void http_server::Abort(request_id request) {
   if (http_session* session = impl_->FindSession(request)) session->Abort();
 }
--- a/src/libtransport/http_server.h
+++ b/src/libtransport/http_server.h
@@ -61,6 +61,7 @@
   void Write(request_id request, std::string_view bytes) override;
   void End(request_id request) override;
   void Abort(request_id request) override;
+  std::size_t UnsentBytes(request_id request) const override;
 
  private:
   class impl;
--- a/src/libtransport/http_session.h
+++ b/src/libtransport/http_session.h
@@ -1,6 +1,7 @@
 /// One connection of the HTTP server.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,8 @@
   virtual void Write(std::string_view bytes) = 0;
   virtual void End() = 0;
   virtual void Abort() = 0;
+  /** Bytes of answers that are not written to the connection yet. */
+  virtual std::size_t unsent_bytes() const = 0;
   /** Whether a request is being read or answered, or the connection is about to be closed. */
   virtual bool busy() const = 0;
   /** Whether bytes have arrived that were not read yet. */
--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -1,6 +1,7 @@
 /// One connection of the HTTP server over a given type of stream.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ssl/stream_base.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -50,6 +51,7 @@
   void Write(std::string_view bytes) override;
   void End() override;
   void Abort() override;
+  std::size_t unsent_bytes() const override { return unsent_bytes_; }
   bool busy() const override { return closing_ || (parser_ && !waiting_); }
   bool HasUnreadBytes() override {
     error_type ignored;
@@ -64,6 +66,8 @@
   using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
   /** Size of the buffer for a request's first bytes; an idle connection holds no larger one. */
   static constexpr std::size_t kFirstReadBytes = 1024;
+  /** A slow caller may take the write timeout for each piece of this size. */
+  static constexpr std::size_t kWriteBytes = 64 * 1024;
   static constexpr bool kTls = !std::is_same_v<Stream, boost::beast::tcp_stream>;
 
   auto Self() { return this->shared_from_this(); }
@@ -89,7 +93,7 @@
   void WatchForClose();
   void Queue(std::string bytes);
   void WriteNext();
-  void OnWritten(error_type failed);
+  void OnWritten(error_type failed, std::size_t size);
   void FinishAnswer();
   void Close();
 
@@ -119,6 +123,8 @@
   bool close_after_answer_ = false;
   bool closed_ = false;
   std::deque<std::string> unsent_;
+  /** Bytes of the first of them that are written. */
+  std::size_t front_written_ = 0;
   std::size_t unsent_bytes_ = 0;
 };
 
@@ -267,23 +273,29 @@
 template <typename Stream>
 void http_stream_session<Stream>::WriteNext() {
   writing_ = true;
-  // Merges all queued bytes into one write.
-  while (unsent_.size() > 1) {
+  // Merges queued bytes into one write.
+  while (unsent_.size() > 1 && unsent_[0].size() < kWriteBytes) {
     unsent_[0] += unsent_[1];
     unsent_.erase(unsent_.begin() + 1);
   }
   SetTimeout(limits_.write_timeout);
+  const std::string& front = unsent_.front();
+  const std::size_t size = std::min(front.size() - front_written_, kWriteBytes);
   boost::asio::async_write(
-      stream_, boost::asio::buffer(unsent_.front()),
-      [self = Self()](error_type failed, std::size_t) { self->OnWritten(failed); });
+      stream_, boost::asio::buffer(front.data() + front_written_, size),
+      [self = Self(), size](error_type failed, std::size_t) { self->OnWritten(failed, size); });
 }
 
 template <typename Stream>
-void http_stream_session<Stream>::OnWritten(error_type failed) {
+void http_stream_session<Stream>::OnWritten(error_type failed, std::size_t size) {
   writing_ = false;
   if (failed || closed_) return Close();
-  unsent_bytes_ -= unsent_.front().size();
-  unsent_.pop_front();
+  unsent_bytes_ -= size;
+  front_written_ += size;
+  if (front_written_ == unsent_.front().size()) {
+    unsent_.pop_front();
+    front_written_ = 0;
+  }
   if (!unsent_.empty()) return WriteNext();
   if (aborted_) return Close();
   if (request_) boost::beast::get_lowest_layer(stream_).expires_never();
--- a/src/libtransport/http_wire.cpp
+++ b/src/libtransport/http_wire.cpp
@@ -1,6 +1,7 @@
 /// Converts between the core's HTTP messages and those of Boost.Beast.
 #include "http_wire.h"
 
+#include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -8,12 +9,23 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <utility>
 
 namespace hawthorndrum {
 
+namespace {
+
+/**
+ * Subtracted from the server's keep-alive time, so that the server does not close a connection just
+ * as a call begins to use it.
+ */
+constexpr duration kKeepAliveMargin = milliseconds(500);
+
+}  // namespace
+
 namespace http = boost::beast::http;
 using boost::algorithm::iequals;
 
@@ -126,4 +138,16 @@
   return {status, {{"Content-Type", "application/problem+json"}}, body.dump()};
 }
 
+duration KeepTimeOf(const boost::beast::http::fields& fields) {
+  const auto value = fields[boost::beast::http::field::keep_alive];
+  const std::string_view text(value.data(), value.size());
+  const std::size_t position = text.find("timeout=");
+  if (position == std::string_view::npos) return kDefaultKeepTime;
+  int timeout_seconds = 0;
+  const std::string_view digits = text.substr(position + 8);
+  const auto read = std::from_chars(digits.data(), digits.data() + digits.size(), timeout_seconds);
+  if (read.ec != std::errc()) return kDefaultKeepTime;
+  return std::min<duration>(kDefaultKeepTime, seconds(timeout_seconds) - kKeepAliveMargin);
+}
+
 }  // namespace hawthorndrum
--- a/src/libtransport/http_wire.h
+++ b/src/libtransport/http_wire.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/http_message.h"
+#include "base/units.h"
 
 namespace hawthorndrum {
 
@@ -19,6 +20,11 @@
 
 std::vector<http_header> ToHeaders(const boost::beast::http::fields& fields);
 
+/** How long an idle connection is kept, unless the server asks for less. */
+constexpr duration kDefaultKeepTime = seconds(20);
+/** Returns the time to keep a connection idle, limited by the server's Keep-Alive header. */
+duration KeepTimeOf(const boost::beast::http::fields& fields);
+
 /** Builds a request with Content-Length set. Host is `address` unless the request sets it. */
 beast_request ToBeast(http_request&& request, std::string_view address);
 
--- a/tests/http/endless_answers.cpp
+++ b/tests/http/endless_answers.cpp
@@ -1,6 +1,7 @@
 /// Tests of the HTTP client against upstreams that send bytes without end where an answer is due.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -129,5 +130,55 @@
   ExpectLost();
 }
 
+class pausing_listener : public flood_listener {
+ public:
+  explicit pausing_listener(http_client& client) : client_(client) {}
+  void OnHead(http_call_id id, int, std::vector<http_header>) override {
+    call = id;
+    client_.SetPaused(id, true);
+  }
+
+  http_call_id call;
+
+ private:
+  http_client& client_;
+};
+
+// Guards against a call whose paused answer is read on, or not read again afterwards.
+TEST_F(EndlessAnswerTest, APausedAnswerIsNotReadUntilItIsResumed) {
+  pausing_listener paused(client);
+  http_call call;
+  call.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  call.request.method = "GET";
+  call.request.target = "/x";
+  client.Start(std::move(call), paused);
+  tcp::socket socket(io);
+  bool accepted = false;
+  acceptor.async_accept(socket, [&](boost::system::error_code failed) { accepted = !failed; });
+  ASSERT_TRUE(RunUntil([&] { return accepted; }));
+  const std::size_t size = 16 * 1024 * 1024;
+  std::string unsent = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n";
+  unsent.append(size, 'x');
+  socket.non_blocking(true);
+  std::size_t sent = 0;
+  int blocked = 0;
+  const auto write = [&] {
+    boost::system::error_code failed;
+    const std::size_t most = std::min<std::size_t>(unsent.size() - sent, 64 * 1024);
+    const std::size_t done = socket.write_some(boost::asio::buffer(&unsent[sent], most), failed);
+    sent += done;
+    blocked = done == 0 ? blocked + 1 : 0;
+  };
+  RunUntil([&] { return write(), blocked > 2000 || sent == unsent.size(); });
+  EXPECT_LT(sent, unsent.size()) << "the upstream is held back";
+  EXPECT_LE(paused.body_bytes, 256u * 1024);
+  client.SetPaused(paused.call, false);
+  EXPECT_TRUE(RunUntil([&] {
+    if (sent < unsent.size()) write();
+    return paused.finished;
+  }));
+  EXPECT_EQ(paused.body_bytes, size);
+}
+
 }  // namespace
 }  // namespace hawthorndrum
