Identify callers' teams by keys

Callers' keys went to the upstreams, callers with unknown keys were served, and no upstream learned for which team it ran a request.

The configuration's teams are read, and a key is looked up by a hash with a secret seed and compared in constant time. A caller without a known key gets 401 unless its route is open to all; a daemon that knows of a newer configuration answers 503 instead, also where no route matches. The key is taken off on arrival; every call of the request names the team, and a daemon that takes a request over trusts the team that a listed daemon names. A team's priority goes before the route's.

--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -81,6 +81,8 @@
   caller_terms terms;
   /** The caller's team; empty where callers need no key. */
   std::string team;
+  /** The team's priority, else the route's; 0 is the most urgent. */
+  int priority = 0;
   /** Owns `matched` and `service`, so that they outlive a change of configuration. */
   std::shared_ptr<const gateway_config> config;
   const route* matched = nullptr;
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -95,6 +95,7 @@
       config_->FindRoute(WithoutPort(asked.host), PathOf(arrived.request.target));
   const bool has_events = !asked.last_event_id.empty() || !asked.resumes.empty();
   const bool resumes = matched != nullptr && matched->resumable && has_events;
+  if (resumes && !Identify(arrived, *matched)) return;
   if (resumes) return Resume(std::move(arrived), *matched, now);
   Admit(std::move(arrived), std::nullopt);
 }
@@ -103,7 +104,9 @@
   const time_point now = ports_.time->Now();
   const std::string_view host = WithoutPort(arrived.terms.host);
   const route* matched = config_->FindRoute(host, PathOf(arrived.request.target));
-  if (matched == nullptr) return RefuseUnplaced(arrived, 404, "no_route", duration(0));
+  if (matched == nullptr) return RefuseRouteless(arrived);
+  const auto caller = Identify(arrived, *matched);
+  if (!caller) return;
   const weighted_service* target =
       build ? TargetOfBuild(*matched, *build, now) : &PickTarget(*matched);
   exchange& each = exchanges_[arrived.id];
@@ -115,6 +118,7 @@
   }
   each.request = std::move(arrived.request);
   each.terms = std::move(arrived.terms);
+  SetTeam(each, *caller, *matched);
   each.config = config_;
   each.matched = matched;
   each.suspects = SuspectsOf(each.request, each.terms.asked);
@@ -206,7 +210,8 @@
     std::snprintf(text, sizeof(text), "%.3f", ToSeconds(retry_after) * spread);
     answer.headers.push_back({"Retry-After", text});
   }
-  const std::string_view outcome = status == 503 || status == 404 ? "not_run" : "unknown";
+  const bool not_run = status == 503 || status == 404 || status == 401;
+  const std::string_view outcome = not_run ? "not_run" : "unknown";
   answer.body = "{\"title\":\"" + std::string(reason) + "\",\"status\":" + std::to_string(status) +
                 ",\"outcome\":\"" + std::string(outcome) + "\"}";
   return answer;
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -143,6 +143,16 @@
   /** Tells other daemons at which build the caller's stream began. */
   void RecordOrigin(exchange& each, time_point now);
 
+  // Callers and their teams.
+  /** Returns the caller's team, if any, or nothing after it has refused the request. */
+  std::optional<const team*> Identify(const arrived_request& arrived, const route& matched);
+  /** Forgets the key, and has every call of the request name the team. */
+  void SetTeam(exchange& each, const team* caller, const route& matched);
+  /** Refuses a request that no route matches. */
+  void RefuseRouteless(const arrived_request& arrived);
+  /** Returns whether another daemon has reported a newer configuration. */
+  bool IsConfigBehind() const { return peers_.newest_config_version() > config_version(); }
+
   // Placing and sending requests.
   /** Places and sends a request; `build` is set if it resumes a stream. */
   void Admit(arrived_request arrived, std::optional<software_build> build);
--- a/src/libhawthorndrum/gateway/gateway_config.cpp
+++ b/src/libhawthorndrum/gateway/gateway_config.cpp
@@ -17,6 +17,24 @@
   }
 }
 
+void gateway_config::IndexKeys(std::uint64_t secret, const gateway_config* before) {
+  if (teams.empty()) return;
+  if (before != nullptr && before->teams == teams) {
+    keys_ = before->keys_;
+    return;
+  }
+  auto index = std::make_shared<key_index>(teams, secret);
+  for (const shared_key& each : index->shared()) {
+    const key_index* known = before == nullptr ? nullptr : before->keys();
+    if (known == nullptr) break;
+    const auto held = known->FindKey(before->teams, teams[each.team].keys[each.key]);
+    const auto holder =
+        held ? index->FindName(teams, before->teams[*held].name) : std::optional<std::uint32_t>();
+    if (holder) index->Assign(teams, each, *holder);
+  }
+  keys_ = std::move(index);
+}
+
 const route* gateway_config::FindRoute(std::string_view host, std::string_view path) const {
   const auto found = by_host_.find(std::string(host));
   if (found == by_host_.end()) return nullptr;
--- a/src/libhawthorndrum/gateway/gateway_config.h
+++ b/src/libhawthorndrum/gateway/gateway_config.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,6 +12,7 @@
 #include "base/units.h"
 #include "gateway/route.h"
 #include "scaling/scale_limits.h"
+#include "teams/key_index.h"
 #include "teams/team.h"
 
 namespace hawthorndrum {
@@ -57,14 +59,23 @@
 
   /** Builds the index for FindRoute; called once after `routes` is filled. */
   void Index();
+  /**
+   * Builds the index of the teams' keys; called once after `teams` is filled. The index of the
+   * version before, if any, is shared when the teams are the same. A key that teams of different
+   * names hold stays with the one that it identified in that version, and else identifies none.
+   */
+  void IndexKeys(std::uint64_t secret, const gateway_config* before);
 
   /** Returns the route with the longest prefix that matches the path; null when none does. */
   const route* FindRoute(std::string_view host, std::string_view path) const;
   const gateway_service* FindService(std::string_view name) const;
+  /** The index of the teams' keys; null if callers need none. */
+  const key_index* keys() const { return keys_.get(); }
 
  private:
   /** Indices into `routes` by host. */
   std::unordered_map<std::string, std::vector<std::uint32_t>> by_host_;
+  std::shared_ptr<const key_index> keys_;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/gateway_relay.cpp
+++ b/src/libhawthorndrum/gateway/gateway_relay.cpp
@@ -71,6 +71,7 @@
   terms.runs = each.runs;
   terms.earned = each.earned;
   terms.build = each.build;
+  terms.team = each.team;
   const std::string& last_event = each.events.last_id();
   terms.last_event_id = last_event.empty() ? each.terms.last_event_id : last_event;
   each.state = exchange_state::kPassedOn;
--- a/src/libhawthorndrum/gateway/wire_dialect.h
+++ b/src/libhawthorndrum/gateway/wire_dialect.h
@@ -27,6 +27,8 @@
   std::string last_event_id;
   /** The caller's id of the attempt that brought the first event of the stream to resume. */
   std::string resumes;
+  /** Empty if the request has none, or several; never logged or sent on. */
+  std::string key;
 };
 
 /** KV cache of a prompt that an engine prefilled for another one to fetch. */
@@ -82,6 +84,8 @@
 
   /** Extracts the caller's terms and removes headers that callers may not set. */
   virtual caller_terms TakeCallerTerms(http_request& request) const = 0;
+  /** Tells the upstream for which team the request runs. */
+  virtual void SetTeam(http_request& request, std::string_view team) const = 0;
   /** Returns the request to send to the upstream. */
   virtual http_request WriteRun(const http_request& request, const run_terms& terms) const = 0;
   virtual answer_terms ReadAnswer(int status, const std::vector<http_header>& headers) const = 0;
--- a/src/libhawthorndrum/relay/relay_headers.cpp
+++ b/src/libhawthorndrum/relay/relay_headers.cpp
@@ -19,6 +19,7 @@
 constexpr std::string_view kEarned = "Hawthorndrum-Relay-Earned";
 constexpr std::string_view kBuild = "Hawthorndrum-Relay-Build";
 constexpr std::string_view kLastEvent = "Hawthorndrum-Relay-Last-Event";
+constexpr std::string_view kTeam = "Hawthorndrum-Relay-Team";
 constexpr std::string_view kOutcome = "Hawthorndrum-Relay-Outcome";
 constexpr std::string_view kUpstream = "Hawthorndrum-Relay-Upstream";
 
@@ -58,6 +59,7 @@
       std::to_string(std::max<std::int64_t>(0, ToMilliseconds(terms.time_left))));
   Add(headers, kRuns, std::to_string(terms.runs));
   if (terms.earned) Add(headers, kEarned, "1");
+  if (!terms.team.empty()) Add(headers, kTeam, terms.team);
   if (!terms.build) return;
   Add(headers, kBuild, std::to_string(terms.build.value()));
   if (!terms.last_event_id.empty()) Add(headers, kLastEvent, terms.last_event_id);
@@ -67,6 +69,7 @@
   relay_terms terms;
   terms.host = std::string(FindHeader(headers, kHost));
   terms.last_event_id = std::string(FindHeader(headers, kLastEvent));
+  terms.team = std::string(FindHeader(headers, kTeam));
   terms.earned = FindHeader(headers, kEarned) == "1";
   const auto time_left = ReadNumber(FindHeader(headers, kTimeLeft));
   const auto runs = ReadNumber(FindHeader(headers, kRuns));
--- a/src/libhawthorndrum/relay/relay_terms.h
+++ b/src/libhawthorndrum/relay/relay_terms.h
@@ -20,6 +20,8 @@
   software_build build;
   /** The last event that the caller has; empty unless the request resumes a stream. */
   std::string last_event_id;
+  /** The team whose key that host has checked; empty if the request runs for none. */
+  std::string team;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/teams/team.h
+++ b/src/libhawthorndrum/teams/team.h
@@ -12,6 +12,10 @@
   std::vector<std::string> keys;
   /** Takes precedence over the route's priority; 0 is the most urgent. */
   std::optional<int> priority;
+
+  friend bool operator==(const team& a, const team& b) {
+    return a.name == b.name && a.keys == b.keys && a.priority == b.priority;
+  }
 };
 
 }  // namespace hawthorndrum
