Call the platform's API under a lease

Reports of usage and orders of upstreams are calls that one daemon at a time may make.

The settings name the duties; without them nothing changes.

--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -171,7 +171,10 @@
     return answered->listener->OnStoreAnswer(answered->call, answered->answer);
   }
   if (auto* answered = std::get_if<order_answered>(&new_event)) {
-    answered->listener->OnOrderAnswer(answered->answer);
+    return answered->listener->OnOrderAnswer(answered->answer);
+  }
+  if (const auto* answered = std::get_if<duty_answered>(&new_event)) {
+    answered->listener->OnDutyAnswer(answered->call, answered->outcome);
   }
 }
 
--- a/src/hawthorndrumd/core.cpp
+++ b/src/hawthorndrumd/core.cpp
@@ -114,6 +114,7 @@
   void Handle(order_answered& answered) { answered.listener->OnOrderAnswer(answered.answer); }
   void Handle(load_reported& reported) { group->OnLoadReport(reported.report); }
   /** Only the gateway probes connections, so a daemon ignores the event. */
+  void Handle(duty_answered&) {}
   void Handle(attempt_connected&) {}
   void Handle(probe_ended&) {}
   void Handle(load_failed& failed) { group->OnLoadFailed(failed.upstream); }
--- a/src/libhawthorndrum/gateway/gateway_settings.cpp
+++ b/src/libhawthorndrum/gateway/gateway_settings.cpp
@@ -1,6 +1,8 @@
 /// Reads the gateway's settings from YAML.
 #include "gateway/gateway_settings.h"
 
+#include <algorithm>
+
 #include "base/yaml_fields.h"
 #include "base/yaml_parser.h"
 
@@ -31,6 +33,34 @@
   fields.ReportUnknown();
 }
 
+/** Returns whether a list of words, separated by commas, has the word. */
+bool HasWord(std::string_view words, std::string_view word) {
+  while (!words.empty()) {
+    const std::size_t end = std::min(words.find(','), words.size());
+    if (words.substr(0, end) == word) return true;
+    words.remove_prefix(std::min(end + 1, words.size()));
+  }
+  return false;
+}
+
+void ReadDuties(yaml_fields& parent, duty_settings& target, findings& found) {
+  const yaml_node* node = parent.Child("duties");
+  if (node == nullptr) return;
+  yaml_fields fields(*node, found);
+  if (!fields.valid()) return;
+  std::string taken;
+  fields.Address("platform", target.platform_address);
+  fields.Text("take", taken);
+  target.usage = HasWord(taken, "usage");
+  target.ordering = HasWord(taken, "scale");
+  fields.Number("calls_per_second", target.calls_per_second, 0.1, 1e6);
+  fields.Duration("usage_window", target.usage_window, milliseconds(500), std::chrono::hours(24));
+  fields.Duration("usage_lateness", target.usage_lateness, milliseconds(500),
+                  std::chrono::hours(24));
+  fields.Require("platform", "the address of the platform's API, ip:port");
+  fields.ReportUnknown();
+}
+
 }  // namespace
 
 gateway_settings ReadGatewaySettings(const std::string& file, std::string_view text,
@@ -55,6 +85,7 @@
   fields.Whole("file_limit", settings.file_limit, 64, 1'000'000);
   ReadRetries(fields, settings.retries, found);
   ReadStages(fields, settings.stages, found);
+  ReadDuties(fields, settings.duties, found);
   fields.Require("host", "the name of this host");
   fields.Require("data_centre", "the name of this daemon's data centre");
   fields.Require("callers", "the address for callers, ip:port");
--- a/src/libhawthorndrum/gateway/gateway_settings.h
+++ b/src/libhawthorndrum/gateway/gateway_settings.h
@@ -8,6 +8,7 @@
 
 #include "base/findings.h"
 #include "base/units.h"
+#include "duties/duty_settings.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/stage_planner.h"
 
@@ -34,6 +35,7 @@
   std::uint32_t file_limit = 4096;
   retry_limits retries;
   stage_plan_limits stages;
+  duty_settings duties;
 };
 
 /** Reads the settings from YAML and adds every fault to `found`. */
--- a/src/libhawthorndrum/systems/event.h
+++ b/src/libhawthorndrum/systems/event.h
@@ -7,6 +7,7 @@
 
 #include "base/http_message.h"
 #include "base/ids.h"
+#include "duties/duty_listener.h"
 #include "ports/attempt_event.h"
 #include "ports/engine_order.h"
 #include "ports/host_entry.h"
@@ -44,6 +45,13 @@
   order_listener* listener = nullptr;
 };
 
+/** A call to the platform's API ended; its listener is notified. */
+struct duty_answered {
+  duty_call_id call;
+  duty_outcome outcome = duty_outcome::kUnknown;
+  duty_listener* listener = nullptr;
+};
+
 /** An engine reported its load. */
 struct load_reported {
   load_report report;
@@ -62,6 +70,6 @@
 using event =
     std::variant<request_arrived, caller_gone, attempt_connected, attempt_head, attempt_bytes,
                  attempt_finished, attempt_lost, probe_ended, store_answered, order_answered,
-                 load_reported, load_failed, hosts_listed>;
+                 duty_answered, load_reported, load_failed, hosts_listed>;
 
 }  // namespace hawthorndrum
--- a/tests/settings/log_pages.cpp
+++ b/tests/settings/log_pages.cpp
@@ -81,14 +81,9 @@
     const auto names = Matches(line, std::regex("`(\\w+)`"));
     documented.insert(names.begin(), names.end());
   }
-  const std::set<std::string> not_records = {"host",
-                                             "data_centre",
-                                             "ratio",
-                                             "reserve",
-                                             "value",
-                                             "change_price",
-                                             "initial_prefill_share",
-                                             "max_prefill_share"};
+  const std::set<std::string> not_records = {
+      "host",    "data_centre", "ratio",        "calls_per_second",      "take",
+      "reserve", "value",       "change_price", "initial_prefill_share", "max_prefill_share"};
   EXPECT_EQ(Joined(Difference(Difference(written, documented), not_records)), "");
   EXPECT_EQ(Joined(Difference(Difference(documented, written), {"after_ms", "in_ms"})), "");
 }
