--- a/src/libhawthorndrum/gateway/gateway_config.h
+++ b/src/libhawthorndrum/gateway/gateway_config.h
@@ -54,6 +54,8 @@
   /** If there are any, callers need a key. */
   std::vector<team> teams;
   caller_limits limits;
+  /** What was left out since it could not be read; the rest is in force. */
+  std::vector<std::string> left_out;
 
   /** Builds the index for FindRoute; called once after `routes` is filled. */
   void Index();
--- a/src/libhawthorndrum/gateway/stage_controller.cpp
+++ b/src/libhawthorndrum/gateway/stage_controller.cpp
@@ -10,6 +10,7 @@
 #include "ports/clock.h"
 #include "ports/event_log.h"
 #include "ports/random_source.h"
+#include "scaling/fleet_outlook.h"
 #include "systems/lease_system.h"
 
 namespace hawthorndrum {
@@ -146,7 +147,7 @@
   return load;
 }
 
-std::size_t stage_controller::WantedPrefill(service_plan& plan,
+std::size_t stage_controller::WantedPrefill(const std::string& service, service_plan& plan,
                                             const std::vector<planned_engine>& engines,
                                             stage_load load, duration elapsed,
                                             time_point now) const {
@@ -160,8 +161,10 @@
     plan.planner.Observe(engines.size(), load, elapsed);
     return plan.planner.HasObserved() ? plan.planner.Wanted(engines.size(), present) : present;
   }
+  // An engine that is about to be exchanged isn't worth a change.
+  const bool changes = outlook_ != nullptr && outlook_->IsChanging(service, now);
   // The first holder's fleet is new; a later one's stages were planned under load.
-  const bool is_new = lease_.took_missing() && now >= plan.complete_at;
+  const bool is_new = lease_.took_missing() && now >= plan.complete_at && !changes;
   return is_new ? plan.planner.Initial(engines.size()) : present;
 }
 
@@ -171,7 +174,7 @@
   std::vector<planned_engine> engines = EnginesOf(service, now);
   const stage_load load = LoadOf(service, now);
   const std::size_t present = PrefillCount(engines);
-  const std::size_t wanted = WantedPrefill(plan, engines, load, elapsed, now);
+  const std::size_t wanted = WantedPrefill(service.name, plan, engines, load, elapsed, now);
   if (!may_order || wanted == present) return;
   if (wanted != plan.logged) {
     plan.logged = wanted;
--- a/src/libhawthorndrum/gateway/stage_controller.h
+++ b/src/libhawthorndrum/gateway/stage_controller.h
@@ -13,6 +13,7 @@
 
 class clock;
 class event_log;
+class fleet_outlook;
 class gateway;
 struct gateway_service;
 class lease_system;
@@ -35,6 +36,8 @@
                    const clock& time, random_source& random, event_log& log,
                    const stage_plan_limits& limits);
 
+  /** Sets what tells whether engines are being exchanged; null where nothing does. */
+  void SetOutlook(const fleet_outlook* outlook) { outlook_ = outlook; }
   void Run(time_point now) override;
   void OnOrderAnswer(const order_answer& answer) override;
 
@@ -71,8 +74,9 @@
   void PlanService(const gateway_service& service, duration elapsed, bool may_order,
                    time_point now);
   /** Returns how many engines should prefill. */
-  std::size_t WantedPrefill(service_plan& plan, const std::vector<planned_engine>& engines,
-                            stage_load load, duration elapsed, time_point now) const;
+  std::size_t WantedPrefill(const std::string& service, service_plan& plan,
+                            const std::vector<planned_engine>& engines, stage_load load,
+                            duration elapsed, time_point now) const;
   std::vector<planned_engine> EnginesOf(const gateway_service& service, time_point now) const;
   stage_load LoadOf(const gateway_service& service, time_point now) const;
   void OpenChanges(const std::vector<stage_change>& changes, std::vector<planned_engine>& engines,
@@ -88,6 +92,7 @@
   random_source& random_;
   event_log& log_;
   stage_plan_limits limits_;
+  const fleet_outlook* outlook_ = nullptr;
   std::map<std::string, service_plan> plans_;
   std::map<upstream_id, open_change> open_;
   time_point held_since_;
