Fetch configurations from other daemons where the store delivers none

Notices tell that a newer version exists. If the store does not deliver it in 300 ms, the daemon asks the others at random, one at a time, over TCP at the address for notices; only listed daemons are answered. Questions for a version that cannot be read grow rarer.

--- a/src/gatewayd/gateway_daemon.h
+++ b/src/gatewayd/gateway_daemon.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <string>
+#include <utility>
 
 #include "answer_router.h"
 #include "base/error.h"
@@ -56,6 +57,11 @@
   void Receive(event new_event) override;
   void Run(time_point now) override;
 
+  /** Answers other daemons' questions for a newer configuration. */
+  void ShareConfig(relay_endpoint::config_answer answer) {
+    relay_endpoint_.ShareConfig(std::move(answer), relay_server_);
+  }
+
   gateway& served() { return gateway_; }
   daemon_directory& daemons() { return daemons_; }
   notice_socket& notices() { return notices_; }
--- a/src/libhawthorndrum/relay/relay_headers.cpp
+++ b/src/libhawthorndrum/relay/relay_headers.cpp
@@ -20,6 +20,7 @@
 constexpr std::string_view kBuild = "Hawthorndrum-Relay-Build";
 constexpr std::string_view kLastEvent = "Hawthorndrum-Relay-Last-Event";
 constexpr std::string_view kTeam = "Hawthorndrum-Relay-Team";
+constexpr std::string_view kConfigAfter = "Hawthorndrum-Relay-Config-After";
 constexpr std::string_view kOutcome = "Hawthorndrum-Relay-Outcome";
 constexpr std::string_view kUpstream = "Hawthorndrum-Relay-Upstream";
 
@@ -83,6 +84,15 @@
   return terms;
 }
 
+void SetConfigQuestion(std::uint64_t version, std::vector<http_header>& headers) {
+  Remove(headers);
+  Add(headers, kConfigAfter, std::to_string(version));
+}
+
+std::optional<std::uint64_t> ReadConfigQuestion(const std::vector<http_header>& headers) {
+  return ReadNumber(FindHeader(headers, kConfigAfter));
+}
+
 void SetRelayAnswer(const relay_answer& answer, std::vector<http_header>& headers) {
   Remove(headers);
   Add(headers, kOutcome, std::string(kOutcomes[static_cast<std::size_t>(answer.outcome)]));
--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -50,6 +50,7 @@
         self.rng = random.Random(soak.options.seed * 77 + index)
         self.connection = None
         self.current = None  # The attempt in progress.
+        self.team = self.records.keys.teams[index % len(self.records.keys.teams)]
 
     async def run(self):
         while not self.soak.finished:
@@ -134,7 +135,11 @@
         lines = ["%s %s HTTP/1.1" % (method, target), "Host: " + HOST,
                  "X-Hawthorndrum-Request-Id: " + attempt.request,
                  "X-Hawthorndrum-Deadline-Ms: 3000", "X-Hawthorndrum-Kv-Hold: forged",
-                 "Content-Length: %d" % len(body)]
+                 "X-Hawthorndrum-Tenant: forged", "Content-Length: %d" % len(body)]
+        key = self.records.keys.choose(self.team)
+        if key:
+            lines.append("Api-Key: " + key)
+        self.records.keys.on_sent(attempt, key)
         if attempt.is_stream():
             lines += stream.prompt
             if stream.last_event:
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -70,6 +70,7 @@
         self.oldest = 10
         self.changed = asyncio.Condition()
         self.fault = None  # None, "busy" (answers 503) or "lost" (drops answers).
+        self.refused = set()  # Gateways that it turns away.
 
     async def put(self, kind, name, spec):
         self.revision += 1
@@ -101,7 +102,7 @@
                 if message is None:
                     break
                 words, _, body = message
-                status, content = await self.call(words[0], words[1], body)
+                status, content = await self.call(words[0], words[1], body, gateway)
                 content = seen_by(content, gateway)
                 if self.fault == "lost" and self.rng.random() < 0.5:
                     break
@@ -111,8 +112,8 @@
             pass
         writer.close()
 
-    async def call(self, method, target, body):
-        if self.fault == "busy":
+    async def call(self, method, target, body, gateway):
+        if self.fault == "busy" or gateway in self.refused:
             return 503, {}
         path, _, query = target.partition("?")
         parts = path.split("/")[3:]
@@ -121,7 +122,8 @@
         if method == "GET" and len(parts) == 2:
             return (200, kind[parts[1]]) if parts[1] in kind else (404, {})
         if method == "GET" and "watch" in options:
-            return await self.watch(parts[0], int(options["watch"]), int(options["wait_ms"]))
+            return await self.watch(parts[0], int(options["watch"]), int(options["wait_ms"]),
+                                    gateway)
         if method == "GET":
             return 200, {"items": list(kind.values()), "has_more": False,
                          "store_revision": self.revision}
@@ -141,9 +143,11 @@
         await self.put(parts[0], name, sent["spec"])
         return 200, kind[name]
 
-    async def watch(self, kind, revision, wait_ms):
+    async def watch(self, kind, revision, wait_ms, gateway):
         end = time.monotonic() + wait_ms / 1000
         while True:
+            if gateway in self.refused:
+                return 503, {}
             if revision < self.oldest:
                 return 410, {}
             events = [e for r, k, e in self.history if k == kind and r > revision]
@@ -270,6 +274,7 @@
             return True
         request = headers.get("x-hawthorndrum-request-id", "")
         self.records.on_offer(self.name, request, gateway)
+        self.records.keys.check_offer(request, target, headers, self.records.fail)
         if self.asks_for_time and not self.silent:
             seconds = round(self.rng.uniform(*ASKED_S), 1)
             self.records.rests.on_asked(self.name, gateway, seconds)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -8,6 +8,7 @@
 from disturbances import Disturbances
 from limit_records import LimitRecords
 from rest_records import RestRecords
+from team_keys import TeamKeys
 
 MIN_HOLDER_CHANGE_S = 3.0
 TIME_LIMIT_S = 2.9  # An answer that ends later than this may have reached its deadline of 3 s.
@@ -21,7 +22,7 @@
 
     EVENTS = 12
 
-    def __init__(self):
+    def __init__(self, seed=0):
         self.sent, self.runs, self.workers_of, self.not_run, self.failures = {}, {}, {}, set(), []
         self.orders = []
         self.counts = {}
@@ -36,6 +37,7 @@
         self.limits = LimitRecords(self.disturbances)
         self.cuts = CutRecords(self.disturbances)
         self.rests = RestRecords(self.disturbances)
+        self.keys = TeamKeys(seed, self.disturbances)
         self.versions = {}  # Software version of each worker.
         self.stream_counts = {"new": 0, "begun": 0, "resumed": 0, "gone on": 0}
 
@@ -152,6 +154,8 @@
 
     def check_answer(self, attempt, stream):
         request, status = attempt.request, attempt.status
+        if status == 401:
+            return self.keys.check_refusal(request, attempt.asked[1], self.fail)
         kind = status if attempt.whole else "broken" if attempt.broken else "cut"
         self.counts[kind] = self.counts.get(kind, 0) + 1
         if status in (408, 421, 429, 503) and not self.sent[request]["idempotent"]:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,7 @@
 from gateway_cuts import GatewayCuts
 from platform_standin import Store, Worker
 from records import Records
+from team_keys import CONFIG_BOUND_S, OPEN_ROUTES
 from worker_statements import WorkerStatements
 
 GATEWAYS = 4
@@ -45,7 +46,7 @@
     def __init__(self, options):
         self.options = options
         self.rng = random.Random(options.seed)
-        self.records = Records()
+        self.records = Records(options.seed)
         self.ports = Ports()
         self.disturbances = self.records.disturbances
         self.store = Store(random.Random(options.seed + 1))
@@ -85,13 +86,34 @@
 
     async def configure(self):
         self.version += self.rng.randrange(1, 4)
-        routes = [dict(r, host=HOST, timeout_ms=3000, goal_ms=500, priority=1) for r in ROUTES]
+        routes = [dict(r, host=HOST, timeout_ms=3000, goal_ms=500, priority=1,
+                       no_auth=r["path_prefix"] in OPEN_ROUTES) for r in ROUTES]
         engine = {"slots": 16, "kv_capacity": 500000, "kv_token_bytes": 1000, "link_mbps": 1e6}
         services = [{"name": "llm", "max_conns": 300, "engine": engine},
                     {"name": "desk", "max_conns": 300}]
         limits = {"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000}
         await self.store.put("config", "main", {"version": self.version, "routes": routes,
-                                                "services": services, "limits": limits})
+                                                "services": services, "limits": limits,
+                                                "tenants": self.records.keys.spec()})
+        self.records.keys.written()
+
+    async def take_key_away(self):
+        self.records.keys.replace_some()
+        await self.configure()
+
+    async def take_key_away_beyond_the_store(self):
+        """Takes a key away while the store turns half of the gateways away, without other faults."""
+        self.store.refused = set(self.rng.sample(range(GATEWAYS), GATEWAYS // 2))
+        await asyncio.sleep(0.5)
+        await self.take_key_away()
+        await asyncio.sleep(CONFIG_BOUND_S + 2)
+
+    async def refuse_some(self):
+        """Lets the store turn some gateways away; the others bring them configurations."""
+        refused = set(self.rng.sample(range(GATEWAYS), 2))
+        self.store.refused |= refused
+        await asyncio.sleep(self.rng.uniform(1, 6))
+        self.store.refused -= refused
 
     def start_gateway(self, gateway):
         log = open(gateway["log"], "ab")
@@ -119,7 +141,8 @@
     async def faults(self):
         kinds = [self.kill, self.pause, self.terminate, self.disturb_store, self.disturb_worker,
                  self.crash_worker, self.drain_worker, self.corrupt_worker, self.store_fault,
-                 self.discard_store_history, self.configure, self.reload]
+                 self.discard_store_history, self.configure, self.reload, self.take_key_away,
+                 self.take_key_away, self.refuse_some]
         if len(self.software) > 1:
             kinds.append(self.release)
         tasks = []
@@ -292,9 +315,11 @@
         worker.speak()
 
     async def store_fault(self):
+        interval = self.disturbances.begin("store")
         self.store.fault = self.rng.choice(["busy", "lost"])
         await asyncio.sleep(self.rng.uniform(0.2, 4))
         self.store.fault = None
+        self.disturbances.end(interval)
 
     async def discard_store_history(self):
         self.store.discard_history()
@@ -334,6 +359,7 @@
         if all_answers == 0 or good < 0.9 * all_answers:
             self.records.fail("after the faults only %d of %d answers were successful"
                               % (good, all_answers))
+        await self.take_key_away_beyond_the_store()
         self.finished = True
         await asyncio.gather(*callers)
         for gateway in self.gateways:
@@ -348,6 +374,8 @@
         self.records.limits.check(self.records.fail)
         self.records.cuts.check(self.records.fail)
         self.records.rests.check(self.records.ports, self.records.fail)
+        self.records.keys.check(self.records.fail)
+        print("keys: %s" % self.records.keys.counts)
         print("workers that ask for time: %s" % self.records.rests.counts)
         print("first tries during cuts: %s" % self.records.cuts.counts)
         print("workers that name limits: %s" % self.records.limits.counts)
