Keep a record of services that have had one build for long

Cause: after all daemons were killed, each resumed stream that no daemon remembers was refused, though most services had had one build for hours. Not known, not readable or of another era is refused.

--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -91,6 +91,7 @@
 
   fleet_table& fleet() { return fleet_; }
   peer_load_table& peers() { return peers_; }
+  stream_resumes& resumes() { return resumes_; }
   std::uint64_t config_version() const { return config_ ? config_->version : 0; }
   std::shared_ptr<const gateway_config> config() const { return config_; }
   /** Whether this daemon reaches no upstream at all. */
--- a/src/libhawthorndrum/resumes/stream_resumes.cpp
+++ b/src/libhawthorndrum/resumes/stream_resumes.cpp
@@ -1,6 +1,7 @@
 /// Asks in turn this daemon, the others and the history of builds.
 #include "resumes/stream_resumes.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include "origins/stream_origins.h"
 #include "ports/clock.h"
 #include "ports/event_log.h"
+#include "resumes/build_record_port.h"
 #include "resumes/resume_listener.h"
 
 namespace hawthorndrum {
@@ -24,19 +26,17 @@
 void stream_resumes::Resume(arrived_request arrived, const route& matched,
                             std::shared_ptr<const gateway_config> config) {
   const time_point now = ports_.time->Now();
-  if (arrived.terms.resumes.empty()) {
-    const auto only = only_.Find(matched, now);
-    return Decide(std::move(arrived), only, only ? "only_version" : "not_named");
-  }
-  const stream_key key = StreamKeyOf(arrived.terms.resumes);
+  waiting_request waiting{std::move(arrived), std::move(config), &matched};
+  const caller_terms& terms = waiting.arrived.terms;
+  if (terms.resumes.empty()) return DecideUnremembered(std::move(waiting), true);
+  const stream_key key = StreamKeyOf(terms.resumes);
   if (const auto build = ports_.origins->Find(key, now))
-    return Decide(std::move(arrived), build, "own");
-  waiting_.emplace(key, waiting_request{std::move(arrived), std::move(config), &matched});
+    return Decide(std::move(waiting.arrived), build, "own");
+  waiting_.emplace(key, std::move(waiting));
   ports_.origins->Ask(key, now);
 }
 
 void stream_resumes::OnOrigin(stream_key key, std::optional<software_build> build) {
-  const time_point now = ports_.time->Now();
   const auto [first, last] = waiting_.equal_range(key);
   std::vector<waiting_request> answered;
   for (auto it = first; it != last; ++it) answered.push_back(std::move(it->second));
@@ -46,17 +46,35 @@
       Decide(std::move(each.arrived), build, "peers");
       continue;
     }
-    const auto only = only_.Find(*each.matched, now);
-    Decide(std::move(each.arrived), only, only ? "only_version" : "unknown");
+    DecideUnremembered(std::move(each), true);
   }
 }
 
+void stream_resumes::DecideUnremembered(waiting_request waiting, bool may_ask) {
+  const time_point now = ports_.time->Now();
+  const auto only = only_.Find(*waiting.matched, now);
+  const bool asks = may_ask && !only && record_port_ != nullptr &&
+                    only_.NeedsRecord(*waiting.matched, now) && record_port_->Request(now);
+  if (asks) return waiting_for_record_.push_back(std::move(waiting));
+  const std::string_view unknown = waiting.arrived.terms.resumes.empty() ? "not_named" : "unknown";
+  Decide(std::move(waiting.arrived), only, only ? "only_version" : unknown);
+}
+
+void stream_resumes::OnRecord(const settled_builds* record) {
+  only_.OnRecord(record, ports_.time->Now());
+  std::vector<waiting_request> answered = std::exchange(waiting_for_record_, {});
+  for (waiting_request& each : answered) DecideUnremembered(std::move(each), false);
+}
+
 void stream_resumes::Drop(request_id id) {
   for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
     if (it->second.arrived.id != id) continue;
     waiting_.erase(it);
     return;
   }
+  const auto is_it = [id](const waiting_request& each) { return each.arrived.id == id; };
+  const auto gone = std::find_if(waiting_for_record_.begin(), waiting_for_record_.end(), is_it);
+  if (gone != waiting_for_record_.end()) waiting_for_record_.erase(gone);
 }
 
 void stream_resumes::Decide(arrived_request arrived, std::optional<software_build> build,
