Decide when leaving the data centre pays

A call to another data centre cost 8 or 5 ms, whatever bytes it moved and however busy that data centre was. crossing_policy weighs the price of the bytes and the measured delay against the time that the caller wins, and limits how many requests use free slots elsewhere.

--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -63,6 +63,7 @@
   ports.data_centre = settings.data_centre;
   ports.incarnation = incarnation_id(random.Draw());
   ports.retries = settings.retries;
+  ports.crossing = settings.crossing;
   return ports;
 }
 
--- /dev/null
+++ b/src/libhawthorndrum/crossing/crossing_policy.cpp
@@ -0,0 +1,99 @@
+/// Decides when a request leaves its data centre, and how many may.
+#include "crossing/crossing_policy.h"
+
+#include <algorithm>
+
+#include "ports/random_source.h"
+
+namespace hawthorndrum {
+
+namespace {
+
+constexpr double kBytesPerMegabyte = 1e6;
+constexpr double kBytesPerGigabyte = 1e9;
+/** A round trip, until calls have shown the link's delay. */
+constexpr double kAssumedDelayMs = 2;
+/** Answers from which on the lateness of the fast calls is believed. */
+constexpr int kEnoughAnswers = 8;
+/** A call is bad if it took this many times the usual ratio of near calls, and longer by this. */
+constexpr double kBadRatio = 2;
+constexpr duration kBadBeyond = milliseconds(50);
+
+}  // namespace
+
+crossing_policy::crossing_policy(crossing_terms terms, std::string own_data_centre,
+                                 random_source& random)
+    : terms_(terms), own_data_centre_(std::move(own_data_centre)), random_(random) {}
+
+double crossing_policy::PriceMs(double bytes) const {
+  return std::min(kMaxPriceMs, terms_.ms_per_megabyte * bytes / kBytesPerMegabyte);
+}
+
+double crossing_policy::KvPriceMs(double bytes) const {
+  return std::min(kMaxPriceMs, terms_.ms_per_kv_gigabyte * bytes / kBytesPerGigabyte);
+}
+
+std::size_t crossing_policy::SendersTo(const std::string& data_centre) const {
+  std::size_t senders = 0;
+  for (const auto& [each, count] : daemons_) {
+    if (each != data_centre) senders += count;
+  }
+  return std::max<std::size_t>(1, senders);
+}
+
+const link_results* crossing_policy::ResultsOf(const std::string& service,
+                                               const std::string& data_centre) const {
+  const auto found = results_.find({service, data_centre});
+  return found == results_.end() ? nullptr : &found->second;
+}
+
+double crossing_policy::DelayMs(const std::string& service, const std::string& data_centre) const {
+  if (IsNear(data_centre)) return 0;
+  const link_results* there = ResultsOf(service, data_centre);
+  const link_results* here = ResultsOf(service, own_data_centre_);
+  if (there == nullptr || there->answers() < kEnoughAnswers) return kAssumedDelayMs;
+  const bool knows_here = here != nullptr && here->answers() >= kEnoughAnswers;
+  const double late_here_ms = knows_here ? here->LowLatenessMs() : 0;
+  return std::max(kAssumedDelayMs, there->LowLatenessMs() - late_here_ms);
+}
+
+bool crossing_policy::Pays(double won_ms, double bytes, const std::string& service,
+                           const std::string& data_centre) const {
+  return won_ms > PriceMs(bytes) + DelayMs(service, data_centre);
+}
+
+double crossing_policy::SlotsFor(const std::string& service, const std::string& data_centre,
+                                 const crossing_room& room, time_point now) const {
+  if (room.slots <= 0 || room.free <= 0) return 0;
+  // The neighbour's own callers use the rest: the share of the free slots shrinks with its load.
+  const double idle_share = room.free / room.slots;
+  const link_results* there = ResultsOf(service, data_centre);
+  const double trust = there == nullptr ? 1 : there->Trust(now);
+  return trust * idle_share * room.free / static_cast<double>(SendersTo(data_centre));
+}
+
+bool crossing_policy::TakeTurn(const std::string& service, const std::string& data_centre,
+                               const crossing_room& room, time_point now) {
+  const double slots = SlotsFor(service, data_centre, room, now);
+  const link_results* there = ResultsOf(service, data_centre);
+  const duration call_time = there == nullptr ? link_results().CallTime() : there->CallTime();
+  return shares_[{service, data_centre}].Take(slots, call_time, random_, now);
+}
+
+void crossing_policy::OnAnswer(const std::string& service, const std::string& data_centre,
+                               duration expected, duration taken, time_point now) {
+  link_results& there = results_[{service, data_centre}];
+  there.OnAnswer(expected, taken);
+  if (IsNear(data_centre)) return;
+  const link_results* here = ResultsOf(service, own_data_centre_);
+  const double usual = here == nullptr ? 1 : std::max(1.0, here->Ratio());
+  const double limit = kBadRatio * usual * ToSeconds(expected) + ToSeconds(kBadBeyond);
+  there.Judge(ToSeconds(taken) > limit, now);
+}
+
+void crossing_policy::OnFailure(const std::string& service, const std::string& data_centre,
+                                time_point now) {
+  if (!IsNear(data_centre)) results_[{service, data_centre}].Judge(true, now);
+}
+
+}  // namespace hawthorndrum
--- /dev/null
+++ b/src/libhawthorndrum/crossing/crossing_room.h
@@ -0,0 +1,12 @@
+/// The free capacity of a service in another data centre, as far as this daemon knows.
+#pragma once
+
+namespace hawthorndrum {
+
+/** Invariant: `free` is at most `slots`. */
+struct crossing_room {
+  double slots = 0;
+  double free = 0;
+};
+
+}  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "crossing/crossing_policy.h"
 #include "gateway/engine_speeds.h"
 #include "gateway/fleet_table.h"
 #include "gateway/gateway_config.h"
@@ -19,8 +20,6 @@
 
 /** A prefill at another engine than the decode costs a second call. */
 constexpr double kSplitMs = 15;
-/** Traffic between data centres is billed; among equal engines a near one is preferred. */
-constexpr double kOtherDataCentreMs = 8;
 /** Spreads running requests over engines that are otherwise equal. */
 constexpr double kRunningMs = 0.5;
 /** An engine with this many requests per slot would refuse another one. */
@@ -65,16 +64,13 @@
 }  // namespace
 
 engine_placement::engine_placement(fleet_table& fleet, const engine_speeds& speeds,
-                                   random_source& random, std::string own_data_centre)
-    : fleet_(fleet),
-      speeds_(speeds),
-      random_(random),
-      own_data_centre_(std::move(own_data_centre)) {}
+                                   random_source& random, crossing_policy& crossing)
+    : fleet_(fleet), speeds_(speeds), random_(random), crossing_(crossing) {}
 
 double engine_placement::RunCost(const fleet_upstream& row, const placement_query& query) const {
   const upstream_work work = row.all_work();
   double cost = kRunningMs * work.running + TransferMs(work.fetching_tokens, *query.service);
-  if (row.entry.data_centre != own_data_centre_) cost += kOtherDataCentreMs;
+  cost += crossing_.DelayMs(row.entry.service, row.entry.data_centre);
   const double memory = static_cast<double>(query.service->memory_tokens) * kMemoryShare;
   const std::uint64_t needed = query.asked->tokens() + query.asked->output_tokens;
   if (memory > 0 && static_cast<double>(work.memory_tokens + needed) > memory)
@@ -92,11 +88,22 @@
   return 8.0 * static_cast<double>(tokens * service.token_bytes) / (service.link_mbps * 1000);
 }
 
-double engine_placement::TransferCost(const fleet_upstream& from, const fleet_upstream& to,
-                                      const placement_query& query) const {
+double engine_placement::SplitMs(const fleet_upstream& from, const fleet_upstream& to,
+                                 const placement_query& query) const {
   const double transfer_ms = TransferMs(query.asked->tokens(), *query.service);
   const bool near = from.entry.data_centre == to.entry.data_centre;
-  return kSplitMs + (near ? transfer_ms : 2 * transfer_ms + kOtherDataCentreMs);
+  return kSplitMs + (near ? transfer_ms : 2 * transfer_ms);
+}
+
+double engine_placement::TransferPriceMs(const fleet_upstream& from, const fleet_upstream& to,
+                                         const placement_query& query) const {
+  if (from.entry.data_centre == to.entry.data_centre) return 0;
+  return crossing_.KvPriceMs(
+      static_cast<double>(query.asked->tokens() * query.service->token_bytes));
+}
+
+double engine_placement::BytesOf(const placement_query& query, engine_stage stage) {
+  return query.request_bytes + (stage == engine_stage::kPrefill ? 0 : query.answer_bytes);
 }
 
 engine_placement::affinity_engines engine_placement::AffinityOf(
@@ -135,6 +142,11 @@
     each.slot_wait_ms = SlotWaitMs(*row);
     each.risk_ms = kRefusalMs * row->refusal_share;
     if (now < row->avoid_until) each.risk_ms += kAvoidedMs;
+    if (!crossing_.IsNear(row->entry.data_centre)) {
+      each.price_ms = crossing_.PriceMs(BytesOf(query, row->entry.stage));
+      each.follow_ms = each.price_ms + crossing_.PriceMs(BytesOf(query, engine_stage::kDecode)) +
+                       2 * crossing_.DelayMs(query.service->name, row->entry.data_centre);
+    }
     found.push_back(each);
   }
   const std::uint64_t key = query.asked->shared_key();
@@ -179,14 +191,14 @@
 }
 
 const engine_placement::candidate* engine_placement::SampleDecodeEngine(
-    const std::vector<candidate>& among, const std::string& near_data_centre,
+    const candidates& among, const std::string& near_data_centre,
     const std::function<double(const candidate&)>& cost_ms) const {
   std::vector<const candidate*> near;
   std::vector<const candidate*> all;
-  for (const candidate& each : among) {
-    if (each.row->entry.stage == engine_stage::kPrefill) continue;
-    all.push_back(&each);
-    if (each.row->entry.data_centre == near_data_centre) near.push_back(&each);
+  for (const candidate* each : among) {
+    if (each->row->entry.stage == engine_stage::kPrefill) continue;
+    all.push_back(each);
+    if (each->row->entry.data_centre == near_data_centre) near.push_back(each);
   }
   const candidate* best = nullptr;
   double best_ms = std::numeric_limits<double>::infinity();
@@ -215,7 +227,7 @@
   here.wait_ms = at.wait_ms + at.slot_wait_ms;
   here.work_ms =
       at.prefill_ms + at.run_ms + speeds_.OverheadMs(query.service->name, engine_stage::kDecode);
-  here.penalty_ms = at.penalty_ms + at.risk_ms;
+  here.penalty_ms = at.penalty_ms + at.risk_ms + at.price_ms;
   return here;
 }
 
@@ -227,10 +239,13 @@
   both.place = {decode_engine.row->id, prefill_engine.row->id, prefill_engine.unread, {}};
   both.wait_ms = prefill_engine.wait_ms + prefill_engine.slot_wait_ms + decode_engine.slot_wait_ms;
   both.work_ms = prefill_engine.prefill_ms + decode_engine.run_ms +
-                 TransferCost(*prefill_engine.row, *decode_engine.row, query) +
+                 SplitMs(*prefill_engine.row, *decode_engine.row, query) +
+                 crossing_.DelayMs(service, prefill_engine.row->entry.data_centre) +
                  std::max(speeds_.OverheadMs(service, engine_stage::kPrefill),
                           speeds_.OverheadMs(service, engine_stage::kDecode));
-  both.penalty_ms = prefill_engine.penalty_ms + prefill_engine.risk_ms + decode_engine.risk_ms;
+  both.penalty_ms = prefill_engine.penalty_ms + prefill_engine.risk_ms + decode_engine.risk_ms +
+                    prefill_engine.price_ms + decode_engine.price_ms +
+                    TransferPriceMs(*prefill_engine.row, *decode_engine.row, query);
   return both;
 }
 
@@ -238,39 +253,42 @@
   return kLongestWait * ToSeconds(query.objective) * 1000;
 }
 
-tl::expected<placement, placement_failure> engine_placement::Choose(const placement_query& query,
-                                                                    time_point now) const {
-  const std::vector<candidate> found = Candidates(query, now);
+tl::expected<engine_placement::option, placement_failure> engine_placement::ChooseAmong(
+    const candidates& among, const placement_query& query) const {
   const candidate* prefill_engine = nullptr;
-  for (const candidate& each : found) {
-    if (query.is_prefilled || each.row->entry.stage != engine_stage::kPrefill) continue;
-    if (prefill_engine == nullptr || each.PrefillCostMs() < prefill_engine->PrefillCostMs())
-      prefill_engine = &each;
+  for (const candidate* each : among) {
+    if (query.is_prefilled || each->row->entry.stage != engine_stage::kPrefill) continue;
+    if (prefill_engine == nullptr || each->PrefillCostMs() < prefill_engine->PrefillCostMs())
+      prefill_engine = each;
   }
   const fleet_upstream* fetches_from = query.is_prefilled          ? query.prefilled_at
                                        : prefill_engine == nullptr ? nullptr
                                                                    : prefill_engine->row;
   const candidate* decode_engine = SampleDecodeEngine(
-      found, fetches_from == nullptr ? own_data_centre_ : fetches_from->entry.data_centre,
+      among,
+      fetches_from == nullptr ? crossing_.own_data_centre() : fetches_from->entry.data_centre,
       [&](const candidate& each) {
-        return each.DecodeCostMs() +
-               (fetches_from == nullptr ? 0 : TransferCost(*fetches_from, *each.row, query));
+        if (fetches_from == nullptr) return each.DecodeCostMs();
+        return each.DecodeCostMs() + SplitMs(*fetches_from, *each.row, query) +
+               TransferPriceMs(*fetches_from, *each.row, query);
       });
   if (decode_engine == nullptr)
     return tl::make_unexpected(placement_failure{"no_engine", seconds(1)});
   if (query.is_prefilled) {
-    placement place{decode_engine->row->id, {}, 0, {}};
-    place.expected = Milliseconds(decode_engine->DecodeCostMs() - decode_engine->risk_ms);
-    return place;
+    option there;
+    there.place.runs_at = decode_engine->row->id;
+    there.work_ms = decode_engine->DecodeMs();
+    there.place.expected = Milliseconds(there.ExpectedMs());
+    return there;
   }
   option best = RunThere(
-      *SampleDecodeEngine(found, own_data_centre_,
+      *SampleDecodeEngine(among, crossing_.own_data_centre(),
                           [&](const candidate& each) { return RunThere(each, query).CostMs(); }),
       query);
-  for (const candidate& each : found) {
-    const bool holds_most = 2 * each.unread < query.asked->tokens();
-    if (each.row->entry.stage == engine_stage::kPrefill || !holds_most) continue;
-    const option here = RunThere(each, query);
+  for (const candidate* each : among) {
+    const bool holds_most = 2 * each->unread < query.asked->tokens();
+    if (each->row->entry.stage == engine_stage::kPrefill || !holds_most) continue;
+    const option here = RunThere(*each, query);
     if (here.CostMs() < best.CostMs()) best = here;
   }
   if (prefill_engine != nullptr) {
@@ -280,7 +298,7 @@
   best.place.expected = Milliseconds(best.ExpectedMs());
   const double longest_wait_ms = LongestWaitMs(query);
   const bool is_late = query.objective > duration(0) && best.wait_ms > longest_wait_ms;
-  if (!is_late && best.place.expected <= query.time_left) return best.place;
+  if (!is_late && best.place.expected <= query.time_left) return best;
   // The queue drains at the engines' speed; an earlier retry would still find it too long.
   const double too_long_ms = is_late ? best.wait_ms - longest_wait_ms / 2
                                      : best.ExpectedMs() - ToSeconds(query.time_left) * 1000;
@@ -288,4 +306,56 @@
       "engines_behind", std::max<duration>(kMinRetryAfter, Milliseconds(too_long_ms))});
 }
 
+const std::string* engine_placement::LeavesFor(const option& chosen) const {
+  for (const upstream_id id : {chosen.place.prefills_at, chosen.place.runs_at}) {
+    const fleet_upstream* row = id ? fleet_.Find(id) : nullptr;
+    if (row != nullptr && !crossing_.IsNear(row->entry.data_centre)) return &row->entry.data_centre;
+  }
+  return nullptr;
+}
+
+crossing_room engine_placement::RoomIn(const std::string& service, const std::string& data_centre,
+                                       time_point now) const {
+  crossing_room room;
+  for (const fleet_upstream* row : fleet_.OfService(service)) {
+    if (row->entry.data_centre != data_centre || !row->accepts_calls(now)) continue;
+    room.slots += row->entry.slots;
+    room.free += std::max(0.0, static_cast<double>(row->entry.slots) - row->all_work().running);
+  }
+  return room;
+}
+
+crossing_reason engine_placement::WhyLeave(const option& chosen,
+                                           const tl::expected<option, placement_failure>& near,
+                                           const placement_query& query, time_point now) const {
+  // The KV cache of a prefilled prompt is there already.
+  if (query.is_prefilled) return crossing_reason::kCache;
+  if (!near) return crossing_reason::kNoneNear;
+  // A decode engine is the best of a sample, so that a second choice may be better.
+  if (near->CostMs() <= chosen.CostMs()) return crossing_reason::kNone;
+  if (chosen.place.unread_tokens < near->place.unread_tokens) return crossing_reason::kCache;
+  if (near->penalty_ms >= kAvoidedMs) return crossing_reason::kNoneNear;
+  const std::string& data_centre = *LeavesFor(chosen);
+  const crossing_room room = RoomIn(query.service->name, data_centre, now);
+  const bool may = crossing_.TakeTurn(query.service->name, data_centre, room, now);
+  return may ? crossing_reason::kRoom : crossing_reason::kNone;
+}
+
+tl::expected<placement, placement_failure> engine_placement::Choose(const placement_query& query,
+                                                                    time_point now) const {
+  const std::vector<candidate> found = Candidates(query, now);
+  candidates all;
+  candidates near;
+  for (const candidate& each : found) {
+    all.push_back(&each);
+    if (crossing_.IsNear(each.row->entry.data_centre)) near.push_back(&each);
+  }
+  auto chosen = ChooseAmong(all, query);
+  if (!chosen) return tl::make_unexpected(chosen.error());
+  if (LeavesFor(*chosen) == nullptr) return chosen->place;
+  const auto stays = ChooseAmong(near, query);
+  chosen->place.leaves = WhyLeave(*chosen, stays, query, now);
+  return chosen->place.leaves == crossing_reason::kNone ? stays->place : chosen->place;
+}
+
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/engine_placement.h
+++ b/src/libhawthorndrum/gateway/engine_placement.h
@@ -10,11 +10,13 @@
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "crossing/crossing_room.h"
 #include "gateway/placement.h"
 #include "gateway/upstream_entry.h"
 
 namespace hawthorndrum {
 
+class crossing_policy;
 class engine_speeds;
 class random_source;
 class fleet_table;
@@ -32,7 +34,7 @@
 class engine_placement {
  public:
   engine_placement(fleet_table& fleet, const engine_speeds& speeds, random_source& random,
-                   std::string own_data_centre);
+                   crossing_policy& crossing);
 
   tl::expected<placement, placement_failure> Choose(const placement_query& query,
                                                     time_point now) const;
@@ -55,15 +57,23 @@
     double penalty_ms = 0;
     /** Penalty for recent failures and refusals of the engine. */
     double risk_ms = 0;
+    /** Price of the bytes that a call there moves between data centres. */
+    double price_ms = 0;
+    /** What a prefill there costs besides its time: the decode follows it to its data centre. */
+    double follow_ms = 0;
 
     /** Returns the cost of decoding there after a prefill elsewhere. */
-    double DecodeCostMs() const { return run_ms + slot_wait_ms + wait_ms + risk_ms; }
+    double DecodeCostMs() const { return DecodeMs() + risk_ms + price_ms; }
+    /** Returns the expected time of decoding there. */
+    double DecodeMs() const { return run_ms + slot_wait_ms + wait_ms; }
     /** Returns the cost of the prefill there. */
     double PrefillCostMs() const {
-      return wait_ms + slot_wait_ms + prefill_ms + penalty_ms + risk_ms;
+      return wait_ms + slot_wait_ms + prefill_ms + penalty_ms + risk_ms + follow_ms;
     }
   };
 
+  /** The engines that are considered for one request. */
+  using candidates = std::vector<const candidate*>;
   std::vector<candidate> Candidates(const placement_query& query, time_point now) const;
   /** Estimates the time and the penalty of the prefill there. */
   void EstimatePrefill(const placement_query& query, bool has_affinity, double repeat_factor,
@@ -81,8 +91,7 @@
    * Returns the cheapest of a few decode engines, sampled from one data centre and from all; null
    * when there is none.
    */
-  const candidate* SampleDecodeEngine(const std::vector<candidate>& among,
-                                      const std::string& near_data_centre,
+  const candidate* SampleDecodeEngine(const candidates& among, const std::string& near_data_centre,
                                       const std::function<double(const candidate&)>& cost_ms) const;
   double RunCost(const fleet_upstream& row, const placement_query& query) const;
   static double SlotWaitMs(const fleet_upstream& row);
@@ -99,17 +108,34 @@
   option RunThere(const candidate& at, const placement_query& query) const;
   option Split(const candidate& prefill_engine, const candidate& decode_engine,
                const placement_query& query) const;
+  /** Returns the best option among these engines. */
+  tl::expected<option, placement_failure> ChooseAmong(const candidates& among,
+                                                      const placement_query& query) const;
+  /** Returns the bytes that a call to an engine of that stage moves. */
+  static double BytesOf(const placement_query& query, engine_stage stage);
+  /** Returns the data centre that the option leaves for; null if it stays. */
+  const std::string* LeavesFor(const option& chosen) const;
+  /** Returns why the request leaves with this option, or that it stays with the near one. */
+  crossing_reason WhyLeave(const option& chosen,
+                           const tl::expected<option, placement_failure>& near,
+                           const placement_query& query, time_point now) const;
+  crossing_room RoomIn(const std::string& service, const std::string& data_centre,
+                       time_point now) const;
   /** Returns how long a new request may wait before an engine starts on it. */
   static double LongestWaitMs(const placement_query& query);
   /** Returns the time to transfer the KV cache of `tokens`, in milliseconds. */
   static double TransferMs(std::uint64_t tokens, const gateway_service& service);
-  double TransferCost(const fleet_upstream& from, const fleet_upstream& to,
-                      const placement_query& query) const;
+  /** Returns the time that a prefill elsewhere adds. */
+  double SplitMs(const fleet_upstream& from, const fleet_upstream& to,
+                 const placement_query& query) const;
+  /** Returns the price of the KV cache's bytes, if it leaves its data centre. */
+  double TransferPriceMs(const fleet_upstream& from, const fleet_upstream& to,
+                         const placement_query& query) const;
 
   fleet_table& fleet_;
   const engine_speeds& speeds_;
   random_source& random_;
-  std::string own_data_centre_;
+  crossing_policy& crossing_;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -55,6 +55,8 @@
   bool stalled = false;
   /** Prompt tokens to prefill before the first output token, other requests' tokens included. */
   std::uint64_t queued_tokens = 0;
+  /** Bytes of the answer that have arrived. */
+  std::uint64_t answer_bytes = 0;
   bool head_seen = false;
   bool first_byte_seen = false;
   time_point first_byte_at;
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -50,8 +50,10 @@
 
 gateway::gateway(const gateway_ports& ports)
     : ports_(ports),
-      engines_(fleet_, speeds_, *ports.random, ports.data_centre),
-      services_(fleet_, ports.data_centre),
+      crossing_(ports.crossing, ports.data_centre, *ports.random),
+      crossing_meter_(*ports.metrics),
+      engines_(fleet_, speeds_, *ports.random, crossing_),
+      services_(fleet_, crossing_),
       allowance_(ports.retries),
       reachability_(fleet_, *ports.upstreams, *ports.random, *ports.log),
       cut_off_(fleet_, reachability_, *ports.random, *ports.log, *ports.metrics),
@@ -82,6 +84,7 @@
 
 void gateway::SetDaemons(const std::vector<daemon_record>& others) {
   SetOtherDaemons(others.size());
+  CountDaemons(others);
   if (statements_.SetDaemons(others, ports_.time->Now())) relay_peers_.SetDaemons(others);
 }
 
@@ -159,6 +162,8 @@
   // work done so far would be lost.
   if (each.call.sent_at == time_point() && !each.build) query.objective = each.matched->objective;
   query.longest_pause = each.matched->longest_pause;
+  query.request_bytes = static_cast<double>(RequestBytes(each));
+  query.answer_bytes = crossing_meter_.AnswerBytes(each.matched->name);
   query.time_left = each.TimeLeft(now);
   return query;
 }
@@ -190,6 +195,7 @@
 }
 
 void gateway::Send(exchange& each, const placement& place, time_point now) {
+  RecordLeaving(each, place);
   if (place.prefills_at) return SendPrefill(each, place, now);
   SendRun(each, place.runs_at, place.unread_tokens, place.expected, now);
 }
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -10,6 +10,8 @@
 #include <vector>
 
 #include "base/http_message.h"
+#include "crossing/crossing_meter.h"
+#include "crossing/crossing_policy.h"
 #include "gateway/crash_recorder.h"
 #include "gateway/cut_off_detector.h"
 #include "gateway/daemon_directory.h"
@@ -160,6 +162,16 @@
   void Open(exchange& each, fleet_upstream& row, const run_terms& terms, time_point now);
   int UpstreamPriority(const exchange& each, bool fetches) const;
 
+  // Leaving the data centre.
+  void CountDaemons(const std::vector<daemon_record>& others);
+  void RecordLeaving(const exchange& each, const placement& place);
+  /** Counts the bytes of a call that has ended. */
+  void RecordCrossingBytes(exchange& each, const fleet_upstream& row);
+  /** Compares the time of a call with what was expected; `taken` ends with its first byte. */
+  void RecordLinkResult(const exchange& each, const fleet_upstream& row, duration taken,
+                        time_point now);
+  static std::uint64_t RequestBytes(const exchange& each);
+
   // Passing requests on to other daemons.
   /** Returns whether the request should not be placed here, since no upstream is reached. */
   bool ShouldPassOn(const exchange& each, time_point now) const;
@@ -254,6 +266,8 @@
   fleet_table fleet_;
   engine_speeds speeds_;
   demand_meter demand_;
+  crossing_policy crossing_;
+  crossing_meter crossing_meter_;
   engine_placement engines_;
   service_placement services_;
   retry_allowance allowance_;
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -68,6 +68,7 @@
   exchange* each = FindByAttempt(bytes.attempt);
   if (each == nullptr) return;
   each->call.stalled = false;
+  each->call.answer_bytes += bytes.bytes.size();
   const bool passed_on = each->state == exchange_state::kPassedOn;
   if (!passed_on) heard_at_ = ports_.time->Now();
   if (fleet_upstream* row = fleet_.Find(each->call.upstream))
@@ -177,6 +178,7 @@
   }
   crash_recorder_.RecordLivedOn(each, now);
   if (!each.head_sent) BeginAnswer(each);
+  crossing_meter_.OnAnswer(each.matched->name, each.call.answer_bytes);
   ports_.callers->End(each.id);
   Close(each, "answered", each.answer.terms.status);
 }
@@ -204,7 +206,10 @@
   if (row != nullptr && !terms.not_run) {
     const double failed = terms.status >= 500 ? 1 : 0;
     row->failure_share += kFailureWeight * (failed - row->failure_share);
-    if (!each.is_engine()) service_placement::Observe(*row, now - each.call.sent_at);
+    if (!each.is_engine()) {
+      RecordLinkResult(each, *row, now - each.call.sent_at, now);
+      service_placement::Observe(*row, now - each.call.sent_at);
+    }
   }
   // An upstream may fail a request before it begins an answer.
   if (!terms.not_run && IsSuccess(terms.status)) crash_recorder_.RecordLivedOn(each, now);
@@ -229,6 +234,7 @@
 void gateway::Deliver(exchange& each) {
   if (each.head_sent) return AbortStream(each);
   const int status = each.answer.terms.status;
+  crossing_meter_.OnAnswer(each.matched->name, each.answer.body.size());
   AnswerCaller(each, {status, each.answer.headers, std::move(each.answer.body)},
                relay_outcome::kAnswered);
   Close(each, IsSuccess(status) ? "answered" : "upstream_error", status);
--- a/src/libhawthorndrum/gateway/gateway_ports.h
+++ b/src/libhawthorndrum/gateway/gateway_ports.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "base/ids.h"
+#include "crossing/crossing_terms.h"
 #include "gateway/retry_allowance.h"
 
 namespace hawthorndrum {
@@ -36,6 +37,7 @@
   std::string data_centre;
   incarnation_id incarnation;
   retry_limits retries;
+  crossing_terms crossing;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -71,6 +71,7 @@
 }
 
 void gateway::RecordFailure(fleet_upstream& row, const call_problem& problem, time_point now) {
+  crossing_.OnFailure(row.entry.service, row.entry.data_centre, now);
   if (problem.reason == kNotConnected) {
     reachability_.OnNotConnected(row, now);
     cut_off_.OnNotConnected(row, now);
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -137,7 +137,10 @@
   const bool was_open = attempts_.erase(each.call.attempt) > 0;
   if (was_open && each.state == exchange_state::kPassedOn)
     relay_peers_.OnEnded(each.passed_to.back());
-  if (fleet_upstream* row = fleet_.Find(each.call.upstream)) row->own -= each.call.reserved;
+  if (fleet_upstream* row = fleet_.Find(each.call.upstream)) {
+    row->own -= each.call.reserved;
+    if (was_open) RecordCrossingBytes(each, *row);
+  }
   each.call.reserved = {};
 }
 
@@ -163,6 +166,7 @@
   fleet_upstream* row = fleet_.Find(each.call.upstream);
   if (row == nullptr) return;
   const duration taken = now - each.call.sent_at;
+  if (each.is_engine()) RecordLinkResult(each, *row, taken, now);
   if (each.call.reserved.unread_tokens > 0) {
     observed_prefill prefill;
     prefill.tokens = each.call.reserved.unread_tokens;
--- a/src/libhawthorndrum/gateway/gateway_settings.cpp
+++ b/src/libhawthorndrum/gateway/gateway_settings.cpp
@@ -31,6 +31,16 @@
   fields.ReportUnknown();
 }
 
+void ReadCrossing(yaml_fields& parent, crossing_terms& target, findings& found) {
+  const yaml_node* node = parent.Child("crossing");
+  if (node == nullptr) return;
+  yaml_fields fields(*node, found);
+  if (!fields.valid()) return;
+  fields.Number("ms_per_megabyte", target.ms_per_megabyte, 0, 1e9);
+  fields.Number("ms_per_kv_gigabyte", target.ms_per_kv_gigabyte, 0, 1e9);
+  fields.ReportUnknown();
+}
+
 }  // namespace
 
 gateway_settings ReadGatewaySettings(const std::string& file, std::string_view text,
@@ -56,6 +66,7 @@
   fields.Whole("shared_reading_from", settings.shared_reading_from, 2, 1'000'000);
   ReadRetries(fields, settings.retries, found);
   ReadStages(fields, settings.stages, found);
+  ReadCrossing(fields, settings.crossing, found);
   fields.Require("host", "the name of this host");
   fields.Require("data_centre", "the name of this daemon's data centre");
   fields.Require("callers", "the address for callers, ip:port");
--- a/src/libhawthorndrum/gateway/gateway_settings.h
+++ b/src/libhawthorndrum/gateway/gateway_settings.h
@@ -8,6 +8,7 @@
 
 #include "base/findings.h"
 #include "base/units.h"
+#include "crossing/crossing_terms.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/stage_planner.h"
 
@@ -36,6 +37,7 @@
   std::uint32_t shared_reading_from = 12;
   retry_limits retries;
   stage_plan_limits stages;
+  crossing_terms crossing;
 };
 
 /** Reads the settings from YAML and adds every fault to `found`. */
--- a/src/libhawthorndrum/gateway/placement.h
+++ b/src/libhawthorndrum/gateway/placement.h
@@ -7,6 +7,7 @@
 
 #include "base/ids.h"
 #include "base/units.h"
+#include "crossing/crossing_reason.h"
 
 namespace hawthorndrum {
 
@@ -35,6 +36,9 @@
   duration objective{0};
   /** The longest pause between events that meets the objective; zero when none is set. */
   duration longest_pause{0};
+  /** Size of a call, and the usual size of its answer; bytes between data centres are billed. */
+  double request_bytes = 0;
+  double answer_bytes = 0;
   /** Time until the caller's deadline. */
   duration time_left{0};
 };
@@ -49,6 +53,8 @@
   std::uint64_t unread_tokens = 0;
   /** Expected time to the first token, or to the answer of a plain service. */
   duration expected{0};
+  /** Whether and why the request leaves the data centre. */
+  crossing_reason leaves = crossing_reason::kNone;
 };
 
 /** Why no upstream was chosen, and when to try again. */
--- a/src/libhawthorndrum/gateway/service_placement.cpp
+++ b/src/libhawthorndrum/gateway/service_placement.cpp
@@ -3,8 +3,8 @@
 
 #include <algorithm>
 #include <limits>
-#include <utility>
 
+#include "crossing/crossing_policy.h"
 #include "gateway/fleet_table.h"
 #include "gateway/gateway_config.h"
 
@@ -12,8 +12,6 @@
 
 namespace {
 
-/** Round trip between data centres, and a penalty for billed traffic. */
-constexpr double kOtherDataCentreMs = 5;
 /** Cost of a failure in milliseconds, when a retry may follow and when none may. */
 constexpr double kRetriedFailureMs = 200;
 constexpr double kFinalFailureMs = 1000;
@@ -27,8 +25,8 @@
 
 }  // namespace
 
-service_placement::service_placement(fleet_table& fleet, std::string own_data_centre)
-    : fleet_(fleet), own_data_centre_(std::move(own_data_centre)) {}
+service_placement::service_placement(fleet_table& fleet, crossing_policy& crossing)
+    : fleet_(fleet), crossing_(crossing) {}
 
 void service_placement::Observe(fleet_upstream& row, duration taken) {
   if (row.answer_time == duration(0)) {
@@ -39,23 +37,57 @@
   row.answer_time += duration(static_cast<std::int64_t>(change));
 }
 
+double service_placement::RiskMs(const fleet_upstream& row, const placement_query& query,
+                                 time_point now) {
+  double risk = row.failure_share * (query.failure_is_final ? kFinalFailureMs : kRetriedFailureMs);
+  risk += row.refusal_share * kRetriedFailureMs;
+  if (now < row.avoid_until) risk += kAvoidedMs;
+  return risk;
+}
+
 double service_placement::CostOf(const fleet_upstream& row, const placement_query& query,
                                  time_point now) const {
   const duration answer = row.answer_time == duration(0) ? kInitialAnswerTime : row.answer_time;
   const double slots = std::max<std::uint32_t>(1, row.entry.slots);
   const double load = row.all_work().running / slots;
-  double cost = ToSeconds(answer) * 1000 * (1 + load);
-  cost += row.failure_share * (query.failure_is_final ? kFinalFailureMs : kRetriedFailureMs);
-  cost += row.refusal_share * kRetriedFailureMs;
-  if (row.entry.data_centre != own_data_centre_) cost += kOtherDataCentreMs;
-  if (now < row.avoid_until) cost += kAvoidedMs;
+  double cost = ToSeconds(answer) * 1000 * (1 + load) + RiskMs(row, query, now);
+  if (!crossing_.IsNear(row.entry.data_centre)) {
+    // A measured answer time contains the link's delay.
+    if (row.answer_time == duration(0))
+      cost += crossing_.DelayMs(row.entry.service, row.entry.data_centre);
+    cost += crossing_.PriceMs(query.request_bytes + query.answer_bytes);
+  }
   return cost;
 }
 
+crossing_room service_placement::RoomIn(const std::string& service, const std::string& data_centre,
+                                        time_point now) const {
+  crossing_room room;
+  for (const fleet_upstream* row : fleet_.OfService(service)) {
+    if (row->entry.data_centre != data_centre || !row->accepts_calls(now)) continue;
+    const double slots = std::max<std::uint32_t>(1, row->entry.slots);
+    room.slots += slots;
+    room.free += std::max(0.0, slots - row->all_work().running);
+  }
+  return room;
+}
+
+crossing_reason service_placement::WhyLeave(const candidate& near, const candidate& far,
+                                            const placement_query& query, time_point now) const {
+  if (far.row == nullptr || near.cost_ms <= far.cost_ms) return crossing_reason::kNone;
+  if (near.row == nullptr) return crossing_reason::kNoneNear;
+  // The near upstream's failures, not its load, make the difference.
+  if (RiskMs(*near.row, query, now) > far.cost_ms) return crossing_reason::kNoneNear;
+  const std::string& data_centre = far.row->entry.data_centre;
+  const crossing_room room = RoomIn(query.service->name, data_centre, now);
+  const bool may = crossing_.TakeTurn(query.service->name, data_centre, room, now);
+  return may ? crossing_reason::kRoom : crossing_reason::kNone;
+}
+
 tl::expected<placement, placement_failure> service_placement::Choose(const placement_query& query,
                                                                      time_point now) const {
-  const fleet_upstream* best = nullptr;
-  double best_ms = std::numeric_limits<double>::infinity();
+  candidate near{nullptr, std::numeric_limits<double>::infinity()};
+  candidate far = near;
   bool any = false;
   duration answer = kInitialAnswerTime;
   for (const fleet_upstream* row : fleet_.OfService(query.service->name)) {
@@ -67,17 +99,18 @@
     answer = std::max(answer, row->answer_time);
     if (row->all_work().running >= row->entry.slots * (1 + kQueuedPerSlot)) continue;
     const double cost = CostOf(*row, query, now);
-    if (cost >= best_ms) continue;
-    best_ms = cost;
-    best = row;
+    candidate& best = crossing_.IsNear(row->entry.data_centre) ? near : far;
+    if (cost < best.cost_ms) best = {row, cost};
   }
   if (!any) return tl::make_unexpected(placement_failure{"no_upstream", seconds(1)});
-  if (best == nullptr) {
+  if (near.row == nullptr && far.row == nullptr) {
     return tl::make_unexpected(
         placement_failure{"upstreams_full", std::max<duration>(kMinRetryAfter, answer)});
   }
-  const duration expected(static_cast<std::int64_t>(best_ms * 1000));
-  return placement{best->id, {}, 0, expected};
+  const crossing_reason leaves = WhyLeave(near, far, query, now);
+  const candidate& best = leaves == crossing_reason::kNone ? near : far;
+  const duration expected(static_cast<std::int64_t>(best.cost_ms * 1000));
+  return placement{best.row->id, {}, 0, expected, leaves};
 }
 
 }  // namespace hawthorndrum
--- a/tests/mix/mix_fleet.cpp
+++ b/tests/mix/mix_fleet.cpp
@@ -23,7 +23,8 @@
                      std::vector<request_kind> kinds)
     : settings_(settings),
       kinds_(std::move(kinds)),
-      placements_(fleet_, speeds_, random_, "north") {
+      crossing_({}, "north", random_),
+      placements_(fleet_, speeds_, random_, crossing_) {
   service_.name = "llm";
   service_.is_engine = true;
   service_.slots = settings.slots;
--- a/tests/mix/mix_fleet.h
+++ b/tests/mix/mix_fleet.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "crossing/crossing_policy.h"
 #include "engine_model.h"
 #include "fake_random_source.h"
 #include "gateway/engine_placement.h"
@@ -96,6 +97,7 @@
   fleet_table fleet_;
   engine_speeds speeds_;
   fake_random_source random_;
+  crossing_policy crossing_;
   engine_placement placements_;
   std::map<upstream_id, std::unique_ptr<engine_model>> engines_;
   std::map<std::uint64_t, open_request> open_;
--- a/tests/placement/test_placement.cpp
+++ b/tests/placement/test_placement.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "crossing/crossing_policy.h"
 #include "fake_random_source.h"
 #include "gateway/engine_placement.h"
 #include "gateway/engine_speeds.h"
@@ -17,7 +18,10 @@
 
 class PlacementTest : public testing::Test {
  protected:
-  PlacementTest() : engines(fleet, speeds, random, "north"), services(fleet, "north") {
+  PlacementTest()
+      : crossing({}, "north", random),
+        engines(fleet, speeds, random, crossing),
+        services(fleet, crossing) {
     llm.name = "llm";
     llm.is_engine = true;
     llm.memory_tokens = 500000;
@@ -65,6 +69,7 @@
   fleet_table fleet;
   engine_speeds speeds;
   fake_random_source random;
+  crossing_policy crossing;
   engine_placement engines;
   service_placement services;
   gateway_service llm;
