Keep a part of the neighbour's slots free for its own callers

A share of the free slots shrank with the calls that it had let leave, so that a burst used a quarter of what was free. Calls of this daemon now count as what the neighbour leaves, and 0.15 of its slots stay free.

--- a/src/libhawthorndrum/crossing/crossing_policy.cpp
+++ b/src/libhawthorndrum/crossing/crossing_policy.cpp
@@ -13,6 +13,8 @@
 constexpr double kBytesPerGigabyte = 1e9;
 /** A round trip, until calls have shown the link's delay. */
 constexpr double kAssumedDelayMs = 2;
+/** Share of a data centre's slots that is kept free for its own callers. */
+constexpr double kReserve = 0.15;
 /** Answers from which on the lateness of the fast calls is believed. */
 constexpr int kEnoughAnswers = 8;
 /** A call is bad if it took this many times the usual ratio of near calls, and longer by this. */
@@ -65,11 +67,15 @@
 double crossing_policy::SlotsFor(const std::string& service, const std::string& data_centre,
                                  const crossing_room& room, time_point now) const {
   if (room.slots <= 0 || room.free <= 0) return 0;
-  // The neighbour's own callers use the rest: the share of the free slots shrinks with its load.
-  const double idle_share = room.free / room.slots;
   const link_results* there = ResultsOf(service, data_centre);
   const double trust = there == nullptr ? 1 : there->Trust(now);
-  return trust * idle_share * room.free / static_cast<double>(SendersTo(data_centre));
+  const auto senders = static_cast<double>(SendersTo(data_centre));
+  // The other senders use about as much as this one; all divide what the neighbour leaves them.
+  const double left = std::min(room.slots, room.free + room.own * senders);
+  const double reserve = kReserve * room.slots;
+  // Where the reserve itself is in use, its own callers need the slots.
+  const double yielding = std::min(1.0, room.free / reserve);
+  return trust * yielding * std::max(0.0, left - reserve) / senders;
 }
 
 bool crossing_policy::TakeTurn(const std::string& service, const std::string& data_centre,
--- a/src/libhawthorndrum/crossing/crossing_room.h
+++ b/src/libhawthorndrum/crossing/crossing_room.h
@@ -7,6 +7,8 @@
 struct crossing_room {
   double slots = 0;
   double free = 0;
+  /** Slots that this daemon's own calls use. */
+  double own = 0;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -320,6 +320,7 @@
   for (const fleet_upstream* row : fleet_.OfService(service)) {
     if (row->entry.data_centre != data_centre || !row->accepts_calls(now)) continue;
     room.slots += row->entry.slots;
+    room.own += row->own.running;
     room.free += std::max(0.0, static_cast<double>(row->entry.slots) - row->all_work().running);
   }
   return room;
--- a/src/libhawthorndrum/gateway/service_placement.cpp
+++ b/src/libhawthorndrum/gateway/service_placement.cpp
@@ -67,6 +67,7 @@
     if (row->entry.data_centre != data_centre || !row->accepts_calls(now)) continue;
     const double slots = std::max<std::uint32_t>(1, row->entry.slots);
     room.slots += slots;
+    room.own += row->own.running;
     room.free += std::max(0.0, slots - row->all_work().running);
   }
   return room;
