--- a/tests/crossing/test_crossing.cpp
+++ b/tests/crossing/test_crossing.cpp
@@ -295,7 +295,9 @@
     EXPECT_LT(policy.south_longest_ms, least.south_longest_ms);
     EXPECT_LE(policy.mean_ms(), never.mean_ms());
     EXPECT_LT(policy.south_ms, 1.1 * never.south_ms);
-    if (south < 0.9) EXPECT_LT(policy.north_ms, never.north_ms / 1.5);
+    if (south < 0.9) {
+      EXPECT_LT(policy.north_ms, never.north_ms / 1.5);
+    }
   }
 }
 
