--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -64,6 +64,7 @@
   ports.incarnation = incarnation_id(random.Draw());
   ports.retries = settings.retries;
   ports.flow = flow_limits::ForMemory(settings.memory);
+  ports.crossing = settings.crossing;
   return ports;
 }
 
--- a/src/libhawthorndrum/gateway/gateway_ports.h
+++ b/src/libhawthorndrum/gateway/gateway_ports.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "base/ids.h"
+#include "crossing/crossing_terms.h"
 #include "flow/flow_limits.h"
 #include "gateway/retry_allowance.h"
 
@@ -38,6 +39,7 @@
   incarnation_id incarnation;
   retry_limits retries;
   flow_limits flow;
+  crossing_terms crossing;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/gateway_settings.cpp
+++ b/src/libhawthorndrum/gateway/gateway_settings.cpp
@@ -61,6 +61,16 @@
   fields.ReportUnknown();
 }
 
+void ReadCrossing(yaml_fields& parent, crossing_terms& target, findings& found) {
+  const yaml_node* node = parent.Child("crossing");
+  if (node == nullptr) return;
+  yaml_fields fields(*node, found);
+  if (!fields.valid()) return;
+  fields.Number("ms_per_megabyte", target.ms_per_megabyte, 0, 1e9);
+  fields.Number("ms_per_kv_gigabyte", target.ms_per_kv_gigabyte, 0, 1e9);
+  fields.ReportUnknown();
+}
+
 }  // namespace
 
 gateway_settings ReadGatewaySettings(const std::string& file, std::string_view text,
@@ -88,6 +98,7 @@
   ReadRetries(fields, settings.retries, found);
   ReadStages(fields, settings.stages, found);
   ReadDuties(fields, settings.duties, found);
+  ReadCrossing(fields, settings.crossing, found);
   fields.Require("host", "the name of this host");
   fields.Require("data_centre", "the name of this daemon's data centre");
   fields.Require("callers", "the address for callers, ip:port");
--- a/src/libhawthorndrum/gateway/gateway_settings.h
+++ b/src/libhawthorndrum/gateway/gateway_settings.h
@@ -8,6 +8,7 @@
 
 #include "base/findings.h"
 #include "base/units.h"
+#include "crossing/crossing_terms.h"
 #include "duties/duty_settings.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/stage_planner.h"
@@ -40,6 +41,7 @@
   retry_limits retries;
   stage_plan_limits stages;
   duty_settings duties;
+  crossing_terms crossing;
 };
 
 /** Reads the settings from YAML and adds every fault to `found`. */
