--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -103,6 +103,8 @@
   /** The engine that prefilled the prompt. */
   upstream_id prefilled_by;
   bool sent_to_prefill = false;
+  /** Whether an upstream began to run it; another run is no further request. */
+  bool began = false;
 
   /** Upstreams that the request was sent to, including those that refused it. */
   std::vector<upstream_id> tried;
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -58,6 +58,8 @@
   void SetFleetRevision(std::uint64_t revision) { fleet_revision_ = revision; }
   /** Sets the other daemons, with which this one shares the limits of upstreams. */
   void SetDaemons(const std::vector<daemon_record>& others);
+  /** Sets what counts the requests that began; without it nothing does. */
+  void SetUsageMeter(usage_meter& meter) { ports_.usage = &meter; }
   /** Sets the number of other daemons that share the retry budget, without this one. */
   void SetOtherDaemons(std::size_t others) { allowance_.SetDaemons(others + 1); }
 
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -10,6 +10,7 @@
 #include "ports/clock.h"
 #include "ports/event_log.h"
 #include "ports/random_source.h"
+#include "usage/usage_meter.h"
 
 namespace hawthorndrum {
 
@@ -160,6 +161,10 @@
   if (each.call.first_byte_seen) return;
   each.call.first_byte_seen = true;
   each.call.first_byte_at = now;
+  if (each.state == exchange_state::kRunning && !each.began) {
+    each.began = true;
+    if (ports_.usage != nullptr) ports_.usage->OnRequestBegan(each.team, now);
+  }
   fleet_upstream* row = fleet_.Find(each.call.upstream);
   if (row == nullptr) return;
   const duration taken = now - each.call.sent_at;
--- a/src/libhawthorndrum/systems/lease_system.h
+++ b/src/libhawthorndrum/systems/lease_system.h
@@ -61,6 +61,8 @@
   lease_term term() const { return term_; }
   /** The highest term known, whoever holds it. */
   lease_term highest_term() const { return highest_; }
+  /** This daemon's rendezvous rank in its data centre; 0 is the first. */
+  std::size_t Rank() const;
   peer_id known_holder() const { return known_holder_; }
 
   /**
@@ -101,8 +103,6 @@
   void Lose();
   void Announce(time_point now);
   void PollStore(time_point now);
-  /** This daemon's rendezvous rank in its data centre; 0 is the first. */
-  std::size_t Rank() const;
   /** The group of that rank: the first few daemons are group 0. */
   duration::rep RankGroup() const;
   /** How long the holder must be silent before this daemon polls the store. */
