Keep so many reclaimable upstreams that one data centre's may go

Now the load is the number of busy engines; two fifths of the size can't be reclaimed and the rest is ordered so that what is left without the reclaimable ones of one data centre is the size; until the load is known, lost ones are replaced; nothing is reduced while ordered ones are missing; the first holder has no predecessor to wait for; and engines that stay take their stages while the others still go.

--- a/src/libhawthorndrum/duties/lease_authority.h
+++ b/src/libhawthorndrum/duties/lease_authority.h
@@ -10,8 +10,8 @@
 
 /**
  * Invariants: no call is permitted unless the lease is valid, nor before kTakeoverPause after it
- * was gained, when calls of the former holder can no longer arrive; so calls of one daemon, of
- * another and of the first again are further apart than that.
+ * was gained, when calls of the former holder can no longer arrive, unless there was none; so calls
+ * of one daemon, of another and of the first again are further apart than that.
  */
 class lease_authority : public system, public duty_authority {
  public:
--- a/src/libhawthorndrum/gateway/gateway_scaled_fleet.cpp
+++ b/src/libhawthorndrum/gateway/gateway_scaled_fleet.cpp
@@ -25,14 +25,17 @@
     scaled_service service;
     service.name = from.name;
     service.limits = *from.scale;
-    if (from.is_engine) service.load.prefill = gateway_.PrefillLoad(from.name, now);
     std::map<std::string, centre_counts> centres;
     for (const fleet_upstream* row : gateway_.fleet().OfService(from.name)) {
       centre_counts& centre = centres[row->entry.data_centre];
-      if (row->entry.stage != engine_stage::kPrefill) {
+      const auto running = static_cast<double>(row->all_work().running);
+      if (row->entry.stage == engine_stage::kPrefill) {
+        // It reads prompts one after the other, so one keeps it busy. How busy engines are is
+        // known better than how fast they read.
+        service.load.prefill += std::min(running, 1.0);
+      } else {
         const double slots = std::max<std::uint32_t>(1, row->entry.slots);
-        service.load.running +=
-            std::min(static_cast<double>(row->all_work().running) / slots, kMaxOccupied);
+        service.load.running += std::min(running / slots, kMaxOccupied);
       }
       if (!row->takes_work(now)) continue;
       ++(row->entry.reclaimable ? centre.reclaimable : centre.lasting);
--- a/src/libhawthorndrum/gateway/stage_controller.cpp
+++ b/src/libhawthorndrum/gateway/stage_controller.cpp
@@ -2,6 +2,7 @@
 #include "gateway/stage_controller.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 #include "base/log_record.h"
@@ -147,7 +148,7 @@
   return load;
 }
 
-std::size_t stage_controller::WantedPrefill(const std::string& service, service_plan& plan,
+std::size_t stage_controller::WantedPrefill(service_plan& plan,
                                             const std::vector<planned_engine>& engines,
                                             stage_load load, duration elapsed,
                                             time_point now) const {
@@ -156,15 +157,12 @@
     plan.engines = engines.size();
     plan.complete_at = now + kListingTime;
   }
-  plan.saw_load = plan.saw_load || load.prefill + load.decode > kMinLoad;
   if (plan.saw_load) {
     plan.planner.Observe(engines.size(), load, elapsed);
     return plan.planner.HasObserved() ? plan.planner.Wanted(engines.size(), present) : present;
   }
-  // An engine that is about to be exchanged isn't worth a change.
-  const bool changes = outlook_ != nullptr && outlook_->IsChanging(service, now);
   // The first holder's fleet is new; a later one's stages were planned under load.
-  const bool is_new = lease_.took_missing() && now >= plan.complete_at && !changes;
+  const bool is_new = lease_.took_missing() && now >= plan.complete_at;
   return is_new ? plan.planner.Initial(engines.size()) : present;
 }
 
@@ -173,8 +171,13 @@
   service_plan& plan = plans_.try_emplace(service.name, limits_).first->second;
   std::vector<planned_engine> engines = EnginesOf(service, now);
   const stage_load load = LoadOf(service, now);
+  plan.saw_load = plan.saw_load || load.prefill + load.decode > kMinLoad;
+  if (!plan.saw_load && outlook_ != nullptr && outlook_->IsChanging(service.name, now)) {
+    if (may_order && lease_.took_missing()) PlanExchange(service, plan, engines, now);
+    return;
+  }
   const std::size_t present = PrefillCount(engines);
-  const std::size_t wanted = WantedPrefill(service.name, plan, engines, load, elapsed, now);
+  const std::size_t wanted = WantedPrefill(plan, engines, load, elapsed, now);
   if (!may_order || wanted == present) return;
   if (wanted != plan.logged) {
     plan.logged = wanted;
@@ -192,6 +195,24 @@
   OpenChanges(PlanStages(engines, wanted), engines, load, now);
 }
 
+void stage_controller::PlanExchange(const gateway_service& service, const service_plan& plan,
+                                    const std::vector<planned_engine>& engines, time_point now) {
+  const planned_fleet planned = outlook_->Planned(service.name);
+  std::vector<planned_engine> stay;
+  std::vector<planned_engine> others;
+  for (const planned_engine& each : engines) {
+    const bool stays = gateway_.fleet().Find(each.id)->entry.reclaimable;
+    (stays ? stay : others).push_back(each);
+  }
+  if (stay.empty() || others.empty()) return;
+  const double share =
+      static_cast<double>(PrefillCount(others)) / static_cast<double>(others.size());
+  const auto all = static_cast<double>(plan.planner.Initial(planned.lasting + planned.reclaimable));
+  const double missing = std::max(0.0, all - share * static_cast<double>(planned.lasting));
+  const std::size_t wanted = std::min(stay.size(), static_cast<std::size_t>(std::lround(missing)));
+  if (wanted > PrefillCount(stay)) OpenChanges(PlanStages(stay, wanted), stay, {}, now);
+}
+
 void stage_controller::OpenChanges(const std::vector<stage_change>& changes,
                                    std::vector<planned_engine>& engines, stage_load load,
                                    time_point now) {
--- a/src/libhawthorndrum/gateway/stage_controller.h
+++ b/src/libhawthorndrum/gateway/stage_controller.h
@@ -74,11 +74,16 @@
   void PlanService(const gateway_service& service, duration elapsed, bool may_order,
                    time_point now);
   /** Returns how many engines should prefill. */
-  std::size_t WantedPrefill(const std::string& service, service_plan& plan,
-                            const std::vector<planned_engine>& engines, stage_load load,
-                            duration elapsed, time_point now) const;
+  std::size_t WantedPrefill(service_plan& plan, const std::vector<planned_engine>& engines,
+                            stage_load load, duration elapsed, time_point now) const;
   std::vector<planned_engine> EnginesOf(const gateway_service& service, time_point now) const;
   stage_load LoadOf(const gateway_service& service, time_point now) const;
+  /**
+   * While engines of a new fleet are exchanged, changes only those that are known to stay, so that
+   * the stages of the planned fleet are right.
+   */
+  void PlanExchange(const gateway_service& service, const service_plan& plan,
+                    const std::vector<planned_engine>& engines, time_point now);
   void OpenChanges(const std::vector<stage_change>& changes, std::vector<planned_engine>& engines,
                    stage_load load, time_point now);
   void Open(const stage_change& change, time_point now);
--- a/src/libhawthorndrum/scaling/demand_history.h
+++ b/src/libhawthorndrum/scaling/demand_history.h
@@ -43,7 +43,11 @@
   };
 
   std::deque<step> steps_;
+  /** Over the last two seconds: shorter peaks are counts of a moment. */
+  service_load recent_;
   service_load mean_;
+  /** How much of the averaging time has passed, 0 to 1. */
+  double covered_ = 0;
   bool saw_load_ = false;
   time_point first_load_at_;
   time_point observed_at_;
--- a/src/libhawthorndrum/scaling/scale_controller.cpp
+++ b/src/libhawthorndrum/scaling/scale_controller.cpp
@@ -22,12 +22,12 @@
 /** Under load, what is left takes the work over before more upstreams go. */
 constexpr duration kReduceGap = seconds(6);
 /** Upstreams that go are out of the list of those that take work within this. */
-constexpr duration kGoingTime = seconds(1);
+constexpr duration kGoingTime = seconds(2);
 constexpr duration kRetryRefused = seconds(1);
 constexpr duration kRetryUnknown = seconds(2);
 /** After the platform had none, it is asked again so much later, then twice as much, and so on. */
 constexpr duration kRetryNone = seconds(3);
-constexpr duration kMaxRetryNone = seconds(24);
+constexpr duration kMaxRetryNone = seconds(12);
 /** Ordered upstreams may be missing for a moment, as they crash and start again. */
 constexpr duration kRepeatMissing = seconds(5);
 /** A daemon that takes the duty orders, if at all, within this; see IsChanging. */
@@ -128,6 +128,7 @@
       centre.size = centre.lasting.present + centre.reclaimable.present;
     }
   }
+  AdoptLate(orders);
   Repeat(service, orders, now);
   const plan_demand demand{orders.demand.mean(), orders.demand.peak(), orders.demand.saw_load(),
                            orders.demand.is_known(now)};
@@ -135,6 +136,7 @@
   const scale_plan plan = PlanUpstreams(service.limits, StatesOf(orders, now), demand, may_reduce);
   auto size = plan.sizes.begin();
   for (auto& [name, centre] : orders.centres) centre.size = *size++;
+  orders.planned = plan.fleet;
   for (const scale_step& step : plan.steps) {
     centre_orders& centre = orders.centres[step.data_centre];
     const kind_orders& kind = step.reclaimable ? centre.reclaimable : centre.lasting;
@@ -144,6 +146,15 @@
   }
 }
 
+void scale_controller::AdoptLate(service_orders& orders) {
+  for (auto& [name, centre] : orders.centres) {
+    kind_orders& kind = centre.lasting;
+    if (kind.was_ordered || kind.present <= kind.ordered) continue;
+    centre.size += kind.present - kind.ordered;
+    kind.ordered = kind.present;
+  }
+}
+
 void scale_controller::Repeat(const scaled_service& service, service_orders& orders,
                               time_point now) {
   for (auto& [name, centre] : orders.centres) {
@@ -172,11 +183,11 @@
   kind.ordered = step.wanted;
   kind.open = duty_call_id(random_.Draw());
   kind.is_unanswered = false;
+  kind.was_ordered = true;
   const bool adds = step.wanted > kind.present;
   kind.retry_at = now + (step.reason == scale_reason::kMissing ? kRepeatMissing : duration(0));
   if (adds) kind.starts_until = now + service.limits.start_time + kListingTime;
-  orders.changes_until = std::max(
-      orders.changes_until, now + (adds ? service.limits.start_time + kListingTime : kGoingTime));
+  kind.goes_until = now + kGoingTime;
   log_.Write(log_importance::kImportant,
              log_record("upstreams_ordered")
                  .Text("service", service.name)
@@ -236,11 +247,25 @@
   }
 }
 
+planned_fleet scale_controller::Planned(std::string_view service) const {
+  const auto found = services_.find(service);
+  const bool is_known = found != services_.end() && found->second.is_derived;
+  return is_known ? found->second.planned : planned_fleet();
+}
+
 bool scale_controller::IsChanging(std::string_view service, time_point now) const {
   const auto found = services_.find(service);
   if (found == services_.end()) return false;
   const service_orders& orders = found->second;
-  return now < orders.changes_until || (!orders.is_derived && now < orders.seen_at + kFirstPlan);
+  if (!orders.is_derived) return now < orders.seen_at + kFirstPlan;
+  for (const auto& [name, centre] : orders.centres) {
+    for (const kind_orders* kind : {&centre.lasting, &centre.reclaimable}) {
+      const bool comes = kind->present < kind->ordered && now < kind->starts_until;
+      const bool goes = kind->present > kind->ordered && now < kind->goes_until;
+      if (comes || goes) return true;
+    }
+  }
+  return false;
 }
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/scaling/scale_controller.h
+++ b/src/libhawthorndrum/scaling/scale_controller.h
@@ -42,6 +42,7 @@
   void Run(time_point now) override;
   void OnDutyAnswer(duty_call_id call, duty_outcome outcome) override;
   bool IsChanging(std::string_view service, time_point now) const override;
+  planned_fleet Planned(std::string_view service) const override;
 
  private:
   struct kind_orders {
@@ -51,11 +52,13 @@
     std::uint32_t before = 0;
     /** Set while an order is open. */
     duty_call_id open;
+    bool was_ordered = false;
     bool is_unanswered = false;
     bool is_missing_some = false;
     /** No order is sent before. */
     time_point retry_at;
     time_point starts_until;
+    time_point goes_until;
     time_point none_until;
     /** How long the platform is not asked after it had none. */
     duration none_for{0};
@@ -70,14 +73,17 @@
     std::map<std::string, centre_orders> centres;
     /** Whether `ordered` was derived from the host list in this holding. */
     bool is_derived = false;
+    /** What the last plan comes to when all its steps are carried out. */
+    planned_fleet planned;
     time_point seen_at;
     time_point reduced_at;
-    time_point changes_until;
   };
 
   void PlanService(const scaled_service& service, time_point now);
   void CountPresent(const scaled_service& service, service_orders& orders);
   std::vector<centre_state> StatesOf(const service_orders& orders, time_point now) const;
+  /** Adds upstreams of a new fleet that were listed late. */
+  void AdoptLate(service_orders& orders);
   void Repeat(const scaled_service& service, service_orders& orders, time_point now);
   void Order(const scaled_service& service, service_orders& orders, const scale_step& step,
              time_point now);
--- a/src/libhawthorndrum/scaling/upstream_plan.cpp
+++ b/src/libhawthorndrum/scaling/upstream_plan.cpp
@@ -13,21 +13,31 @@
 constexpr double kBurst = 1.7;
 /** The highest utilisation at which callers don't wait noticeably. */
 constexpr double kFullShare = 0.85;
+/** What is left after a data centre is lost may be busier than that until others serve. */
+constexpr double kFullShareOfRest = 0.95;
 /** A fleet that is larger than this many times the plan is reduced. */
 constexpr double kTooMany = 1.3;
+/** With a smaller share of its upstreams, a data centre is short. */
+constexpr double kMissing = 0.9;
 /** What a fleet that grows gets beyond the plan, so that a rising load takes few orders. */
 constexpr double kGrowth = 1.2;
 /** What a reduced fleet keeps beyond the plan, so that the next swing doesn't order again. */
 constexpr double kKeptBeyond = 1.1;
-/** The share of upstreams that the platform can't reclaim. */
-constexpr double kLastingShare = 0.05;
+/**
+ * The share of the size that the platform can't reclaim: two data centres may be reclaimed within
+ * the time that an upstream takes to start.
+ */
+constexpr double kLastingShare = 0.4;
 
 std::uint32_t CeilOf(double value) { return static_cast<std::uint32_t>(std::ceil(value - 1e-9)); }
 
+/** What must be spread over that many data centres for one unit to be left without one of them. */
+double SpreadOver(std::size_t centres) {
+  return static_cast<double>(centres) / static_cast<double>(centres - 1);
+}
+
 bool ReclaimablePays(const scale_limits& limits, std::size_t centres) {
-  if (centres < 2) return false;
-  const double spread = static_cast<double>(centres) / static_cast<double>(centres - 1);
-  return limits.reclaimable_price * spread < 1;
+  return centres >= 2 && limits.reclaimable_price * SpreadOver(centres) < 1;
 }
 
 /** How many a data centre should have of both kinds. */
@@ -51,6 +61,19 @@
   return kind.starting ? std::max(kind.present, kind.ordered) : kind.present;
 }
 
+bool IsServing(const centre_state& centre) {
+  return Expected(centre.lasting) + Expected(centre.reclaimable) > 0;
+}
+
+/** Whether ordered ones are starting, or missing in a data centre that serves. */
+bool IsUnsettled(const centre_state& centre) {
+  for (const kind_state* kind : {&centre.lasting, &centre.reclaimable}) {
+    if (kind->starting && kind->present < kind->ordered) return true;
+  }
+  const std::uint32_t expected = Expected(centre.lasting) + Expected(centre.reclaimable);
+  return expected > 0 && expected < centre.size * kMissing;
+}
+
 class planner {
  public:
   planner(const scale_limits& limits, const std::vector<centre_state>& centres,
@@ -58,12 +81,21 @@
       : limits_(limits), centres_(centres), demand_(demand), may_reduce_(may_reduce) {}
 
   scale_plan Plan() {
-    const double load = UpstreamsFor(demand_);
-    const auto count = static_cast<double>(centres_.size());
-    const double needed = centres_.size() < 2 ? load : load / (count - 1);
+    const auto all = static_cast<double>(std::max<std::size_t>(1, centres_.size()));
+    const auto serving = static_cast<double>(
+        std::max<std::ptrdiff_t>(1, std::count_if(centres_.begin(), centres_.end(), IsServing)));
+    // When a data centre is lost, the others carry the load, and a further loss is not borne.
+    const bool has_spare = ReclaimablePays(limits_, centres_.size());
+    const double load = LoadOnAll(demand_);
+    const double needed = std::max(
+        has_spare ? load / all : LoadWithALoss(demand_, centres_.size()) / all, load / serving);
+    if (demand_.seen) {
+      may_reduce_ = may_reduce_ && demand_.known &&
+                    std::none_of(centres_.begin(), centres_.end(), IsUnsettled);
+    }
     for (const centre_state& centre : centres_) PlanCentre(centre, needed);
-    if (demand_.seen) FillShortage(load);
-    return {std::move(steps_), std::move(sizes_)};
+    if (demand_.seen) FillShortage();
+    return {std::move(steps_), std::move(sizes_), fleet_};
   }
 
  private:
@@ -71,10 +103,15 @@
     const std::uint32_t wanted = WantedIn(centre, needed, limits_, demand_);
     sizes_.push_back(wanted);
     std::uint32_t lasting = wanted;
+    std::uint32_t reclaimable = 0;
     if (ReclaimablePays(limits_, centres_.size()) && wanted > 0) {
       lasting = std::max(1u, CeilOf(wanted * kLastingShare));
+      // Those of one data centre may go without a replacement.
+      reclaimable = CeilOf((wanted - lasting) * SpreadOver(centres_.size()));
     }
-    PlanReclaimable(centre, wanted - lasting);
+    fleet_.lasting += lasting;
+    fleet_.reclaimable += reclaimable;
+    PlanReclaimable(centre, reclaimable);
     PlanLasting(centre, wanted, lasting);
   }
 
@@ -96,7 +133,10 @@
       Add(centre, false, lasting, scale_reason::kLoad);
       return;
     }
-    const std::uint32_t replaced = std::min(wanted, centre.reclaimable.present);
+    // Under load, one cut is better than two.
+    const kind_state& others = centre.reclaimable;
+    if (demand_.seen && others.starting && others.present < others.ordered) return;
+    const std::uint32_t replaced = std::min(wanted, others.present);
     const std::uint32_t kept = std::max(lasting, wanted - replaced);
     if (kept < now.ordered) Reduce(centre, false, kept, scale_reason::kCheaperKind);
   }
@@ -125,51 +165,77 @@
     steps_.push_back({centre.name, reclaimable, now.ordered, wanted, reason});
   }
 
-  /** Both kinds of a data centre, with the steps so far. */
-  std::uint32_t OrderedWithSteps(const centre_state& centre) const {
-    std::uint32_t sum = centre.ordered();
+  /** What is ordered of a kind there, with the steps so far. */
+  std::uint32_t WithSteps(const centre_state& centre, bool reclaimable) const {
+    for (const scale_step& each : steps_) {
+      if (each.data_centre == centre.name && each.reclaimable == reclaimable) return each.wanted;
+    }
+    return (reclaimable ? centre.reclaimable : centre.lasting).ordered;
+  }
+
+  /** How many more of both kinds may be ordered there. */
+  std::uint32_t RoomIn(const centre_state& centre) const {
+    const std::uint32_t taken = WithSteps(centre, false) + WithSteps(centre, true);
+    return limits_.max - std::min(limits_.max, taken);
+  }
+
+  /** Those that serve there, or will soon. */
+  std::uint32_t ExpectedIn(const centre_state& centre) const {
+    std::uint32_t sum = Expected(centre.lasting) + Expected(centre.reclaimable);
     for (const scale_step& each : steps_) {
-      if (each.data_centre == centre.name) sum += each.wanted - each.before;
+      if (each.data_centre == centre.name && each.wanted > each.before) {
+        sum += each.wanted - each.before;
+      }
     }
     return sum;
   }
 
-  /** Orders the missing ones where there is room, first those that cost less. */
-  void FillShortage(double load) {
-    std::uint32_t expected = 0;
-    for (const centre_state& centre : centres_) {
-      expected += Expected(centre.lasting) + Expected(centre.reclaimable);
+  /**
+   * Replaces lost ones: in their data centre by those that can't be reclaimed, and if there are
+   * none, elsewhere.
+   */
+  void FillShortage() {
+    const std::uint32_t needed = CeilOf(LoadOnAll(demand_));
+    // A load that isn't known yet may need as many as there were.
+    std::uint32_t enough = needed;
+    if (!demand_.known) {
+      std::uint32_t size = 0;
+      for (const centre_state& centre : centres_) size += centre.size;
+      enough = std::max(enough, size);
     }
-    for (const scale_step& each : steps_) {
-      if (each.wanted > each.before) expected += each.wanted - each.before;
+    std::uint32_t expected = 0;
+    for (const centre_state& centre : centres_) expected += ExpectedIn(centre);
+    for (std::size_t i = 0; i < centres_.size() && expected < enough; ++i) {
+      const centre_state& centre = centres_[i];
+      const std::uint32_t there = ExpectedIn(centre);
+      if (there >= sizes_[i] || !centre.lasting.available) continue;
+      const std::uint32_t more = std::min({sizes_[i] - there, RoomIn(centre), enough - expected});
+      if (more == 0) continue;
+      Add(centre, false, WithSteps(centre, false) + more, scale_reason::kShortage);
+      expected += more;
     }
-    const std::uint32_t enough = CeilOf(load);
-    if (expected >= enough) return;
-    std::uint32_t missing = enough - expected;
-    std::vector<const centre_state*> by_price;
-    for (const centre_state& centre : centres_) by_price.push_back(&centre);
-    std::stable_sort(by_price.begin(), by_price.end(), [&](const auto* a, const auto* b) {
-      return PriceIn(limits_, *a) < PriceIn(limits_, *b);
+    if (expected < needed) FillElsewhere(needed - expected);
+  }
+
+  /** Orders the missing ones where there is room, shared out, first those that cost less. */
+  void FillElsewhere(std::uint32_t missing) {
+    std::vector<std::size_t> by_price(centres_.size());
+    std::iota(by_price.begin(), by_price.end(), std::size_t{0});
+    std::stable_sort(by_price.begin(), by_price.end(), [&](std::size_t a, std::size_t b) {
+      return PriceIn(limits_, centres_[a]) < PriceIn(limits_, centres_[b]);
     });
     for (const bool reclaimable : {true, false}) {
       if (reclaimable && !ReclaimablePays(limits_, centres_.size())) continue;
-      for (std::size_t i = 0; i < by_price.size() && missing > 0; ++i) {
-        const centre_state& centre = *by_price[i];
-        const kind_state& now = reclaimable ? centre.reclaimable : centre.lasting;
-        const std::uint32_t taken = OrderedWithSteps(centre);
-        if (!now.available || taken >= limits_.max) continue;
-        // Shared out, so that the next loss doesn't take all of them.
-        const auto places = static_cast<std::uint32_t>(by_price.size() - i);
+      auto places = static_cast<std::uint32_t>(by_price.size());
+      for (const std::size_t i : by_price) {
         const std::uint32_t share = (missing + places - 1) / places;
-        const std::uint32_t more = std::min(share, limits_.max - taken);
-        std::uint32_t base = now.ordered;
-        for (const scale_step& each : steps_) {
-          if (each.data_centre == centre.name && each.reclaimable == reclaimable) {
-            base = each.wanted;
-          }
-        }
-        Add(centre, reclaimable, base + more, scale_reason::kShortage);
-        sizes_[static_cast<std::size_t>(&centre - centres_.data())] += more;
+        --places;
+        const centre_state& centre = centres_[i];
+        const kind_state& now = reclaimable ? centre.reclaimable : centre.lasting;
+        const std::uint32_t more = std::min(share, RoomIn(centre));
+        if (!now.available || more == 0) continue;
+        Add(centre, reclaimable, WithSteps(centre, reclaimable) + more, scale_reason::kShortage);
+        sizes_[i] += more;
         missing -= more;
       }
     }
@@ -181,6 +247,7 @@
   bool may_reduce_;
   std::vector<scale_step> steps_;
   std::vector<std::uint32_t> sizes_;
+  planned_fleet fleet_;
   /** The data centre that is reduced. */
   std::string reduced_;
 };
@@ -203,12 +270,18 @@
   return "load";
 }
 
-double UpstreamsFor(const plan_demand& demand) {
+double LoadOnAll(const plan_demand& demand) {
   const double prefill = std::max(demand.peak.prefill, demand.mean.prefill * kBurst);
   const double running = std::max(demand.peak.running, demand.mean.running * kBurst);
   return (prefill + running) / kFullShare;
 }
 
+double LoadWithALoss(const plan_demand& demand, std::size_t centres) {
+  if (centres < 2) return LoadOnAll(demand);
+  const double rest = (demand.peak.prefill + demand.peak.running) / kFullShareOfRest;
+  return std::max(LoadOnAll(demand), rest * SpreadOver(centres));
+}
+
 scale_plan PlanUpstreams(const scale_limits& limits, const std::vector<centre_state>& centres,
                          const plan_demand& demand, bool may_reduce) {
   return planner(limits, centres, demand, may_reduce).Plan();
--- a/src/libhawthorndrum/scaling/upstream_plan.h
+++ b/src/libhawthorndrum/scaling/upstream_plan.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "scaling/demand_history.h"
+#include "scaling/fleet_outlook.h"
 #include "scaling/scale_limits.h"
 
 namespace hawthorndrum {
@@ -31,7 +32,7 @@
   std::string name;
   kind_state lasting;
   kind_state reclaimable;
-  /** How many there are to be of both kinds; while one replaces the other, more are ordered. */
+  /** How many the load is to find there; more are ordered, since some may be reclaimed. */
   std::uint32_t size = 0;
 
   std::uint32_t ordered() const { return lasting.ordered + reclaimable.ordered; }
@@ -73,10 +74,14 @@
   std::vector<scale_step> steps;
   /** The size of each data centre, in the order of the states. */
   std::vector<std::uint32_t> sizes;
+  /** What the steps lead to in the end. */
+  planned_fleet fleet;
 };
 
-/** Returns the upstreams that carry the load, at its peaks and in a burst. */
-double UpstreamsFor(const plan_demand& demand);
+/** Returns the upstreams that carry the load at its peaks, or in a burst beside its mean. */
+double LoadOnAll(const plan_demand& demand);
+/** Returns how many upstreams carry that, and the peaks after the loss of a data centre. */
+double LoadWithALoss(const plan_demand& demand, std::size_t centres);
 
 /**
  * Returns the orders that bring the fleet closer to the plan; none where it is good enough. Each
