--- a/src/libhawthorndrum/scaling/demand_history.cpp
+++ b/src/libhawthorndrum/scaling/demand_history.cpp
@@ -10,7 +10,8 @@
 
 /** Below this, in upstreams, a load is stray requests. */
 constexpr double kMinLoad = 0.02;
-constexpr double kAveragingSeconds = 10;
+/** Longer than the waves of the load. */
+constexpr double kAveragingSeconds = 20;
 constexpr double kRecentSeconds = 2;
 
 void Approach(service_load& average, service_load load, double weight) {
--- a/src/libhawthorndrum/scaling/scale_controller.cpp
+++ b/src/libhawthorndrum/scaling/scale_controller.cpp
@@ -124,8 +124,9 @@
     for (auto& [name, centre] : orders.centres) {
       centre.lasting.ordered = centre.lasting.present;
       centre.reclaimable.ordered = centre.reclaimable.present;
-      // An exchange that the former holder began counts twice until the load decides.
-      centre.size = centre.lasting.present + centre.reclaimable.present;
+      // Those of an exchange that the former holder began count twice until the load decides.
+      centre.size = SizeOf(service.limits, orders.centres.size(), centre.lasting.present,
+                           centre.reclaimable.present);
     }
   }
   AdoptLate(orders);
--- a/src/libhawthorndrum/scaling/upstream_plan.cpp
+++ b/src/libhawthorndrum/scaling/upstream_plan.cpp
@@ -105,7 +105,9 @@
     std::uint32_t lasting = wanted;
     std::uint32_t reclaimable = 0;
     if (ReclaimablePays(limits_, centres_.size()) && wanted > 0) {
-      lasting = std::max(1u, CeilOf(wanted * kLastingShare));
+      // A load that isn't known yet is no reason to order what costs most.
+      const std::uint32_t size = demand_.known ? wanted : std::min(wanted, centre.size);
+      lasting = std::max(1u, CeilOf(size * kLastingShare));
       // Those of one data centre may go without a replacement.
       reclaimable = CeilOf((wanted - lasting) * SpreadOver(centres_.size()));
     }
@@ -270,6 +272,12 @@
   return "load";
 }
 
+std::uint32_t SizeOf(const scale_limits& limits, std::size_t centres, std::uint32_t lasting,
+                     std::uint32_t reclaimable) {
+  if (!ReclaimablePays(limits, centres)) return lasting + reclaimable;
+  return lasting + static_cast<std::uint32_t>(reclaimable / SpreadOver(centres));
+}
+
 double LoadOnAll(const plan_demand& demand) {
   const double prefill = std::max(demand.peak.prefill, demand.mean.prefill * kBurst);
   const double running = std::max(demand.peak.running, demand.mean.running * kBurst);
--- a/src/libhawthorndrum/scaling/upstream_plan.h
+++ b/src/libhawthorndrum/scaling/upstream_plan.h
@@ -78,6 +78,10 @@
   planned_fleet fleet;
 };
 
+/** Returns the size of a data centre that has so many when nothing is being exchanged. */
+std::uint32_t SizeOf(const scale_limits& limits, std::size_t centres, std::uint32_t lasting,
+                     std::uint32_t reclaimable);
+
 /** Returns the upstreams that carry the load at its peaks, or in a burst beside its mean. */
 double LoadOnAll(const plan_demand& demand);
 /** Returns how many upstreams carry that, and the peaks after the loss of a data centre. */
--- a/tests/scaling/test_scaling.cpp
+++ b/tests/scaling/test_scaling.cpp
@@ -151,8 +151,8 @@
   EXPECT_EQ(fleet.Count(true), 54u);
 }
 
-// A steady load for which the fleet has the right size, and the duty changes hands twice: the host list
-// shows what was ordered.
+// A steady load for which the fleet has the right size, and the duty changes hands twice: the host
+// list shows what was ordered.
 TEST(Scaling, ANewHolderNeitherRepeatsNorReversesOrders) {
   fleet_model fleet;
   fleet.load = [](double) { return 25.0; };
