--- a/tests/settings/log_pages.cpp
+++ b/tests/settings/log_pages.cpp
@@ -65,6 +65,7 @@
       Sources("src/libhawthorndrum/crashes") + Sources("src/gatewayd") + Sources("platform");
       Sources("src/libhawthorndrum/gateway") + Sources("src/libhawthorndrum/crashes") +
       Sources("src/libhawthorndrum/usage") + Sources("src/gatewayd") + Sources("platform");
+      Sources("src/libhawthorndrum/crashes") + Sources("src/libhawthorndrum/scaling") + Sources("src/gatewayd") + Sources("platform");
   std::set<std::string> written =
       Matches(code, std::regex("log_record\\([\\w.]*(?: \\? )?\"(\\w+)\"(?: : \"(\\w+)\")?\\)"));
   // Fields are chained calls on a log_record. Readers of settings have methods of the same names;
