--- a/src/hawthorndrumd/core.cpp
+++ b/src/hawthorndrumd/core.cpp
@@ -53,7 +53,9 @@
 spill_settings SpillSettings(const daemon_settings& settings) {
   if (settings.callers_tls.enabled()) return {};
   const std::string& address = settings.callers_address;
-  return {settings.peer_key, address.substr(address.rfind(':') + 1)};
+  crossing_terms crossing;
+  crossing.ms_per_megabyte = settings.ms_per_megabyte;
+  return {settings.peer_key, address.substr(address.rfind(':') + 1), crossing};
 }
 
 /** Lists the models of the configuration in force. */
--- a/src/libhawthorndrum/crossing/crossing_policy.cpp
+++ b/src/libhawthorndrum/crossing/crossing_policy.cpp
@@ -64,11 +64,22 @@
   return won_ms > PriceMs(bytes) + DelayMs(service, data_centre);
 }
 
+double crossing_policy::Trust(const std::string& service, const std::string& data_centre,
+                              time_point now) const {
+  const link_results* there = ResultsOf(service, data_centre);
+  return there == nullptr ? 1 : there->Trust(now);
+}
+
+duration crossing_policy::UsualTime(const std::string& service,
+                                    const std::string& data_centre) const {
+  const link_results* there = ResultsOf(service, data_centre);
+  return there == nullptr ? link_results().CallTime() : there->CallTime();
+}
+
 double crossing_policy::SlotsFor(const std::string& service, const std::string& data_centre,
                                  const crossing_room& room, time_point now) const {
   if (room.slots <= 0 || room.free <= 0) return 0;
-  const link_results* there = ResultsOf(service, data_centre);
-  const double trust = there == nullptr ? 1 : there->Trust(now);
+  const double trust = Trust(service, data_centre, now);
   const auto senders = static_cast<double>(SendersTo(data_centre));
   // The other senders use about as much as this one; all divide what the neighbour leaves them.
   const double left = std::min(room.slots, room.free + room.own * senders);
@@ -81,8 +92,7 @@
 bool crossing_policy::TakeTurn(const std::string& service, const std::string& data_centre,
                                const crossing_room& room, time_point now) {
   const double slots = SlotsFor(service, data_centre, room, now);
-  const link_results* there = ResultsOf(service, data_centre);
-  const duration call_time = there == nullptr ? link_results().CallTime() : there->CallTime();
+  const duration call_time = UsualTime(service, data_centre);
   return shares_[{service, data_centre}].Take(slots, call_time, random_, now);
 }
 
--- a/src/libhawthorndrum/crossing/crossing_policy.h
+++ b/src/libhawthorndrum/crossing/crossing_policy.h
@@ -56,6 +56,10 @@
   /** Records that the call failed or was refused. */
   void OnFailure(const std::string& service, const std::string& data_centre, time_point now);
 
+  /** Returns how far this daemon's own calls bear out the loads there, from 0 to 1. */
+  double Trust(const std::string& service, const std::string& data_centre, time_point now) const;
+  /** Returns how long a call there usually takes. */
+  duration UsualTime(const std::string& service, const std::string& data_centre) const;
   /** Returns the slots there that this daemon may use at a time. */
   double SlotsFor(const std::string& service, const std::string& data_centre,
                   const crossing_room& room, time_point now) const;
--- a/src/libhawthorndrum/systems/request_attempts.cpp
+++ b/src/libhawthorndrum/systems/request_attempts.cpp
@@ -103,7 +103,11 @@
     attempt->has_bytes = true;
     routing_.work().Started(attempt->upstream, attempt->id,
                             now - attempt->sent - attempt->estimated_first_token, now);
-    if (attempt->spilled_to.empty()) routing_.RecordCachedPrefix(*request, attempt->upstream, now);
+    if (attempt->spilled_to.empty()) {
+      routing_.RecordCachedPrefix(*request, attempt->upstream, now);
+    } else {
+      spill_.Answered(*request->service, attempt->spilled_to, now - attempt->sent, now);
+    }
     if (!request->answer_begun) answers_.RecordFirstToken(*request, now);
   }
   if (attempt->spilled_to.empty()) {
--- a/src/libhawthorndrum/systems/settings_reader.cpp
+++ b/src/libhawthorndrum/systems/settings_reader.cpp
@@ -113,6 +113,7 @@
   ReadTls(fields, "callers_tls", settings.callers_tls, found);
   ReadTls(fields, "admin_tls", settings.admin_tls, found);
   fields.Number("role_change_price", settings.role_change_price, 0, kMaxRoleChangePrice);
+  fields.Number("ms_per_megabyte", settings.ms_per_megabyte, 0, 1e9);
   fields.Duration("lease_duration", settings.lease_duration, seconds(2), std::chrono::minutes(5));
   fields.Duration("stop_grace", settings.stop_grace, duration(0), std::chrono::minutes(5));
   fields.Whole("model_loads_at_once", settings.model_loads_at_once, 1, 1000);
--- a/src/libhawthorndrum/systems/spill_limits.cpp
+++ b/src/libhawthorndrum/systems/spill_limits.cpp
@@ -13,8 +13,9 @@
 
 }  // namespace
 
-bool spill_limits::Take(const std::string& key, const service_limits& limits, time_point now) {
-  const double per_second = limits.requests_per_second / kShare;
+bool spill_limits::Take(const std::string& key, const service_limits& limits, double trust,
+                        time_point now) {
+  const double per_second = trust * limits.requests_per_second / kShare;
   const double burst = std::max(1.0, static_cast<double>(limits.burst) / kShare);
   auto [found, added] = shares_.try_emplace(key);
   share& one = found->second;
--- a/src/libhawthorndrum/systems/spill_limits.h
+++ b/src/libhawthorndrum/systems/spill_limits.h
@@ -19,8 +19,11 @@
  public:
   static constexpr std::uint32_t kShare = 16;
 
-  /** Takes a slot if the rate and the concurrency allow it and the key is not avoided. */
-  bool Take(const std::string& key, const service_limits& limits, time_point now);
+  /**
+   * Takes a slot if the rate and the concurrency allow it and the key is not avoided. `trust` is
+   * the part of the rate that may be used, from 0 to 1.
+   */
+  bool Take(const std::string& key, const service_limits& limits, double trust, time_point now);
   void Release(const std::string& key);
   /** Refuses the key until `until`. */
   void Avoid(const std::string& key, time_point until);
--- a/src/libhawthorndrum/systems/spill_system.cpp
+++ b/src/libhawthorndrum/systems/spill_system.cpp
@@ -42,7 +42,8 @@
       sent_(metrics.Counter("hawthorndrum_spill_sent_total")),
       refused_(metrics.Counter("hawthorndrum_spill_refused_total")),
       admitted_(metrics.Counter("hawthorndrum_spill_admitted_total")),
-      turned_away_(metrics.Counter("hawthorndrum_spill_turned_away_total")) {}
+      turned_away_(metrics.Counter("hawthorndrum_spill_turned_away_total")),
+      crossing_(settings_.crossing, own_data_centre_, random) {}
 
 void spill_system::OnHostList(boost::span<const host_entry> hosts) {
   if (settings_.callers_port.empty()) return;
@@ -63,12 +64,18 @@
   }
   if (!MayCross(request) || request.answer_begun || request.offset > 0) return std::nullopt;
   if (request.body.size() > kMaxBodyBytes) return std::nullopt;
-  if (ToMilliseconds(request.useful_by - now) < 1) return std::nullopt;
+  // Here it would not be served at all, so that all its useful time is won.
+  const double won_ms = ToSeconds(request.useful_by - now) * 1000;
+  const auto bytes = static_cast<double>(request.body.size());
   auto at =
       std::next(others_.begin(), static_cast<std::ptrdiff_t>(random_.Draw() % others_.size()));
   for (std::size_t i = 0; i < others_.size(); ++i) {
     const auto& [data_centre, addresses] = *at;
-    if (outgoing_.Take(KeyOf(*request.service, data_centre), request.service->limits, now)) {
+    const std::string& service = request.service->name;
+    const bool pays = crossing_.Pays(won_ms, bytes, service, data_centre);
+    const double trust = crossing_.Trust(service, data_centre, now);
+    if (pays &&
+        outgoing_.Take(KeyOf(*request.service, data_centre), request.service->limits, trust, now)) {
       sent_.Add();
       return spill_target{data_centre, addresses[random_.Draw() % addresses.size()]};
     }
@@ -81,9 +88,16 @@
   outgoing_.Release(KeyOf(service, data_centre));
 }
 
+void spill_system::Answered(const service_config& service, const std::string& data_centre,
+                            duration taken, time_point now) {
+  crossing_.OnAnswer(service.name, data_centre, crossing_.UsualTime(service.name, data_centre),
+                     taken, now);
+}
+
 void spill_system::Refused(const service_config& service, const std::string& data_centre,
                            time_point now) {
   refused_.Add();
+  crossing_.OnFailure(service.name, data_centre, now);
   outgoing_.Avoid(KeyOf(service, data_centre), now + kAvoidance);
 }
 
@@ -131,7 +145,7 @@
 
 bool spill_system::Admit(const request_row& request, time_point now) {
   const service_config& service = *request.service;
-  const bool admitted = MayCross(request) && incoming_.Take(service.name, service.limits, now);
+  const bool admitted = MayCross(request) && incoming_.Take(service.name, service.limits, 1, now);
   (admitted ? admitted_ : turned_away_).Add();
   return admitted;
 }
--- a/src/libhawthorndrum/systems/spill_system.h
+++ b/src/libhawthorndrum/systems/spill_system.h
@@ -10,6 +10,7 @@
 
 #include "base/http_message.h"
 #include "base/ids.h"
+#include "crossing/crossing_policy.h"
 #include "ports/host_entry.h"
 #include "systems/spill_limits.h"
 #include "systems/system.h"
@@ -26,6 +27,7 @@
   std::string key;
   /** The port that every daemon serves callers on. */
   std::string callers_port;
+  crossing_terms crossing{};
 };
 
 /** A daemon of another data centre, and the address that it serves callers on. */
@@ -38,7 +40,8 @@
 enum class spill_origin { kCaller, kOtherDataCentre, kForged };
 
 /**
- * Chooses where a request spills to, within limits per service and data centre, and admits requests
+ * Chooses where a request spills to, if crossing_policy finds that leaving pays and within limits
+ * per service and data centre, and admits requests
  * that other data centres spill, within a limit per service. A spilled request carries a mark, a
  * header with an HMAC under the peers' key; a marked request is never spilled again.
  */
@@ -61,6 +64,9 @@
   /** Returns where the request may spill to now, and takes a slot there, which Ended releases. */
   std::optional<spill_target> Choose(const request_row& request, time_point now);
   void Ended(const service_config& service, const std::string& data_centre);
+  /** Records that the first bytes of its answer came after `taken`. */
+  void Answered(const service_config& service, const std::string& data_centre, duration taken,
+                time_point now);
   /** Records that the data centre refused the request or could not be reached. */
   void Refused(const service_config& service, const std::string& data_centre, time_point now);
 
@@ -90,6 +96,8 @@
   counter& turned_away_;
   /** The addresses on which the daemons of each other data centre serve callers. */
   std::map<std::string, std::vector<std::string>> others_;
+  /** Whether a request gains by leaving, and how far each data centre is trusted. */
+  crossing_policy crossing_;
   spill_limits outgoing_;
   spill_limits incoming_;
 };
--- a/src/libhawthorndrum/tables/daemon_settings.h
+++ b/src/libhawthorndrum/tables/daemon_settings.h
@@ -56,6 +56,8 @@
   tls_settings admin_tls;
   /** Factor on the price of a role change; 1 is neutral, higher means fewer changes. */
   double role_change_price = 1;
+  /** The time of a caller's waiting that a megabyte between data centres is worth. */
+  double ms_per_megabyte = 250;
   duration lease_duration = seconds(10);
   /** Time for which a stopping daemon still accepts requests, so that load balancers can react. */
   duration stop_grace = seconds(5);
--- a/tests/settings/log_pages.cpp
+++ b/tests/settings/log_pages.cpp
@@ -88,7 +88,9 @@
                                              "value",
                                              "change_price",
                                              "initial_prefill_share",
-                                             "max_prefill_share"};
+                                             "max_prefill_share",
+                                             "ms_per_megabyte",
+                                             "ms_per_kv_gigabyte"};
   EXPECT_EQ(Joined(Difference(Difference(written, documented), not_records)), "");
   EXPECT_EQ(Joined(Difference(Difference(documented, written), {"after_ms", "in_ms"})), "");
 }
