--- a/tests/teams/test_teams.cpp
+++ b/tests/teams/test_teams.cpp
@@ -43,7 +43,7 @@
   EXPECT_LT(index.memory_bytes(), 124000u * 64);
 }
 
-class TeamConfig : public testing::Test {
+class TeamConfigTest : public testing::Test {
  protected:
   std::shared_ptr<const gateway_config> Decode(const std::string& tenants,
                                                const gateway_config* before = nullptr) {
@@ -63,7 +63,7 @@
   team_problems problems;
 };
 
-TEST_F(TeamConfig, ReadsTeamsAndOpenRoutes) {
+TEST_F(TeamConfigTest, ReadsTeamsAndOpenRoutes) {
   const auto config = Decode(R"([{"name":"a","api_keys":["k1","k2"],"priority":2},
                                  {"name":"b","api_keys":["k3"]}])");
   ASSERT_NE(config, nullptr);
@@ -75,7 +75,7 @@
   EXPECT_TRUE(config->routes[0].open_to_all);
 }
 
-TEST_F(TeamConfig, LeavesOutWhatCannotBeUsedAndKeepsTheRest) {
+TEST_F(TeamConfigTest, LeavesOutWhatCannotBeUsedAndKeepsTheRest) {
   const auto config = Decode(R"([{"name":"a","api_keys":["k1"]},
       {"api_keys":["k2"]},
       {"name":"","api_keys":["k3"]},
@@ -93,12 +93,12 @@
   for (const char* key : {"k2", "k3", "k4", "k8", "7", ""}) EXPECT_EQ(HolderOf(*config, key), "");
 }
 
-TEST_F(TeamConfig, AListOfWhichNothingCanBeReadDoesNotLetEveryoneIn) {
+TEST_F(TeamConfigTest, AListOfWhichNothingCanBeReadDoesNotLetEveryoneIn) {
   for (const char* text : {R"("x")", R"({"name":"a"})", R"([{"api_keys":["k"]}])", "7"})
     EXPECT_EQ(Decode(text), nullptr) << text;
 }
 
-TEST_F(TeamConfig, AKeyAtTwoTeamsStaysWithTheTeamItIdentifiedBefore) {
+TEST_F(TeamConfigTest, AKeyAtTwoTeamsStaysWithTheTeamItIdentifiedBefore) {
   const char* two = R"([{"name":"a","api_keys":["k1","k2"]},{"name":"b","api_keys":["k1","k3"]}])";
   const auto fresh = Decode(two);
   EXPECT_EQ(problems.shared_keys, 1);
@@ -110,7 +110,7 @@
   EXPECT_EQ(HolderOf(*later, "k2"), "a");
 }
 
-TEST_F(TeamConfig, VersionsWithTheSameTeamsShareTheIndex) {
+TEST_F(TeamConfigTest, VersionsWithTheSameTeamsShareTheIndex) {
   const char* teams = R"([{"name":"a","api_keys":["k1"]}])";
   const auto first = Decode(teams);
   EXPECT_EQ(Decode(teams, first.get())->keys(), first->keys());
