Share short room at the engines among teams

Requests of all teams were refused alike once no engine could take them in time. With teams, a request of a team beyond its level now comes after others of its priority, and is refused if the wait alone would make it late and the team's allowance is used up; Retry-After is when its share has caught up. Daemons tell each other their largest teams' rates while room is short.

--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -103,12 +103,14 @@
       gateway_(PortsOf(settings, answers_, upstream_calls_, dialect, clock_, random_, log_,
                        metrics_, origins_, crashes_)),
       exchange_(gateway_, daemons_, settings.host, settings.data_centre),
+      shares_(notices_, daemons_, clock_, gateway_.shares(), incarnation_id(random_.Draw())),
       stop_timer_(io) {
   ready_endpoint_.SetCallerPort(ready_server_);
   metrics_endpoint_.SetCallerPort(metrics_server_);
   origins_.SetListener(gateway_);
   Add(gateway_);
   Add(*this);
+  Add(shares_);
 }
 
 gateway_daemon::~gateway_daemon() {
--- a/src/gatewayd/gateway_daemon.h
+++ b/src/gatewayd/gateway_daemon.h
@@ -24,6 +24,7 @@
 #include "origins/origin_exchange.h"
 #include "page_endpoint.h"
 #include "relay_endpoint.h"
+#include "share_datagrams.h"
 #include "system_random_source.h"
 #include "systems/event_receiver.h"
 #include "systems/system.h"
@@ -105,6 +106,7 @@
   crash_exchange crashes_;
   gateway gateway_;
   notice_exchange exchange_;
+  share_datagrams shares_;
   boost::asio::steady_timer stop_timer_;
   bool stopping_ = false;
   std::uint64_t limits_version_ = 0;
--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -278,6 +278,7 @@
     if (both.CostMs() < best.CostMs()) best = both;
   }
   best.place.expected = Milliseconds(best.ExpectedMs());
+  best.place.wait = Milliseconds(best.wait_ms);
   const double longest_wait_ms = LongestWaitMs(query);
   const bool is_late = query.objective > duration(0) && best.wait_ms > longest_wait_ms;
   if (!is_late && best.place.expected <= query.time_left) return best.place;
--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -81,6 +81,8 @@
   caller_terms terms;
   /** The caller's team; empty where callers need no key. */
   std::string team;
+  /** Whether it comes after others of its priority, since its team asks for more than its share. */
+  bool is_behind_others = false;
   /** The team's priority, else the route's; 0 is the most urgent. */
   int priority = 0;
   /** Owns `matched` and `service`, so that they outlive a change of configuration. */
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -134,6 +134,7 @@
   if (ShouldPassOn(each, now) && PassOn(each, now)) return;
   if (!std::exchange(each.earned, true)) allowance_.Earn(each.service->name, now);
   const auto place = Place(each, now);
+  if (const auto refused = RefusedByShare(each, place, now)) return Refuse(each, *refused);
   if (!place) return Refuse(each, place.error());
   Send(each, *place, now);
 }
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -31,6 +31,7 @@
 #include "relay/relay_peers.h"
 #include "relay/relay_terms.h"
 #include "systems/system.h"
+#include "teams/team_shares.h"
 
 namespace hawthorndrum {
 
@@ -82,6 +83,7 @@
   /** Returns the prefill demand of all daemons, in engines that it would keep fully busy. */
   double PrefillLoad(const std::string& service, time_point now) const;
 
+  team_shares& shares() { return shares_; }
   fleet_table& fleet() { return fleet_; }
   peer_load_table& peers() { return peers_; }
   std::uint64_t config_version() const { return config_ ? config_->version : 0; }
@@ -148,6 +150,9 @@
   std::optional<const team*> Identify(const arrived_request& arrived, const route& matched);
   /** Forgets the key, and has every call of the request name the team. */
   void SetTeam(exchange& each, const team* caller, const route& matched);
+  /** Returns why the request is refused for its team's share of the room, if it is. */
+  std::optional<placement_failure> RefusedByShare(
+      exchange& each, const tl::expected<placement, placement_failure>& place, time_point now);
   /** Refuses a request that no route matches. */
   void RefuseRouteless(const arrived_request& arrived);
   /** Returns whether another daemon has reported a newer configuration. */
@@ -274,6 +279,7 @@
   statement_handler statements_;
   crash_recorder crash_recorder_;
   notice_writer notices_;
+  team_shares shares_;
   std::shared_ptr<const gateway_config> config_;
   bool fleet_known_ = false;
   std::uint64_t fleet_revision_ = 0;
--- a/src/libhawthorndrum/gateway/gateway_sending.cpp
+++ b/src/libhawthorndrum/gateway/gateway_sending.cpp
@@ -41,7 +41,8 @@
 int gateway::UpstreamPriority(const exchange& each, bool fetches) const {
   // A prompt prefilled elsewhere needs no prefill here, so it delays no other request.
   if (fetches) return kMostUrgent;
-  return std::min(kMostUrgent + 1 + each.priority, kLeastUrgent);
+  const int rank = each.priority + (each.is_behind_others ? 1 : 0);
+  return std::min(kMostUrgent + 1 + rank, kLeastUrgent);
 }
 
 void gateway::SendPrefill(exchange& each, const placement& place, time_point now) {
--- a/src/libhawthorndrum/gateway/placement.h
+++ b/src/libhawthorndrum/gateway/placement.h
@@ -49,6 +49,8 @@
   std::uint64_t unread_tokens = 0;
   /** Expected time to the first token, or to the answer of a plain service. */
   duration expected{0};
+  /** How much of `expected` is the wait for other requests; for engines only. */
+  duration wait{0};
 };
 
 /** Why no upstream was chosen, and when to try again. */
--- a/src/libhawthorndrum/teams/team_shares.cpp
+++ b/src/libhawthorndrum/teams/team_shares.cpp
@@ -13,8 +13,8 @@
 constexpr duration kUpdatePeriod = milliseconds(100);
 /** A wait of this many objectives shows that room may be short. */
 constexpr double kShortWait = 0.05;
-/** Up to this many objectives, requests beyond a level may wait. */
-constexpr double kWaitBeyondLevel = 0.5;
+/** A request beyond its team's level may wait for as long as it is not late for it. */
+constexpr double kWaitBeyondLevel = 1;
 /** Room counts as short while less than this share of what is asked for is admitted. */
 constexpr double kShortAdmitted = 0.95;
 /** Room is taken for no less than this share of what is asked for, unless less is admitted. */
@@ -45,7 +45,12 @@
 }
 
 std::vector<team_rate> team_shares::Report(time_point now) {
-  return own_.Heaviest(kMostReported, now);
+  std::vector<team_rate> report = own_.Heaviest(kMostReported, now);
+  // Beyond that, what is asked of small services is left out.
+  std::sort(report.begin(), report.end(),
+            [](const team_rate& a, const team_rate& b) { return a.asked > b.asked; });
+  if (report.size() > kMostRows) report.resize(kMostRows);
+  return report;
 }
 
 void team_shares::OnReport(incarnation_id sender, std::vector<team_rate> report, time_point now) {
@@ -137,6 +142,12 @@
   return share_verdict::kBehindOthers;
 }
 
+bool team_shares::WasShort(time_point now) const {
+  return std::any_of(services_.begin(), services_.end(), [now](const auto& entry) {
+    return now < entry.second.short_until + kShortFor;
+  });
+}
+
 duration team_shares::TimeToTurn(const team_place& place, time_point now) {
   Update(now);
   const auto found = totals_.find(place);
--- a/src/libhawthorndrum/teams/team_shares.h
+++ b/src/libhawthorndrum/teams/team_shares.h
@@ -34,10 +34,11 @@
  public:
   /** Room counts as short for this long after requests had to wait, or were refused. */
   static constexpr duration kShortFor = seconds(3);
-  /** A report is used for this long. */
-  static constexpr duration kReportExpiry = seconds(4);
-  /** Most teams in a report. */
-  static constexpr std::size_t kMostReported = 32;
+  /** A report is used for this long; several times the longest period between two. */
+  static constexpr duration kReportExpiry = seconds(25);
+  /** Most teams in a report; only large ones are near their level. */
+  static constexpr std::size_t kMostReported = 8;
+  static constexpr std::size_t kMostRows = 16;
   /** The part of a service's room that is kept for each priority. */
   static constexpr double kLeastShare = 0.1;
 
@@ -54,6 +55,9 @@
   /** Replaces what that daemon has reported before. */
   void OnReport(incarnation_id sender, std::vector<team_rate> report, time_point now);
 
+  /** Returns whether the room of any service is, or just was, short here. */
+  bool WasShort(time_point now) const;
+
   std::size_t rows() const { return own_.size() + totals_.size(); }
 
  private:
--- a/tests/team_shares/test_team_shares.cpp
+++ b/tests/team_shares/test_team_shares.cpp
@@ -5,9 +5,12 @@
 #include <cmath>
 #include <deque>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <vector>
 
+#include "base/cbor.h"
+#include "teams/share_exchange.h"
 #include "teams/team_shares.h"
 
 namespace hawthorndrum {
@@ -183,7 +186,7 @@
   EXPECT_GT(both[0].Served(), 0.999);
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, LargeTeamsTest, testing::Range(1U, 6U));
+INSTANTIATE_TEST_SUITE_P(Seeds, LargeTeamsTest, testing::Range(1U, 21U));
 
 // Load: the same; what the small ones leave is not wasted.
 TEST(TeamShares, LargeTeamsGetAllThatIsLeft) {
@@ -245,5 +248,48 @@
   EXPECT_EQ(shares.rows(), 0u);
 }
 
+TEST(ShareMessage, SurvivesTheWayAndSkipsWhatIsUnknown) {
+  share_message message{incarnation_id(7), {{{5, 2, 9}, 1200, 800}, {{5, 3, 0}, 40, 40}}};
+  const auto bytes = EncodeShareMessage(message);
+  const auto read = DecodeShareMessage(bytes);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->sender, message.sender);
+  ASSERT_EQ(read->rates.size(), 2u);
+  EXPECT_EQ(read->rates[0].place, message.rates[0].place);
+  EXPECT_EQ(read->rates[0].admitted, 800);
+  const auto later = EncodeCbor(nlohmann::json::parse(
+      R"(["team_shares",2,7,[[5,2,9,100,900,"more"],[5,2],"x",[5,-1,9,1,1]],{"more":1}])"));
+  const auto skipped = DecodeShareMessage(later);
+  ASSERT_TRUE(skipped);
+  ASSERT_EQ(skipped->rates.size(), 1u);
+  EXPECT_EQ(skipped->rates[0].admitted, 100) << "no team gets more than it asks for";
+  for (const char* other : {R"(["usage",1,7,[]])", R"(["team_shares",0,7,[]])", R"([10,7])",
+                            R"(["team_shares",1,"x",[]])", "7", R"(["team_shares",1,7])"})
+    EXPECT_FALSE(DecodeShareMessage(EncodeCbor(nlohmann::json::parse(other)))) << other;
+}
+
+// Load: 31,000 teams at each of 410 daemons, all short of room.
+TEST(ShareExchange, SendsLittleInALargeFleetAndNothingWhileThereIsRoom) {
+  constexpr std::size_t kOthers = 409;
+  constexpr double kMaxBytesPerSecond = 11000;
+  constexpr int kSeconds = 60;
+  team_shares shares;
+  share_exchange exchange(shares, incarnation_id(1));
+  for (std::uint64_t team = 1; team <= 31000; ++team)
+    shares.Record({~std::uint64_t{0}, static_cast<int>(team % 3), ~team}, 20000, true, At(0));
+  EXPECT_FALSE(exchange.Run(kOthers, At(1)));
+  std::size_t bytes = 0;
+  for (int i = 0; i < kSeconds * 10; ++i) {
+    const time_point now = At(20 + i * 0.1);
+    for (std::uint64_t team = 1; team <= 200; ++team)
+      shares.Record({~std::uint64_t{0}, 1, ~team}, 20000, team % 2 == 0, now);
+    shares.Judge({~std::uint64_t{0}, 1, 1}, 1, 2, now);
+    if (const auto report = exchange.Run(kOthers, now))
+      bytes += kOthers * EncodeShareMessage(*report).size();
+  }
+  EXPECT_GT(bytes, 0u);
+  EXPECT_LT(static_cast<double>(bytes) / kSeconds, kMaxBytesPerSecond);
+}
+
 }  // namespace
 }  // namespace hawthorndrum
--- a/tests/teams/test_teams.cpp
+++ b/tests/teams/test_teams.cpp
@@ -253,6 +253,30 @@
   EXPECT_EQ(CallerOf(AskWith("/new/x", "k-new")).status, 404);
 }
 
+// Load: a team presses beyond the room of one engine; another one sends a single request.
+TEST_F(TeamsTest, ATeamThatPressesIsRefusedAndComesAfterOthers) {
+  Add("d", "llm", engine_stage::kDecode);
+  const auto ask = [this](const std::string& key) {
+    const std::string own = std::to_string(++last_request + 1000);
+    return Ask("/note/x", {{"Api-Key", key},
+                           {"X-Hawthorndrum-Model", "m"},
+                           {"X-Hawthorndrum-Token-Count", "3000,20"},
+                           {"X-Hawthorndrum-Prompt-Prefix", own + ":3000"}});
+  };
+  int refused = 0;
+  for (int i = 0; i < 100; ++i) {
+    refused += CallerOf(ask(kKey)).status == 503 ? 1 : 0;
+    Pass(milliseconds(2));
+  }
+  EXPECT_GT(refused, 50);
+  EXPECT_NE(log.LastOf("request_refused").find("over_share"), std::string::npos);
+  EXPECT_EQ(SentHeader("X-Hawthorndrum-Request-Priority"), "3") << "urgent, but behind others";
+  const std::size_t before = upstreams.sent.size();
+  ask("k-2");
+  ASSERT_EQ(upstreams.sent.size(), before + 1);
+  EXPECT_EQ(SentHeader("X-Hawthorndrum-Request-Priority"), "5");
+}
+
 class RelayedTeamsTest : public TeamsTest {
  protected:
   request_id TakeOver(const std::string& team, std::vector<http_header> more = {}) {
