--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -296,6 +296,7 @@
     if (both.CostMs() < best.CostMs()) best = both;
   }
   best.place.expected = Milliseconds(best.ExpectedMs());
+  best.place.wait = Milliseconds(best.wait_ms);
   const double longest_wait_ms = LongestWaitMs(query);
   const bool is_late = query.objective > duration(0) && best.wait_ms > longest_wait_ms;
   if (!is_late && best.place.expected <= query.time_left) return best;
--- a/src/libhawthorndrum/gateway/placement.h
+++ b/src/libhawthorndrum/gateway/placement.h
@@ -55,6 +55,8 @@
   duration expected{0};
   /** Whether and why the request leaves the data centre. */
   crossing_reason leaves = crossing_reason::kNone;
+  /** How much of `expected` is the wait for other requests; for engines only. */
+  duration wait{0};
 };
 
 /** Why no upstream was chosen, and when to try again. */
