Change the stages of engines that stay together, before any traffic

During the exchange of a new fleet the limit of a third was taken of the engines that stay alone, and some still changed when the traffic began. A test of the exchange beside the stage plan failed on that. A wrong scale is tested to cost nothing else of the configuration.

--- a/src/libhawthorndrum/gateway/stage_controller.cpp
+++ b/src/libhawthorndrum/gateway/stage_controller.cpp
@@ -192,7 +192,9 @@
                    .Decimal("decode_load", plan.planner.decode_load().mean)
                    .Decimal("decode_deviation", plan.planner.decode_load().deviation));
   }
-  OpenChanges(PlanStages(engines, wanted), engines, load, now);
+  const auto limit =
+      static_cast<std::size_t>(static_cast<double>(engines.size()) * kMaxChangingShare);
+  OpenChanges(PlanStages(engines, wanted), engines, load, limit, now);
 }
 
 void stage_controller::PlanExchange(const gateway_service& service, const service_plan& plan,
@@ -210,14 +212,13 @@
   const auto all = static_cast<double>(plan.planner.Initial(planned.lasting + planned.reclaimable));
   const double missing = std::max(0.0, all - share * static_cast<double>(planned.lasting));
   const std::size_t wanted = std::min(stay.size(), static_cast<std::size_t>(std::lround(missing)));
-  if (wanted > PrefillCount(stay)) OpenChanges(PlanStages(stay, wanted), stay, {}, now);
+  if (wanted > PrefillCount(stay))
+    OpenChanges(PlanStages(stay, wanted), stay, {}, stay.size(), now);
 }
 
 void stage_controller::OpenChanges(const std::vector<stage_change>& changes,
                                    std::vector<planned_engine>& engines, stage_load load,
-                                   time_point now) {
-  const auto limit =
-      static_cast<std::size_t>(static_cast<double>(engines.size()) * kMaxChangingShare);
+                                   std::size_t limit, time_point now) {
   for (const stage_change& change : changes) {
     if (!open_.empty() && open_.size() >= limit) return;
     const auto changing =
--- a/src/libhawthorndrum/gateway/stage_controller.h
+++ b/src/libhawthorndrum/gateway/stage_controller.h
@@ -80,12 +80,13 @@
   stage_load LoadOf(const gateway_service& service, time_point now) const;
   /**
    * While engines of a new fleet are exchanged, changes only those that are known to stay, so that
-   * the stages of the planned fleet are right.
+   * the stages of the planned fleet are right. The others could serve meanwhile, so they change
+   * together.
    */
   void PlanExchange(const gateway_service& service, const service_plan& plan,
                     const std::vector<planned_engine>& engines, time_point now);
   void OpenChanges(const std::vector<stage_change>& changes, std::vector<planned_engine>& engines,
-                   stage_load load, time_point now);
+                   stage_load load, std::size_t limit, time_point now);
   void Open(const stage_change& change, time_point now);
   void SendDue(time_point now);
   void Send(upstream_id engine, open_change& change, time_point now);
--- a/tests/scaling/test_scaling.cpp
+++ b/tests/scaling/test_scaling.cpp
@@ -5,8 +5,10 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "config_decoder.h"
 #include "entry_decoder.h"
 #include "fleet_model.h"
+#include "gateway/gateway_config.h"
 #include "scale_decoder.h"
 
 namespace hawthorndrum {
@@ -213,5 +215,17 @@
   EXPECT_TRUE(DecodeEntry("a", spec)) << "a wrong time must not cost the entry";
 }
 
+TEST(Scaling, AWrongScaleCostsNothingElseOfTheConfiguration) {
+  const auto read = DecodeConfig(nlohmann::json::parse(R"({"version":3,"routes":[],"services":[
+    {"name":"a","scale":{"min":9,"max":4,"boot_s":4}},
+    {"name":"b","scale":{"min":1,"max":4,"boot_s":4}}]})"));
+  ASSERT_TRUE(read);
+  ASSERT_EQ((*read)->services.size(), 2u);
+  EXPECT_FALSE((*read)->services[0].scale);
+  EXPECT_TRUE((*read)->services[1].scale);
+  ASSERT_EQ((*read)->left_out.size(), 1u);
+  EXPECT_EQ((*read)->left_out[0], "scale of service a: min is above max");
+}
+
 }  // namespace
 }  // namespace hawthorndrum
--- a/tests/stages/test_stages.cpp
+++ b/tests/stages/test_stages.cpp
@@ -14,6 +14,7 @@
 #include "gateway/stage_controller.h"
 #include "gateway/stage_plan.h"
 #include "gateway_fixture.h"
+#include "scaling/fleet_outlook.h"
 #include "systems/lease_system.h"
 
 namespace hawthorndrum {
@@ -315,5 +316,48 @@
   EXPECT_EQ(first.engines.orders.size(), 1u);
 }
 
+/** Two upstreams of six that can't be reclaimed stay, and four reclaimable ones. */
+class exchanged_fleet : public fleet_outlook {
+ public:
+  bool IsChanging(std::string_view, time_point) const override { return changes; }
+  planned_fleet Planned(std::string_view) const override { return {2, 4}; }
+  bool changes = true;
+};
+
+// Guards against stages that are wrong when the traffic begins: the changes waited for the whole
+// exchange, and half of the engines changed in the first two seconds of load.
+TEST_F(StageKeeperTest, WhileANewFleetIsExchangedOnlyThoseThatStayChange) {
+  exchanged_fleet outlook;
+  first.controller.SetOutlook(&outlook);
+  Tick(seconds(3), true, false);
+  EXPECT_TRUE(first.engines.orders.empty()) << "no engine is known to stay";
+  for (const char* id : {"s1", "s2", "s3", "s4"}) {
+    Add(id, "llm", engine_stage::kDecode);
+    served.fleet().FindEntry(id)->entry.reclaimable = true;
+  }
+  Tick(seconds(2), true, false);
+  ASSERT_FALSE(first.engines.orders.empty());
+  for (const engine_order& order : first.engines.orders) {
+    fleet_upstream* row = served.fleet().Find(order.engine);
+    EXPECT_TRUE(row->entry.reclaimable);
+    row->entry.stage = engine_stage::kPrefill;
+  }
+  const std::size_t during = first.engines.orders.size();
+  // The exchange ends: the plan for the fleet that is left needs no further change.
+  for (const char* id : {"a", "b", "c", "d"}) served.fleet().FindEntry(id)->entry.leaving = true;
+  outlook.changes = false;
+  Tick(seconds(4), true, false);
+  EXPECT_EQ(first.engines.orders.size(), during);
+}
+
+// The same beside load: the plan works with the engines that are there.
+TEST_F(StageKeeperTest, UnderLoadAnExchangeHoldsNothingUp) {
+  exchanged_fleet outlook;
+  first.controller.SetOutlook(&outlook);
+  prefill_demand = 3 * kEngineTokens;
+  Tick(seconds(5), true, false);
+  EXPECT_GT(Ordered(first, engine_role::kPrefill), 0u);
+}
+
 }  // namespace
 }  // namespace hawthorndrum
