--- a/src/libhawthorndrum/scaling/upstream_plan.cpp
+++ b/src/libhawthorndrum/scaling/upstream_plan.cpp
@@ -281,10 +281,9 @@
 }
 
 double LoadOnAll(const plan_demand& demand) {
-  // The mean of a short time may be that of a burst.
-  const double burst = demand.known ? kBurst : 1;
-  const double prefill = std::max(demand.peak.prefill, demand.mean.prefill * burst);
-  const double running = std::max(demand.peak.running, demand.mean.running * burst);
+  // Also while the load is not known well: a cold fleet has its heaviest minute.
+  const double prefill = std::max(demand.peak.prefill, demand.mean.prefill * kBurst);
+  const double running = std::max(demand.peak.running, demand.mean.running * kBurst);
   return (prefill + running) / kFullShare;
 }
 
