--- a/src/libhawthorndrum/gateway/exchange.h
+++ b/src/libhawthorndrum/gateway/exchange.h
@@ -47,6 +47,10 @@
   software_build build;
   upstream_work reserved;
   time_point sent_at;
+  /** When it last brought an event, or bytes of a plain answer. */
+  time_point progress_at;
+  /** Whether bytes have arrived since then that complete no event. */
+  bool has_part = false;
   /** The upstream counts as stalled after this time without a sign of life. */
   duration stall_timeout{0};
   /** When the call is next checked for a stall; a stalled call may move to another upstream. */
--- a/src/libhawthorndrum/gateway/fleet_upstream.h
+++ b/src/libhawthorndrum/gateway/fleet_upstream.h
@@ -68,6 +68,8 @@
   int failures = 0;
   /** When it last sent a byte to this daemon or, according to a notice, to another one. */
   time_point last_active_at;
+  /** When it last sent a byte to this daemon. */
+  time_point heard_here_at;
   /** When it last sent a byte to another daemon, according to that daemon's notice. */
   time_point peers_heard_at;
   /** Moving average of the share of failed answers. */
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -206,6 +206,11 @@
   void GiveUp(exchange& each, const call_problem& problem, time_point now);
   void Expire(exchange& each, time_point now);
   void Stall(exchange& each, time_point now);
+  /**
+   * Returns when a call without progress counts as stalled although its upstream is alive: it
+   * answers others but not this daemon, or sends bytes that complete no event.
+   */
+  time_point AnswerDue(const exchange& each, const fleet_upstream* row) const;
   /**
    * Returns where a silent or waiting request can go, or why it cannot. A silent call is cancelled
    * only when its successor is affordable: a sound upstream may be silent and go on.
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -54,6 +54,7 @@
   if (row != nullptr) statements_.Heed(*each, *row, now);
   if (row != nullptr && !each->answer.terms.is_wrong_upstream) {
     row->last_active_at = now;
+    row->heard_here_at = now;
     row->failures = 0;
     // Connections that were open before a cut may go on.
     if (!cut_off_.IsCutOff(row->entry.service)) reachability_.OnAnswer(*row, now);
@@ -67,11 +68,12 @@
 void gateway::OnAttemptBytes(const attempt_bytes& bytes) {
   exchange* each = FindByAttempt(bytes.attempt);
   if (each == nullptr) return;
-  each->call.stalled = false;
   const bool passed_on = each->state == exchange_state::kPassedOn;
   if (!passed_on) heard_at_ = ports_.time->Now();
-  if (fleet_upstream* row = fleet_.Find(each->call.upstream))
+  if (fleet_upstream* row = fleet_.Find(each->call.upstream)) {
     row->last_active_at = ports_.time->Now();
+    row->heard_here_at = ports_.time->Now();
+  }
   const answer_terms& terms = each->answer.terms;
   const bool success = IsSuccess(terms.status) && terms.sealed;
   if (success || each->state == exchange_state::kPrefilling)
@@ -80,6 +82,8 @@
   if (runs && each->is_stream() && success) {
     return RelayEvents(*each, bytes.bytes);
   }
+  each->call.stalled = false;
+  each->call.progress_at = ports_.time->Now();
   each->answer.body += bytes.bytes;
   if (FitsBuffer(*each)) return;
   ports_.upstreams->Cancel(each->call.attempt);
@@ -98,9 +102,6 @@
 
 void gateway::RelayEvents(exchange& each, std::string_view bytes) {
   const time_point now = ports_.time->Now();
-  each.call.stall_timeout =
-      std::max<duration>(kMinEventStall, kStallPauses * each.matched->longest_pause);
-  each.call.stalls_at = now + each.call.stall_timeout;
   std::string complete_events;
   if (!each.events.Feed(bytes, complete_events)) {
     ports_.upstreams->Cancel(each.call.attempt);
@@ -110,7 +111,14 @@
   const bool runs_here = each.state == exchange_state::kRunning;
   if (runs_here && now - each.call.first_byte_at >= crash_recorder::kLivedOn)
     crash_recorder_.RecordLivedOn(each, now);
-  if (complete_events.empty()) return;
+  // Bytes that complete no event are no progress: a stalled upstream may send some now and then.
+  each.call.has_part = complete_events.empty();
+  if (each.call.has_part) return;
+  each.call.stalled = false;
+  each.call.progress_at = now;
+  each.call.stall_timeout =
+      std::max<duration>(kMinEventStall, kStallPauses * each.matched->longest_pause);
+  each.call.stalls_at = now + each.call.stall_timeout;
   if (!each.head_sent) {
     each.head_sent = true;
     each.first_event_at = now;
--- a/src/libhawthorndrum/gateway/gateway_stalls.cpp
+++ b/src/libhawthorndrum/gateway/gateway_stalls.cpp
@@ -23,6 +23,9 @@
  */
 constexpr double kSpareRetriesOfStream = 1;
 
+/** Stall timeouts after which a call without progress may move although its upstream is alive. */
+constexpr int kUnansweredTimeouts = 2;
+
 }  // namespace
 
 void gateway::Stall(exchange& each, time_point now) {
@@ -41,8 +44,9 @@
   const time_point last_activity =
       row == nullptr ? heard_since : std::max(row->last_active_at, heard_since);
   const duration silence = now - last_activity;
-  if (silence < each.call.stall_timeout) {
-    each.call.stalls_at = last_activity + each.call.stall_timeout;
+  const time_point answer_due = AnswerDue(each, row);
+  if (silence < each.call.stall_timeout && now < answer_due) {
+    each.call.stalls_at = std::min(last_activity + each.call.stall_timeout, answer_due);
     return;
   }
   each.call.stalls_at = now + kStallCheckInterval;
@@ -52,6 +56,14 @@
   Move(each, *place, now);
 }
 
+time_point gateway::AnswerDue(const exchange& each, const fleet_upstream* row) const {
+  const time_point since = std::max({each.call.progress_at, each.call.sent_at, reads_since_});
+  // An upstream that answers this daemon's other calls has put off this one.
+  const bool answers_others = row != nullptr && row->heard_here_at > since;
+  if (answers_others && !each.call.has_part) return time_point::max();
+  return since + kUnansweredTimeouts * each.call.stall_timeout;
+}
+
 tl::expected<placement, std::string_view> gateway::PlaceAgain(const exchange& each,
                                                               time_point now) {
   const bool prefilling = each.state == exchange_state::kPrefilling;
--- a/src/libtransport/connection_pool.cpp
+++ b/src/libtransport/connection_pool.cpp
@@ -21,7 +21,8 @@
   return failed == asio::error::would_block;
 }
 
-std::unique_ptr<client_connection> connection_pool::Take(const key& to, duration longest_idle) {
+std::unique_ptr<client_connection> connection_pool::Take(const key& to, duration longest_idle,
+                                                         std::string_view id) {
   const auto found = idle_.find(to);
   if (found == idle_.end()) return nullptr;
   auto& waiting = found->second;
@@ -31,7 +32,11 @@
     if (now - waiting.back().since > longest_idle) return nullptr;
     idle_connection taken = std::move(waiting.back());
     waiting.pop_back();
-    if (now < taken.until && IsReusable(*taken.connection)) return std::move(taken.connection);
+    const auto& answered = taken.connection->answered;
+    const bool repeats =
+        !id.empty() && std::find(answered.begin(), answered.end(), id) != answered.end();
+    if (!repeats && now < taken.until && IsReusable(*taken.connection))
+      return std::move(taken.connection);
   }
   return nullptr;
 }
--- a/src/libtransport/connection_pool.h
+++ b/src/libtransport/connection_pool.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "base/units.h"
@@ -17,6 +18,7 @@
 
 /** A connection to an upstream, with the bytes already read from it but not yet parsed. */
 struct client_connection {
+  static constexpr std::size_t kMaxAnswered = 32;
   /** The maximum size of a head, or of a chunk's header or trailer. */
   static constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
 
@@ -24,6 +26,8 @@
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
   bool used_before = false;
+  /** Ids of the last requests answered on it, the latest at the end. */
+  std::deque<std::string> answered;
 };
 
 /**
@@ -38,9 +42,11 @@
 
   /**
    * Removes and returns a connection that was idle for at most `longest_idle` and seems open; null
-   * if there is none.
+   * if there is none. A connection on which a request of that id was answered before is closed: a
+   * late copy of that answer could not be told from the next one.
    */
-  std::unique_ptr<client_connection> Take(const key& to, duration longest_idle);
+  std::unique_ptr<client_connection> Take(const key& to, duration longest_idle,
+                                          std::string_view id);
   /** Adds a connection to the pool for at most `keep_for`. */
   void Keep(const key& to, std::unique_ptr<client_connection> connection, duration keep_for);
   /**
--- a/src/libtransport/http_client.cpp
+++ b/src/libtransport/http_client.cpp
@@ -285,6 +285,9 @@
   if (keep && owner && connection_->buffer.size() == 0) {
     auto idle = std::make_unique<client_connection>(io_.get_executor());
     idle->socket = std::move(connection_->socket);
+    idle->answered = std::move(connection_->answered);
+    if (!call_.expected_answer.value.empty()) idle->answered.push_back(call_.expected_answer.value);
+    if (idle->answered.size() > client_connection::kMaxAnswered) idle->answered.pop_front();
     owner->idle_.Keep({call_.address, call_.owner}, std::move(idle), IdleTimeFrom(parser_->get()));
   } else {
     Close();
@@ -326,7 +329,9 @@
 http_call_id http_client::impl::Start(http_call call, http_call_listener& listener) {
   const http_call_id id(++last_id_);
   std::unique_ptr<client_connection> reused;
-  if (call.reuse) reused = idle_.Take({call.address, call.owner}, call.longest_idle);
+  if (call.reuse) {
+    reused = idle_.Take({call.address, call.owner}, call.longest_idle, call.expected_answer.value);
+  }
   auto running =
       std::make_shared<running_call>(weak_from_this(), io_, id, std::move(call), listener);
   calls_.emplace(id, running);
--- a/src/libtransport/http_server.cpp
+++ b/src/libtransport/http_server.cpp
@@ -78,11 +78,14 @@
   };
 
   void Accept();
+  /** Accepts the connections that the kernel has made already; it would reset them. */
+  void AcceptQueued();
   void RetryAccept();
   bool EvictIdle();
-  void OnAccepted(tcp::socket socket);
+  /** Returns the connection; null if there are too many. */
+  http_session* OnAccepted(tcp::socket socket);
   template <typename Stream>
-  void Open(Stream stream, std::string remote);
+  http_session* Open(Stream stream, std::string remote);
 
   tcp::acceptor acceptor_;
   asio::steady_timer retry_timer_;
@@ -120,13 +123,26 @@
 }
 
 void http_server::impl::StopListening() {
+  const auto sessions = sessions_;
+  AcceptQueued();
   boost::system::error_code ignored;
   acceptor_.close(ignored);
   retry_timer_.cancel();
-  const auto sessions = sessions_;
   for (const auto& [session, entry] : sessions) session->CloseWhenIdle();
 }
 
+void http_server::impl::AcceptQueued() {
+  if (!acceptor_.is_open()) return;
+  boost::system::error_code failed;
+  acceptor_.non_blocking(true, failed);
+  while (!failed) {
+    tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, failed);
+    if (failed) return;
+    if (http_session* session = OnAccepted(std::move(socket))) session->CloseAfterFirstRequest();
+  }
+}
+
 void http_server::impl::SetLimits(const http_limits& limits) {
   const bool changed = limits.idle_timeout != limits_.idle_timeout;
   limits_ = limits;
@@ -171,23 +187,23 @@
   return true;
 }
 
-void http_server::impl::OnAccepted(tcp::socket socket) {
+http_session* http_server::impl::OnAccepted(tcp::socket socket) {
   accepted_.Add();
   if (sessions_.size() >= limits_.connections && !EvictIdle()) {
     over_limit_.Add();
-    return;
+    return nullptr;
   }
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   std::string remote = socket.remote_endpoint(ignored).address().to_string();
   boost::beast::tcp_stream stream(std::move(socket));
   if (!tls_) return Open(std::move(stream), std::move(remote));
-  Open(boost::beast::ssl_stream<boost::beast::tcp_stream>(std::move(stream), *tls_),
-       std::move(remote));
+  return Open(boost::beast::ssl_stream<boost::beast::tcp_stream>(std::move(stream), *tls_),
+              std::move(remote));
 }
 
 template <typename Stream>
-void http_server::impl::Open(Stream stream, std::string remote) {
+http_session* http_server::impl::Open(Stream stream, std::string remote) {
   auto session =
       std::make_shared<http_stream_session<Stream>>(std::move(stream), weak_from_this(), limits_);
   session_entry& entry = sessions_[session.get()];
@@ -196,6 +212,7 @@
   open_.Set(sessions_.size());
   if (close_after_answers_) session->CloseAfterAnswer();
   session->Start();
+  return session.get();
 }
 
 request_id http_server::impl::OnSessionRequest(http_session& session, http_request request) {
--- a/src/libtransport/http_server.h
+++ b/src/libtransport/http_server.h
@@ -44,7 +44,8 @@
    */
   void CloseAfterAnswers();
   /**
-   * Closes the listening socket and idle connections; the others are closed after their answer. A
+   * Accepts the connections that were made already, then closes the listening socket and idle
+   * connections; the others are closed after their answer. A
    * connection with a request that has arrived but was not read yet is not idle.
    */
   void StopListening();
--- a/src/libtransport/http_session.h
+++ b/src/libtransport/http_session.h
@@ -32,6 +32,8 @@
    * answer. Over TLS an unused connection is closed in the next turn of the loop.
    */
   virtual void CloseWhenIdle() = 0;
+  /** Called right after Start: closes after one request, or soon if none arrives. */
+  virtual void CloseAfterFirstRequest() = 0;
   /** Called on an idle connection when the owner's idle timeout has changed. */
   virtual void OnIdleTimeoutChanged() = 0;
 };
--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -57,6 +57,7 @@
   }
   void CloseAfterAnswer() override { close_after_answer_ = true; }
   void CloseWhenIdle() override;
+  void CloseAfterFirstRequest() override;
   void OnIdleTimeoutChanged() override;
 
  private:
@@ -64,6 +65,9 @@
   using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
   /** Size of the buffer for a request's first bytes; an idle connection holds no larger one. */
   static constexpr std::size_t kFirstReadBytes = 1024;
+  static constexpr duration kReadAfterAnswer = milliseconds(300);
+  /** A caller sends its first request within this time after it connected. */
+  static constexpr duration kFirstRequestTime = milliseconds(500);
   static constexpr bool kTls = !std::is_same_v<Stream, boost::beast::tcp_stream>;
 
   auto Self() { return this->shared_from_this(); }
@@ -91,6 +95,10 @@
   void WriteNext();
   void OnWritten(error_type failed);
   void FinishAnswer();
+  /** Closes after the caller has, or after a moment: unread bytes would reset the connection. */
+  void CloseAfterReading();
+  void DiscardBytes();
+  void LeaveOwner();
   void Close();
 
   Stream stream_;
@@ -295,12 +303,40 @@
   const request_id finished = std::exchange(request_, request_id());
   const auto owner = owner_.lock();
   if (finished && owner) owner->OnSessionDone(finished, false);
-  if (!keep_alive_ || !owner) return Close();
+  if (!owner) return Close();
+  if (!keep_alive_) return CloseAfterReading();
   error_type ignored;
   Socket().cancel(ignored);
   ReadHeader();
 }
 
+template <typename Stream>
+void http_stream_session<Stream>::CloseAfterReading() {
+  closing_ = true;
+  error_type ignored;
+  // Without unread bytes the server need not wait for it.
+  if (!HasUnreadBytes()) LeaveOwner();
+  // Ends the wait of WatchForClose.
+  Socket().cancel(ignored);
+  Socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  idle_timer_.expires_after(kReadAfterAnswer);
+  idle_timer_.async_wait([self = Self()](error_type failed) {
+    if (!failed) self->Close();
+  });
+  DiscardBytes();
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::DiscardBytes() {
+  buffer_.clear();
+  Socket().async_read_some(buffer_.prepare(kFirstReadBytes),
+                           [self = Self()](error_type failed, std::size_t) {
+                             if (self->closed_) return;
+                             if (failed) return self->Close();
+                             self->DiscardBytes();
+                           });
+}
+
 template <typename Stream>
 void http_stream_session<Stream>::Close() {
   if (closed_) return;
@@ -310,7 +346,13 @@
   error_type ignored;
   Socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
   Socket().close(ignored);
+  LeaveOwner();
+}
+
+template <typename Stream>
+void http_stream_session<Stream>::LeaveOwner() {
   const auto owner = owner_.lock();
+  owner_.reset();
   if (!owner) return;
   const auto self = Self();
   if (request_) owner->OnSessionDone(std::exchange(request_, request_id()), true);
--- a/src/libtransport/http_stream_session_wait.h
+++ b/src/libtransport/http_stream_session_wait.h
@@ -80,6 +80,14 @@
   if (waiting_) StartIdleTimer(idle_since_ + limits_.idle_timeout);
 }
 
+template <typename Stream>
+void http_stream_session<Stream>::CloseAfterFirstRequest() {
+  if (!waiting_ || kTls) return CloseWhenIdle();
+  closing_ = true;
+  StartIdleTimer(std::chrono::steady_clock::now() + kFirstRequestTime);
+  if (const auto owner = owner_.lock()) owner->OnSessionIdle(*this, false);
+}
+
 template <typename Stream>
 void http_stream_session<Stream>::CloseWhenIdle() {
   const bool handshaking = !parser_;
--- a/tests/gateway/silence.cpp
+++ b/tests/gateway/silence.cpp
@@ -112,5 +112,84 @@
             R"({"event":"loop_delayed","after_ms":1500,"in_flight":0})");
 }
 
+// The load: streams that last for seconds, of which some bring bytes now and then and never an
+// event.
+TEST_F(SilenceTest, AStreamWhoseEngineSendsBytesButNoEventsMoves) {
+  Add("d", "llm", engine_stage::kDecode);
+  const request_id id = AskPrompt("/tell/x", "aa", 100, 50);
+  Head(200);
+  Bytes(Event(1));
+  Add("e", "llm", engine_stage::kDecode);
+  for (int i = 0; i < 25 && upstreams.sent.size() == 1; ++i) {
+    Bytes("d");
+    Pass(milliseconds(100));
+  }
+  ASSERT_EQ(upstreams.sent.size(), 2u);
+  EXPECT_EQ(SentHeader("Last-Event-Id"), "1");
+  Head(200);
+  Bytes(Event(2));
+  Done();
+  EXPECT_EQ(CallerOf(id).body, Event(1) + Event(2));
+}
+
+TEST_F(SilenceTest, ASlowStreamThatBringsEventsStays) {
+  Add("d", "llm", engine_stage::kDecode);
+  Add("e", "llm", engine_stage::kDecode);
+  const request_id id = AskPrompt("/tell/x", "aa", 100, 50);
+  Head(200);
+  std::string sent;
+  for (int i = 1; i <= 3; ++i) {
+    Bytes(Event(i));
+    sent += Event(i);
+    Pass(milliseconds(900));
+  }
+  Done();
+  EXPECT_EQ(upstreams.sent.size(), 1u);
+  EXPECT_EQ(CallerOf(id).body, sent);
+}
+
+// The load: first tries at an upstream that takes this host's connections and answers other hosts.
+class DeafUpstreamTest : public SilenceTest {
+ protected:
+  /** Other daemons report all the time that the first upstream answers them. */
+  void PassWithReports(duration time) {
+    for (duration left = time; left > duration(0); left -= milliseconds(100)) {
+      fleet_upstream* row = served.fleet().Find(upstreams.sent[0].call.upstream);
+      row->last_active_at = row->peers_heard_at = clock.Now();
+      Pass(milliseconds(100));
+    }
+  }
+};
+
+TEST_F(DeafUpstreamTest, ASafeRequestDoesNotWaitThereForItsEnd) {
+  Add("a", "desk");
+  Add("b", "desk");
+  const request_id id = Ask("/look/x");
+  PassWithReports(milliseconds(1500));
+  ASSERT_EQ(upstreams.sent.size(), 2u);
+  Answered("found");
+  EXPECT_EQ(CallerOf(id).body, "found");
+}
+
+TEST_F(DeafUpstreamTest, ARequestThatMayRunOnceIsNotSentAgain) {
+  Add("a", "desk");
+  Add("b", "desk");
+  Ask("/pay/x");
+  PassWithReports(milliseconds(2500));
+  EXPECT_EQ(upstreams.sent.size(), 1u);
+}
+
+TEST_F(DeafUpstreamTest, ARequestStaysWhereOtherRequestsOfThisHostAreAnswered) {
+  Add("a", "desk");
+  const request_id first = Ask("/look/x");
+  Ask("/look/y");
+  Pass(milliseconds(50));
+  Answered("found");
+  Add("b", "desk");
+  PassWithReports(milliseconds(1500));
+  EXPECT_EQ(CallerOf(first).answers, 0);
+  EXPECT_EQ(upstreams.sent.size(), 2u);
+}
+
 }  // namespace
 }  // namespace hawthorndrum
--- a/tests/http/exchanges.cpp
+++ b/tests/http/exchanges.cpp
@@ -105,6 +105,27 @@
   EXPECT_EQ(second.body, "two");
 }
 
+TEST_F(ExchangeTest, ASecondCopyOfAnAnswerIsNotTakenForTheNextTryOfItsRequest) {
+  answer_recorder refused;
+  answer_recorder other;
+  answer_recorder again;
+  client.Start(Call("1"), refused);
+  tcp::socket upstream = Accept();
+  ReadUntil(upstream, "POST /x");
+  Write(upstream, Answer("1", "not run"));
+  ASSERT_TRUE(RunUntil([&] { return refused.has_ended(); }));
+  client.Start(Call("2"), other);
+  ReadUntil(upstream, "POST /x");
+  Write(upstream, Answer("2", "two"));
+  ASSERT_TRUE(RunUntil([&] { return other.has_ended(); }));
+  client.Start(Call("1"), again);
+  tcp::socket next = Accept();
+  ReadUntil(next, "POST /x");
+  Write(next, Answer("1", "run"));
+  ASSERT_TRUE(RunUntil([&] { return again.has_ended(); }));
+  EXPECT_EQ(again.body, "run");
+}
+
 TEST_F(ExchangeTest, AnAnswerWithNeitherLengthNorChunksIsWholeAtTheClose) {
   answer_recorder recorder;
   client.Start(Call("1"), recorder);
--- a/tests/http/kept_connections.cpp
+++ b/tests/http/kept_connections.cpp
@@ -295,5 +295,68 @@
   EXPECT_TRUE(handler.ids.empty());
 }
 
+// The load of the next tests: callers connect and send until the moment in which the server stops.
+
+TEST_F(KeptConnectionsTest, AConnectionInTheListenQueueIsServedWhenTheServerStops) {
+  Listen({});
+  std::vector<tcp::socket> callers;
+  for (int i = 0; i < 20; ++i) {
+    callers.emplace_back(io);
+    callers.back().connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    callers.back().non_blocking(true);
+    Write(callers.back(), kGet);
+  }
+  server->StopListening();
+  ASSERT_TRUE(WaitForRequests(20));
+  for (const request_id id : handler.ids) server->Answer(id, {200, {}, "done"});
+  for (tcp::socket& each : callers)
+    EXPECT_NE(ReadUntil(each, "done").find("done"), std::string::npos);
+}
+
+TEST_F(KeptConnectionsTest, ARequestThatFollowsItsConnectionIsServedWhenTheServerStops) {
+  Listen({});
+  tcp::socket caller(io);
+  caller.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+  caller.non_blocking(true);
+  server->StopListening();
+  Run(std::chrono::milliseconds(20));
+  EXPECT_EQ(server->busy_connections(), 1u);
+  Write(caller, kGet);
+  ASSERT_TRUE(WaitForRequests(1));
+  server->Answer(handler.ids[0], {200, {}, "done"});
+  EXPECT_NE(ReadUntil(caller, "done").find("done"), std::string::npos);
+  EXPECT_TRUE(RunUntil([&] { return server->connections() == 0; }));
+}
+
+TEST_F(KeptConnectionsTest, AQueuedConnectionWithoutARequestDoesNotHoldUpTheStop) {
+  Listen({});
+  tcp::socket caller(io);
+  caller.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+  server->StopListening();
+  EXPECT_EQ(server->connections(), 1u);
+  EXPECT_TRUE(RunUntil([&] { return server->connections() == 0; }));
+}
+
+TEST_F(KeptConnectionsTest, ARequestBehindTheLastAnswerDoesNotResetIt) {
+  Listen({});
+  tcp::socket caller = Connect();
+  server->CloseAfterAnswers();
+  Write(caller, kGet);
+  ASSERT_TRUE(WaitForRequests(1));
+  Write(caller, kGet);
+  server->Answer(handler.ids[0], {200, {}, std::string(100'000, 'x') + "done"});
+  // The server closes before the caller reads.
+  Run(std::chrono::milliseconds(100));
+  EXPECT_NE(ReadUntil(caller, "done").find("done"), std::string::npos);
+  boost::system::error_code failed;
+  char byte = 0;
+  RunUntil([&] {
+    caller.read_some(boost::asio::buffer(&byte, 1), failed);
+    return failed != boost::asio::error::would_block;
+  });
+  EXPECT_EQ(failed, boost::asio::error::eof);
+  EXPECT_EQ(handler.ids.size(), 1u);
+}
+
 }  // namespace
 }  // namespace hawthorndrum
