Leave at once when the near upstreams are late and a free slot elsewhere is not

With shares only, callers of a plain service beside a slow upstream waited longer than under the constant.

--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -336,6 +336,9 @@
   if (near->CostMs() <= chosen.CostMs()) return crossing_reason::kNone;
   if (chosen.place.unread_tokens < near->place.unread_tokens) return crossing_reason::kCache;
   if (near->penalty_ms >= kAvoidedMs) return crossing_reason::kNoneNear;
+  const double objective_ms = ToSeconds(query.objective) * 1000;
+  const bool is_late_near = objective_ms > 0 && near->ExpectedMs() > objective_ms;
+  if (is_late_near && chosen.ExpectedMs() <= objective_ms) return crossing_reason::kNoneNear;
   const std::string& data_centre = *LeavesFor(chosen);
   const crossing_room room = RoomIn(query.service->name, data_centre, now);
   const bool may = crossing_.TakeTurn(query.service->name, data_centre, room, now);
--- a/src/libhawthorndrum/gateway/service_placement.cpp
+++ b/src/libhawthorndrum/gateway/service_placement.cpp
@@ -37,6 +37,10 @@
   row.answer_time += duration(static_cast<std::int64_t>(change));
 }
 
+bool service_placement::HasFreeSlot(const fleet_upstream& row) {
+  return row.all_work().running < row.entry.slots;
+}
+
 double service_placement::RiskMs(const fleet_upstream& row, const placement_query& query,
                                  time_point now) {
   double risk = row.failure_share * (query.failure_is_final ? kFinalFailureMs : kRetriedFailureMs);
@@ -79,6 +83,10 @@
   if (near.row == nullptr) return crossing_reason::kNoneNear;
   // The near upstream's failures, not its load, make the difference.
   if (RiskMs(*near.row, query, now) > far.cost_ms) return crossing_reason::kNoneNear;
+  const double objective_ms = ToSeconds(query.objective) * 1000;
+  const bool is_late_near = objective_ms > 0 && near.cost_ms > objective_ms;
+  if (is_late_near && far.cost_ms <= objective_ms && HasFreeSlot(*far.row))
+    return crossing_reason::kNoneNear;
   const std::string& data_centre = far.row->entry.data_centre;
   const crossing_room room = RoomIn(query.service->name, data_centre, now);
   const bool may = crossing_.TakeTurn(query.service->name, data_centre, room, now);
--- a/src/libhawthorndrum/gateway/service_placement.h
+++ b/src/libhawthorndrum/gateway/service_placement.h
@@ -36,6 +36,7 @@
     const fleet_upstream* row = nullptr;
     double cost_ms = 0;
   };
+  static bool HasFreeSlot(const fleet_upstream& row);
   /** Returns the penalty for recent failures and refusals. */
   static double RiskMs(const fleet_upstream& row, const placement_query& query, time_point now);
   double CostOf(const fleet_upstream& row, const placement_query& query, time_point now) const;
