--- a/tests/placement/test_placement.cpp
+++ b/tests/placement/test_placement.cpp
@@ -299,5 +299,44 @@
   EXPECT_EQ(place.error().reason, "upstreams_full");
 }
 
+// Load: the near upstream is gone, or queues so much that an answer there would be late, while one
+// elsewhere has a free slot. Shares of many daemons are far below one call.
+TEST_F(PlacementTest, CallsThatWouldBeLateNearbyLeaveWhileThereIsAFreeSlot) {
+  crossing.SetDaemons({{"north", 500}, {"south", 500}});
+  fleet_upstream& far = Add("b", "desk", engine_stage::kNone, "south");
+  EXPECT_EQ(services.Choose(Call(), now)->leaves, crossing_reason::kNoneNear);
+  fleet_upstream& near = Add("a", "desk", engine_stage::kNone);
+  near.peers.running = 4;
+  placement_query query = Call();
+  query.objective = milliseconds(60);
+  EXPECT_EQ(services.Choose(query, now)->runs_at, near.id);
+  near.peers.running = 20;
+  EXPECT_EQ(services.Choose(query, now)->runs_at, far.id);
+  EXPECT_EQ(services.Choose(query, now)->leaves, crossing_reason::kNoneNear);
+  far.peers.running = 6;
+  EXPECT_EQ(services.Choose(query, now)->runs_at, near.id);
+}
+
+// Load: callers of a group whose prompt is cached elsewhere, and callers of others beside idle
+// engines elsewhere; bytes are free, usual and dear.
+TEST_F(PlacementTest, PromptsLeaveForACacheButNotForLittleTime) {
+  const upstream_id near = Add("d0", "llm", engine_stage::kDecode).id;
+  fleet_upstream& far = Add("d1", "llm", engine_stage::kDecode, "south");
+  const prompt asked = Prompt(1, 9000, 60);
+  far.cache.RecordPrompt(asked, now);
+  placement_query query = Query(asked);
+  query.request_bytes = 40'000;
+  const auto cached = engines.Choose(query, now);
+  EXPECT_EQ(cached->runs_at, far.id);
+  EXPECT_EQ(cached->leaves, crossing_reason::kCache);
+  const prompt other = Prompt(2, 90, 60);
+  query.asked = &other;
+  fleet.Find(near)->peers.running = 20;  // 10 ms
+  EXPECT_EQ(engines.Choose(query, now)->runs_at, near);
+  crossing_policy free_bytes({0, 0}, "north", random);
+  const engine_placement careless(fleet, speeds, random, free_bytes);
+  EXPECT_EQ(careless.Choose(query, now)->leaves, crossing_reason::kRoom);
+}
+
 }  // namespace
 }  // namespace hawthorndrum
