--- a/benchmarks/bench_teams.cpp
+++ b/benchmarks/bench_teams.cpp
@@ -10,6 +10,7 @@
 #include "config_decoder.h"
 #include "gateway/gateway_config.h"
 #include "teams/caller_check.h"
+#include "teams/team_shares.h"
 
 namespace hawthorndrum {
 namespace {
@@ -80,6 +81,29 @@
   }
 }
 
+/** The rates of teams that all are active while room is short. */
+void Rates(benchmark::State& state) {
+  const int teams = static_cast<int>(state.range(0));
+  const std::size_t before = HeapInUse();
+  team_shares shares;
+  time_point now = time_point() + seconds(1000);
+  const auto record_all = [&] {
+    for (int i = 1; i <= teams; ++i)
+      shares.Record({1, 1, static_cast<std::uint64_t>(i)}, 1000, i % 2 == 0, now);
+  };
+  record_all();
+  state.counters["bytes"] = static_cast<double>(HeapInUse() - before);
+  for (auto each : state) {
+    // The levels are set anew each tenth of a second.
+    state.PauseTiming();
+    now += milliseconds(100);
+    record_all();
+    state.ResumeTiming();
+    benchmark::DoNotOptimize(shares.Judge({1, 1, 2}, 1000, 2, now));
+  }
+}
+
+BENCHMARK(Rates)->Arg(1000)->Arg(10000)->Arg(31000)->Unit(benchmark::kMillisecond);
 BENCHMARK(OneKeyChanged)->Arg(1000)->Arg(10000)->Arg(31000)->Unit(benchmark::kMillisecond);
 BENCHMARK(SameTeams)->Arg(1000)->Arg(10000)->Arg(31000)->Unit(benchmark::kMillisecond);
 BENCHMARK(IndexOnly)->Arg(1000)->Arg(10000)->Arg(31000)->Unit(benchmark::kMillisecond);
