--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -66,7 +66,6 @@
 void gateway::OnAttemptBytes(const attempt_bytes& bytes) {
   exchange* each = FindByAttempt(bytes.attempt);
   if (each == nullptr) return;
-  each->call.stalled = false;
   each->call.answer_bytes += bytes.bytes.size();
   const bool passed_on = each->state == exchange_state::kPassedOn;
   if (!passed_on) heard_at_ = ports_.time->Now();
--- a/src/libtransport/http_client.cpp
+++ b/src/libtransport/http_client.cpp
@@ -280,11 +280,10 @@
   if (keep && owner && connection_->buffer.size() == 0) {
     auto idle = std::make_unique<client_connection>(io_.get_executor());
     idle->socket = std::move(connection_->socket);
-    owner->idle_.Keep({call_.address, call_.owner}, std::move(idle), KeepTimeOf(parser_->get()));
     idle->answered = std::move(connection_->answered);
     if (!call_.expected_answer.value.empty()) idle->answered.push_back(call_.expected_answer.value);
     if (idle->answered.size() > client_connection::kMaxAnswered) idle->answered.pop_front();
-    owner->idle_.Keep({call_.address, call_.owner}, std::move(idle), IdleTimeFrom(parser_->get()));
+    owner->idle_.Keep({call_.address, call_.owner}, std::move(idle), KeepTimeOf(parser_->get()));
   } else {
     Close();
   }
--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -5,7 +5,6 @@
 import random
 import time
 
-from duty_records import TEAMS
 
 HOST = "shop.example"
 CALLER_PATIENCE_S = 6
@@ -14,7 +13,6 @@
 EXPECT_SHARE = 0.05
 CRASHING_SHARE = 0.2  # Of streams, while a part crashes engines.
 EXPECT_WAIT_S = 0.2
-KEYS = list(TEAMS.values())
 INTERIM = b"HTTP/1.1 100"
 IDEMPOTENT = ("/look/", "/stream/tell/")
 
@@ -137,7 +135,6 @@
         method, target, body = attempt.asked
         lines = ["%s %s HTTP/1.1" % (method, target), "Host: " + HOST,
                  "X-Hawthorndrum-Request-Id: " + attempt.request,
-                 "Api-Key: " + KEYS[int(attempt.request[1:]) % len(KEYS)],
                  "X-Hawthorndrum-Deadline-Ms: 3000", "X-Hawthorndrum-Kv-Hold: forged",
                  "X-Hawthorndrum-Tenant: forged", "Content-Length: %d" % len(body)]
         key = self.records.keys.choose(self.team)
--- a/tests/soak/duty_records.py
+++ b/tests/soak/duty_records.py
@@ -8,7 +8,6 @@
 
 WINDOW_S = 1
 LATENESS_S = 4
-TEAMS = {"ash": "key-of-ash-0001", "oak": "key-of-oak-0001", "yew": "key-of-yew-0001"}
 MIN_RETURN_S = 3.0  # A, B, A of holders within this time breaks the rule.
 THAW_S = 0.3
 MAX_ANSWER_S = 2.5
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,7 +19,7 @@
 import tempfile
 
 from caller import HOST, Caller
-from duty_records import LATENESS_S, TEAMS, WINDOW_S, PlatformApi
+from duty_records import LATENESS_S, WINDOW_S, PlatformApi
 from fault_proxy import FaultProxy, Ports
 from gateway_cuts import GatewayCuts
 from platform_standin import Store, Worker
@@ -94,7 +94,6 @@
         services = [{"name": "llm", "max_conns": 300, "engine": engine},
                     {"name": "desk", "max_conns": 300}]
         limits = {"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000}
-        tenants = [{"name": name, "api_keys": [key], "priority": 1} for name, key in TEAMS.items()]
         await self.store.put("config", "main", {"version": self.version, "routes": routes,
                                                 "services": services, "limits": limits,
                                                 "tenants": self.records.keys.spec()})
@@ -117,7 +116,6 @@
         self.store.refused |= refused
         await asyncio.sleep(self.rng.uniform(1, 6))
         self.store.refused -= refused
-                                                "tenants": tenants})
 
     def start_gateway(self, gateway):
         log = open(gateway["log"], "ab")
