Measure links by connections, and let cached prompts leave

Two causes: a group's second engine elsewhere counted as leaving for room, so that near engines read its parts too; and the link's delay was taken from answers, whose times vary by far more.

Delays come from connections now; how much later calls are than expected only limits what leaves for room. An option that delays other requests less counts as leaving for the cache.

--- a/src/libhawthorndrum/crossing/crossing_policy.cpp
+++ b/src/libhawthorndrum/crossing/crossing_policy.cpp
@@ -11,12 +11,12 @@
 
 constexpr double kBytesPerMegabyte = 1e6;
 constexpr double kBytesPerGigabyte = 1e9;
-/** A round trip, until calls have shown the link's delay. */
+/** A round trip, until connections have shown the link's delay. */
 constexpr double kAssumedDelayMs = 2;
+constexpr double kConnectWeight = 0.1;
+constexpr double kLongestConnectMs = 1000;
 /** Share of a data centre's slots that is kept free for its own callers. */
 constexpr double kReserve = 0.15;
-/** Answers from which on the lateness of the fast calls is believed. */
-constexpr int kEnoughAnswers = 8;
 /** A call is bad if it took this many times the usual ratio of near calls, and longer by this. */
 constexpr double kBadRatio = 2;
 constexpr duration kBadBeyond = milliseconds(50);
@@ -49,19 +49,32 @@
   return found == results_.end() ? nullptr : &found->second;
 }
 
-double crossing_policy::DelayMs(const std::string& service, const std::string& data_centre) const {
+double crossing_policy::DelayMs(const std::string& data_centre) const {
   if (IsNear(data_centre)) return 0;
+  const auto there = connect_ms_.find(data_centre);
+  const auto here = connect_ms_.find(own_data_centre_);
+  if (there == connect_ms_.end() || here == connect_ms_.end()) return kAssumedDelayMs;
+  return std::max(0.0, there->second - here->second);
+}
+
+void crossing_policy::OnConnected(const std::string& data_centre, duration taken) {
+  const double taken_ms = std::min(kLongestConnectMs, ToSeconds(taken) * 1000);
+  const auto [known, added] = connect_ms_.try_emplace(data_centre, taken_ms);
+  if (!added) known->second += kConnectWeight * (taken_ms - known->second);
+}
+
+double crossing_policy::LatenessMs(const std::string& service,
+                                   const std::string& data_centre) const {
   const link_results* there = ResultsOf(service, data_centre);
   const link_results* here = ResultsOf(service, own_data_centre_);
-  if (there == nullptr || there->answers() < kEnoughAnswers) return kAssumedDelayMs;
-  const bool knows_here = here != nullptr && here->answers() >= kEnoughAnswers;
-  const double late_here_ms = knows_here ? here->LowLatenessMs() : 0;
-  return std::max(kAssumedDelayMs, there->LowLatenessMs() - late_here_ms);
+  if (there == nullptr) return 0;
+  return std::max(0.0, there->LatenessMs() - (here == nullptr ? 0 : here->LatenessMs()));
 }
 
 bool crossing_policy::Pays(double won_ms, double bytes, const std::string& service,
                            const std::string& data_centre) const {
-  return won_ms > PriceMs(bytes) + DelayMs(service, data_centre);
+  const double longer_ms = std::max(DelayMs(data_centre), LatenessMs(service, data_centre));
+  return won_ms > PriceMs(bytes) + longer_ms;
 }
 
 double crossing_policy::Trust(const std::string& service, const std::string& data_centre,
--- a/src/libhawthorndrum/crossing/crossing_policy.h
+++ b/src/libhawthorndrum/crossing/crossing_policy.h
@@ -41,15 +41,22 @@
   double PriceMs(double bytes) const;
   /** Returns what moving a KV cache costs. */
   double KvPriceMs(double bytes) const;
-  /** Returns the measured extra time of a call of the service there, in milliseconds. */
-  double DelayMs(const std::string& service, const std::string& data_centre) const;
+  /** Returns the link's measured delay for a call there, in milliseconds. */
+  double DelayMs(const std::string& data_centre) const;
   /** Returns whether leaving wins more than it costs. */
   bool Pays(double won_ms, double bytes, const std::string& service,
             const std::string& data_centre) const;
+  /**
+   * Returns the mean time that calls there take beyond what was expected, as far as it is longer
+   * than at near upstreams: loads there are old, and others send there too.
+   */
+  double LatenessMs(const std::string& service, const std::string& data_centre) const;
   /** Takes one request's turn to use a free slot there; returns false if it must stay. */
   bool TakeTurn(const std::string& service, const std::string& data_centre,
                 const crossing_room& room, time_point now);
 
+  /** Records that a connection to an upstream there, or a near one, was made in that time. */
+  void OnConnected(const std::string& data_centre, duration taken);
   /** Records that the call's first byte or answer came after `taken`. */
   void OnAnswer(const std::string& service, const std::string& data_centre, duration expected,
                 duration taken, time_point now);
@@ -74,6 +81,8 @@
   std::string own_data_centre_;
   random_source& random_;
   std::map<std::string, std::size_t> daemons_;
+  /** Moving averages of the time to connect, in milliseconds, by data centre. */
+  std::map<std::string, double> connect_ms_;
   /** By service and data centre, the own one included. */
   std::map<link_key, link_results> results_;
   std::map<link_key, crossing_share> shares_;
--- a/src/libhawthorndrum/crossing/link_results.cpp
+++ b/src/libhawthorndrum/crossing/link_results.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/** The share of calls that are faster than the low lateness. */
-constexpr double kLowShare = 0.2;
-/** Step of the low lateness, relative to the distance, for a call on its farther side. */
-constexpr double kLatenessStep = 0.25;
 constexpr double kAverageWeight = 0.1;
 constexpr double kMaxRatio = 20;
 constexpr double kTrustLoss = 0.6;
@@ -21,15 +17,13 @@
 }  // namespace
 
 void link_results::OnAnswer(duration expected, duration taken) {
-  const double lateness_ms = ToSeconds(taken - expected) * 1000;
   const double ratio = std::min(kMaxRatio, ToSeconds(taken) / std::max(0.001, ToSeconds(expected)));
-  answers_ += 1;
-  if (answers_ == 1) {
-    low_lateness_ms_ = lateness_ms;
+  const double lateness_ms = ToSeconds(taken - expected) * 1000;
+  if (answers_++ == 0) {
+    lateness_ms_ = lateness_ms;
     call_time_ = taken;
   }
-  const double share = lateness_ms < low_lateness_ms_ ? 1 - kLowShare : kLowShare;
-  low_lateness_ms_ += kLatenessStep * share * (lateness_ms - low_lateness_ms_);
+  lateness_ms_ += kAverageWeight * (lateness_ms - lateness_ms_);
   ratio_ += kAverageWeight * (ratio - ratio_);
   const double longer_us = static_cast<double>((taken - call_time_).count());
   call_time_ += duration(static_cast<std::int64_t>(kAverageWeight * longer_us));
--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -70,7 +70,7 @@
 double engine_placement::RunCost(const fleet_upstream& row, const placement_query& query) const {
   const upstream_work work = row.all_work();
   double cost = kRunningMs * work.running + TransferMs(work.fetching_tokens, *query.service);
-  cost += crossing_.DelayMs(row.entry.service, row.entry.data_centre);
+  cost += crossing_.DelayMs(row.entry.data_centre);
   const double memory = static_cast<double>(query.service->memory_tokens) * kMemoryShare;
   const std::uint64_t needed = query.asked->tokens() + query.asked->output_tokens;
   if (memory > 0 && static_cast<double>(work.memory_tokens + needed) > memory)
@@ -145,7 +145,7 @@
     if (!crossing_.IsNear(row->entry.data_centre)) {
       each.price_ms = crossing_.PriceMs(BytesOf(query, row->entry.stage));
       each.follow_ms = each.price_ms + crossing_.PriceMs(BytesOf(query, engine_stage::kDecode)) +
-                       2 * crossing_.DelayMs(query.service->name, row->entry.data_centre);
+                       2 * crossing_.DelayMs(row->entry.data_centre);
     }
     found.push_back(each);
   }
@@ -227,7 +227,9 @@
   here.wait_ms = at.wait_ms + at.slot_wait_ms;
   here.work_ms =
       at.prefill_ms + at.run_ms + speeds_.OverheadMs(query.service->name, engine_stage::kDecode);
-  here.penalty_ms = at.penalty_ms + at.risk_ms + at.price_ms;
+  here.penalty_ms = at.penalty_ms + at.risk_ms;
+  here.risk_ms = at.risk_ms;
+  here.price_ms = at.price_ms;
   return here;
 }
 
@@ -240,12 +242,13 @@
   both.wait_ms = prefill_engine.wait_ms + prefill_engine.slot_wait_ms + decode_engine.slot_wait_ms;
   both.work_ms = prefill_engine.prefill_ms + decode_engine.run_ms +
                  SplitMs(*prefill_engine.row, *decode_engine.row, query) +
-                 crossing_.DelayMs(service, prefill_engine.row->entry.data_centre) +
+                 crossing_.DelayMs(prefill_engine.row->entry.data_centre) +
                  std::max(speeds_.OverheadMs(service, engine_stage::kPrefill),
                           speeds_.OverheadMs(service, engine_stage::kDecode));
-  both.penalty_ms = prefill_engine.penalty_ms + prefill_engine.risk_ms + decode_engine.risk_ms +
-                    prefill_engine.price_ms + decode_engine.price_ms +
-                    TransferPriceMs(*prefill_engine.row, *decode_engine.row, query);
+  both.penalty_ms = prefill_engine.penalty_ms + prefill_engine.risk_ms + decode_engine.risk_ms;
+  both.risk_ms = std::max(prefill_engine.risk_ms, decode_engine.risk_ms);
+  both.price_ms = prefill_engine.price_ms + decode_engine.price_ms +
+                  TransferPriceMs(*prefill_engine.row, *decode_engine.row, query);
   return both;
 }
 
@@ -332,14 +335,21 @@
   // The KV cache of a prefilled prompt is there already.
   if (query.is_prefilled) return crossing_reason::kCache;
   if (!near) return crossing_reason::kNoneNear;
+  if (near->risk_ms >= kAvoidedMs) return crossing_reason::kNoneNear;
   // A decode engine is the best of a sample, so that a second choice may be better.
   if (near->CostMs() <= chosen.CostMs()) return crossing_reason::kNone;
-  if (chosen.place.unread_tokens < near->place.unread_tokens) return crossing_reason::kCache;
-  if (near->penalty_ms >= kAvoidedMs) return crossing_reason::kNoneNear;
+  // A near engine would prefill shared parts again, and delay what is queued there.
+  if (chosen.place.unread_tokens < near->place.unread_tokens ||
+      chosen.penalty_ms < near->penalty_ms)
+    return crossing_reason::kCache;
   const double objective_ms = ToSeconds(query.objective) * 1000;
   const bool is_late_near = objective_ms > 0 && near->ExpectedMs() > objective_ms;
   if (is_late_near && chosen.ExpectedMs() <= objective_ms) return crossing_reason::kNoneNear;
   const std::string& data_centre = *LeavesFor(chosen);
+  // Prices and the delay are part of both costs.
+  const double gain_ms = near->CostMs() - chosen.CostMs();
+  if (gain_ms <= crossing_.LatenessMs(query.service->name, data_centre))
+    return crossing_reason::kNone;
   const crossing_room room = RoomIn(query.service->name, data_centre, now);
   const bool may = crossing_.TakeTurn(query.service->name, data_centre, room, now);
   return may ? crossing_reason::kRoom : crossing_reason::kNone;
--- a/src/libhawthorndrum/gateway/engine_placement.h
+++ b/src/libhawthorndrum/gateway/engine_placement.h
@@ -100,10 +100,15 @@
     placement place;
     double wait_ms = 0;
     double work_ms = 0;
+    /** Of the call to others, failures included. */
     double penalty_ms = 0;
+    /** The part of it for recent failures. */
+    double risk_ms = 0;
+    /** Of the bytes that leave the data centre. */
+    double price_ms = 0;
 
     double ExpectedMs() const { return wait_ms + work_ms; }
-    double CostMs() const { return wait_ms + work_ms + penalty_ms; }
+    double CostMs() const { return wait_ms + work_ms + penalty_ms + price_ms; }
   };
   option RunThere(const candidate& at, const placement_query& query) const;
   option Split(const candidate& prefill_engine, const candidate& decode_engine,
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -38,8 +38,11 @@
 void gateway::OnAttemptConnected(const attempt_connected& connected) {
   const exchange* each = FindByAttempt(connected.attempt);
   if (each == nullptr) return;
-  if (fleet_upstream* row = fleet_.Find(each->call.upstream))
-    cut_off_.OnConnected(*row, ports_.time->Now());
+  const time_point now = ports_.time->Now();
+  fleet_upstream* row = fleet_.Find(each->call.upstream);
+  if (row == nullptr) return;
+  cut_off_.OnConnected(*row, now);
+  crossing_.OnConnected(row->entry.data_centre, now - each->call.sent_at);
 }
 
 void gateway::OnAttemptLost(const attempt_lost& lost) {
--- a/src/libhawthorndrum/gateway/service_placement.cpp
+++ b/src/libhawthorndrum/gateway/service_placement.cpp
@@ -57,8 +57,7 @@
   double cost = ToSeconds(answer) * 1000 * (1 + load) + RiskMs(row, query, now);
   if (!crossing_.IsNear(row.entry.data_centre)) {
     // A measured answer time contains the link's delay.
-    if (row.answer_time == duration(0))
-      cost += crossing_.DelayMs(row.entry.service, row.entry.data_centre);
+    if (row.answer_time == duration(0)) cost += crossing_.DelayMs(row.entry.data_centre);
     cost += crossing_.PriceMs(query.request_bytes + query.answer_bytes);
   }
   return cost;
@@ -88,6 +87,10 @@
   if (is_late_near && far.cost_ms <= objective_ms && HasFreeSlot(*far.row))
     return crossing_reason::kNoneNear;
   const std::string& data_centre = far.row->entry.data_centre;
+  // Prices and the delay are part of both costs.
+  const double gain_ms = near.cost_ms - far.cost_ms;
+  if (gain_ms <= crossing_.LatenessMs(query.service->name, data_centre))
+    return crossing_reason::kNone;
   const crossing_room room = RoomIn(query.service->name, data_centre, now);
   const bool may = crossing_.TakeTurn(query.service->name, data_centre, room, now);
   return may ? crossing_reason::kRoom : crossing_reason::kNone;
--- a/tests/crossing/test_crossing.cpp
+++ b/tests/crossing/test_crossing.cpp
@@ -26,9 +26,9 @@
 };
 
 TEST_F(CrossingTest, NearCallsCostNothing) {
-  EXPECT_EQ(policy.DelayMs("llm", "north"), 0);
-  policy.OnAnswer("llm", "north", milliseconds(10), milliseconds(500), now);
-  EXPECT_EQ(policy.DelayMs("llm", "north"), 0);
+  EXPECT_EQ(policy.DelayMs("north"), 0);
+  policy.OnConnected("north", milliseconds(500));
+  EXPECT_EQ(policy.DelayMs("north"), 0);
 }
 
 // Load: near upstreams make callers wait for 40 ms; with free traffic, with the usual price and
@@ -45,19 +45,19 @@
   EXPECT_TRUE(dear.Pays(crossing_policy::kMaxPriceMs + 100, 1e12, "llm", "south"));
 }
 
-// Load: calls that are served as fast as before over a link that turns slow by 300 ms, and back.
-TEST_F(CrossingTest, ASlowLinkIsMeasuredByItsCalls) {
-  const auto answers = [&](int count, duration there) {
+// Load: connections over a link that turns slow by 300 ms, and back.
+TEST_F(CrossingTest, ASlowLinkIsMeasuredByItsConnections) {
+  const auto connects = [&](int count, duration there) {
     for (int i = 0; i < count; ++i) {
-      policy.OnAnswer("llm", "north", milliseconds(80), milliseconds(90), now);
-      policy.OnAnswer("llm", "south", milliseconds(80), there, now);
+      policy.OnConnected("north", milliseconds(2));
+      policy.OnConnected("south", there);
     }
   };
-  answers(50, milliseconds(93));
+  connects(50, milliseconds(3));
   EXPECT_TRUE(policy.Pays(50, kRequestBytes, "llm", "south"));
-  answers(50, milliseconds(393));
+  connects(50, milliseconds(303));
   EXPECT_FALSE(policy.Pays(50, kRequestBytes, "llm", "south"));
-  answers(50, milliseconds(93));
+  connects(50, milliseconds(3));
   EXPECT_TRUE(policy.Pays(50, kRequestBytes, "llm", "south"));
 }
 
