--- a/tests/settings/log_pages.cpp
+++ b/tests/settings/log_pages.cpp
@@ -65,10 +65,6 @@
                            "crossing", "flow"}) {
     code += Sources(std::string("src/libhawthorndrum/") + part);
   }
-  const std::string code =
-      Sources("src/libhawthorndrum/gateway") + Sources("src/libhawthorndrum/feed") +
-      Sources("src/libhawthorndrum/resumes") + Sources("src/libhawthorndrum/crashes") +
-      Sources("src/gatewayd") + Sources("platform");
   std::set<std::string> written =
       Matches(code, std::regex("log_record\\([\\w.]*(?: \\? )?\"(\\w+)\"(?: : \"(\\w+)\")?\\)"));
   // Fields are chained calls on a log_record. Readers of settings have methods of the same names;
