--- a/src/libhawthorndrum/scaling/upstream_plan.cpp
+++ b/src/libhawthorndrum/scaling/upstream_plan.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <numeric>
 
 namespace hawthorndrum {
@@ -94,6 +95,7 @@
                     std::none_of(centres_.begin(), centres_.end(), IsUnsettled);
     }
     for (const centre_state& centre : centres_) PlanCentre(centre, needed);
+    AddReductions();
     if (demand_.seen) FillShortage();
     return {std::move(steps_), std::move(sizes_), fleet_};
   }
@@ -159,14 +161,23 @@
     }
   }
 
-  /** Under load, only one data centre at a time. */
   void Reduce(const centre_state& centre, bool reclaimable, std::uint32_t wanted,
               scale_reason reason) {
     if (!may_reduce_) return;
-    if (demand_.seen && !reduced_.empty() && reduced_ != centre.name) return;
-    reduced_ = centre.name;
     const kind_state& now = reclaimable ? centre.reclaimable : centre.lasting;
-    steps_.push_back({centre.name, reclaimable, now.ordered, wanted, reason});
+    reductions_.push_back({centre.name, reclaimable, now.ordered, wanted, reason});
+    savings_[centre.name] += (now.ordered - wanted) * PriceIn(limits_, centre) *
+                             (reclaimable ? limits_.reclaimable_price : 1);
+  }
+
+  /** Under load, only in the data centre where it saves most. */
+  void AddReductions() {
+    const auto most =
+        std::max_element(savings_.begin(), savings_.end(),
+                         [](const auto& a, const auto& b) { return a.second < b.second; });
+    for (const scale_step& each : reductions_) {
+      if (!demand_.seen || each.data_centre == most->first) steps_.push_back(each);
+    }
   }
 
   /** What is ordered of a kind there, with the steps so far. */
@@ -252,8 +263,9 @@
   std::vector<scale_step> steps_;
   std::vector<std::uint32_t> sizes_;
   planned_fleet fleet_;
-  /** The data centre that is reduced. */
-  std::string reduced_;
+  std::vector<scale_step> reductions_;
+  /** What the reductions of each data centre save. */
+  std::map<std::string, double> savings_;
 };
 
 }  // namespace
