--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -223,6 +223,7 @@
     std::snprintf(text, sizeof(text), "%.3f", ToSeconds(retry_after) * spread);
     answer.headers.push_back({"Retry-After", text});
   }
+  if (status == 401) answer.headers.push_back({"WWW-Authenticate", "ApiKey"});
   const bool not_run = status == 503 || status == 404 || status == 401;
   const std::string_view outcome = not_run ? "not_run" : "unknown";
   answer.body = "{\"title\":\"" + std::string(reason) + "\",\"status\":" + std::to_string(status) +
