--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -142,11 +142,8 @@
     each.slot_wait_ms = SlotWaitMs(*row);
     each.risk_ms = kRefusalMs * row->refusal_share;
     if (now < row->avoid_until) each.risk_ms += kAvoidedMs;
-    if (!crossing_.IsNear(row->entry.data_centre)) {
+    if (!crossing_.IsNear(row->entry.data_centre))
       each.price_ms = crossing_.PriceMs(BytesOf(query, row->entry.stage));
-      each.follow_ms = each.price_ms + crossing_.PriceMs(BytesOf(query, engine_stage::kDecode)) +
-                       2 * crossing_.DelayMs(row->entry.data_centre);
-    }
     found.push_back(each);
   }
   const std::uint64_t key = query.asked->shared_key();
--- a/src/libhawthorndrum/gateway/engine_placement.h
+++ b/src/libhawthorndrum/gateway/engine_placement.h
@@ -59,8 +59,6 @@
     double risk_ms = 0;
     /** Price of the bytes that a call there moves between data centres. */
     double price_ms = 0;
-    /** What a prefill there costs besides its time: the decode follows it to its data centre. */
-    double follow_ms = 0;
 
     /** Returns the cost of decoding there after a prefill elsewhere. */
     double DecodeCostMs() const { return DecodeMs() + risk_ms + price_ms; }
@@ -68,7 +66,7 @@
     double DecodeMs() const { return run_ms + slot_wait_ms + wait_ms; }
     /** Returns the cost of the prefill there. */
     double PrefillCostMs() const {
-      return wait_ms + slot_wait_ms + prefill_ms + penalty_ms + risk_ms + follow_ms;
+      return wait_ms + slot_wait_ms + prefill_ms + penalty_ms + risk_ms;
     }
   };
 
--- a/tests/gateway/settled_builds.cpp
+++ b/tests/gateway/settled_builds.cpp
@@ -165,6 +165,7 @@
 
 TEST_F(SettledBuildsTest, CallsDoNotGrowWithTheNumberOfDaemons) {
   std::vector<daemon_record> fleet;
+  fleet.reserve(40);
   for (int i = 0; i < 40; ++i) fleet.push_back({"d" + std::to_string(i), "10.0.0.1:1", "north"});
   std::vector<std::unique_ptr<daemon_directory>> lists;
   std::vector<std::unique_ptr<build_record>> records;
--- a/tests/scaling/test_scaling.cpp
+++ b/tests/scaling/test_scaling.cpp
@@ -28,7 +28,7 @@
 
 const std::vector<scale_case>& Cases() {
   // 60 engines are there at the start. The load is in engines that it keeps busy.
-  static const std::vector<scale_case> cases = {
+  static const std::vector<scale_case> kCases = {
       // A load that a third carries, as on the deployments that pay for far too many.
       {"steady", [](double) { return 20.0; }, nullptr},
       // Waves of 11 s that swing by 27%.
@@ -63,7 +63,7 @@
       {"none available", [](double) { return 6.0; },
        [](fleet_model& fleet, double) { fleet.none_reclaimable = true; }},
   };
-  return cases;
+  return kCases;
 }
 
 void Controlled(fleet_model& fleet, double) { fleet.RunController(); }
@@ -107,9 +107,9 @@
   return result;
 }
 
-class ScaleCases : public testing::TestWithParam<scale_case> {};
+class ScaleCasesTest : public testing::TestWithParam<scale_case> {};
 
-TEST_P(ScaleCases, CallersGetWhatTheFleetOfTheStartGaveThemForLess) {
+TEST_P(ScaleCasesTest, CallersGetWhatTheFleetOfTheStartGaveThemForLess) {
   const scale_case& given = GetParam();
   const model_result ours = Play(given, "controller", Controlled);
   const model_result unchanged = Play(given, "unchanged", Unchanged);
@@ -126,7 +126,7 @@
   EXPECT_LE(ours.orders, 30);
 }
 
-INSTANTIATE_TEST_SUITE_P(Loads, ScaleCases, testing::ValuesIn(Cases()),
+INSTANTIATE_TEST_SUITE_P(Loads, ScaleCasesTest, testing::ValuesIn(Cases()),
                          [](const auto& info) { return "Case" + std::to_string(info.index); });
 
 TEST(Scaling, WithoutTrafficOnlyTheKindsChange) {
