--- a/src/libhawthorndrum/feed/change_feed.cpp
+++ b/src/libhawthorndrum/feed/change_feed.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/log_record.h"
+#include "base/scaled.h"
 #include "feed/feed_sender.h"
 #include "feed/feed_target.h"
 #include "gateway/daemon_directory.h"
@@ -18,21 +19,26 @@
 /** The interval of messages without changes grows with the daemons that get them. */
 constexpr duration kPeriodPerDaemon = milliseconds(7);
 constexpr duration kMinPeriod = milliseconds(300);
-constexpr duration kMaxPeriod = milliseconds(600);
+constexpr duration kMaxPeriod = milliseconds(400);
+/** Shares of the time within which changes must be known; the rest is for a call of its own. */
+constexpr double kFreshShare = 0.4;
+constexpr double kTimeoutShare = 0.3;
 constexpr duration kAskAgain = milliseconds(150);
 
 }  // namespace
 
 change_feed::change_feed(const daemon_directory& daemons, feed_sender& sender, feed_target& target,
                          event_log& log, std::string own_name, std::string own_data_centre,
-                         std::size_t min_daemons)
+                         std::size_t min_daemons, duration known_within)
     : daemons_(daemons),
       sender_(sender),
       target_(target),
       log_(log),
       own_name_(std::move(own_name)),
       own_data_centre_(std::move(own_data_centre)),
-      min_daemons_(min_daemons) {}
+      min_daemons_(min_daemons),
+      fresh_for_(Scaled(known_within, kFreshShare)),
+      reader_timeout_(Scaled(known_within, kTimeoutShare)) {}
 
 std::string change_feed::Reader(time_point now) const {
   const auto is_skipped = [&](const std::string& name) {
@@ -54,7 +60,7 @@
     reader_ = std::move(chosen);
     reader_since_ = now;
   }
-  if (reader_ != own_name_ && now - std::max(heard_at_, reader_since_) > kReaderTimeout) {
+  if (reader_ != own_name_ && now - std::max(heard_at_, reader_since_) > reader_timeout_) {
     skipped_until_[reader_] = now + kSkipTime;
     reader_ = Reader(now);
     reader_since_ = now;
@@ -112,6 +118,7 @@
 
 void change_feed::OnRead(std::uint64_t from, std::uint64_t to, std::uint64_t newest_change,
                          boost::span<const object_change> changes, time_point now) {
+  answered_at_ = now;
   if (!history_.empty() && history_.back().to != from) history_.clear();
   if (changes.empty()) return NoteUnchanged(from, to, newest_change);
   const std::vector<std::string> followers = is_reader_ ? Followers() : std::vector<std::string>();
@@ -186,11 +193,11 @@
 }
 
 bool change_feed::Follows(time_point now) const {
-  if (is_reader_ || heard_at_ == time_point() || now - heard_at_ > kReaderTimeout) return false;
+  if (is_reader_ || heard_at_ == time_point() || now - heard_at_ > reader_timeout_) return false;
   return !differs_ || now - differs_since_ <= (is_ahead_ ? kMaxAhead : kMaxLag);
 }
 
-void change_feed::Run(bool store_answers, time_point now) {
+void change_feed::Run(time_point now) {
   const std::size_t daemons = Followers().size() + 1;
   if (daemons < min_daemons_) {
     is_reader_ = false;
@@ -198,10 +205,11 @@
     return;
   }
   // The others skip a reader that the store does not answer; so does this daemon, to follow them.
-  if (store_answers) answered_at_ = now;
-  if (now - answered_at_ > kMaxLag) skipped_until_[own_name_] = now + kSkipTime;
+  const bool is_fresh = now - answered_at_ <= fresh_for_;
+  if (is_reader_ && !is_fresh && now - reader_since_ > fresh_for_)
+    skipped_until_[own_name_] = now + kSkipTime;
   ChooseReader(now);
-  if (!is_reader_ || !store_answers || now < next_beat_ || target_.feed_revision() == 0) return;
+  if (!is_reader_ || !is_fresh || now < next_beat_ || target_.feed_revision() == 0) return;
   const std::vector<std::string> followers = Followers();
   next_beat_ = now + Period(followers.size());
   feed_message beat;
--- a/src/libhawthorndrum/feed/change_feed.h
+++ b/src/libhawthorndrum/feed/change_feed.h
@@ -19,6 +19,9 @@
 class feed_target;
 
 /**
+ * What a daemon knows is at most `known_within` old, whichever daemon reads: a reader speaks only
+ * while the store answers it, since a cut may leave its calls without any answer.
+ *
  * The reader is the daemon of the data centre whose name sorts first and that is heard of. It
  * watches the store and sends each answer's changes to the others, which don't watch while they
  * hear from it. A daemon that misses changes asks for them, and reads the store itself when they
@@ -29,8 +32,6 @@
  */
 class change_feed {
  public:
-  /** A reader that was not heard for longer is skipped, and this daemon reads itself meanwhile. */
-  static constexpr duration kReaderTimeout = milliseconds(1200);
   static constexpr duration kSkipTime = seconds(5);
   /** How long changes may be missing before this daemon reads itself. */
   static constexpr duration kMaxLag = milliseconds(600);
@@ -39,16 +40,18 @@
 
   change_feed(const daemon_directory& daemons, feed_sender& sender, feed_target& target,
               event_log& log, std::string own_name, std::string own_data_centre,
-              std::size_t min_daemons);
+              std::size_t min_daemons, duration known_within);
 
   /** The store returned all changes after `from` up to `to` to this daemon itself. */
   void OnRead(std::uint64_t from, std::uint64_t to, std::uint64_t newest_change,
               boost::span<const object_change> changes, time_point now);
   /** This daemon listed all objects anew; what it sent before may not lead to them. */
-  void OnListed() { history_.clear(); }
+  void OnListed(time_point now) {
+    history_.clear();
+    answered_at_ = now;
+  }
   void OnMessage(const feed_message& message, const std::string& from, time_point now);
-  /** `store_answers`: whether this daemon's last call to the store succeeded. */
-  void Run(bool store_answers, time_point now);
+  void Run(time_point now);
 
   /** Whether this daemon reads for its data centre. */
   bool is_reader() const { return is_reader_; }
@@ -81,8 +84,12 @@
   std::string own_data_centre_;
   /** With fewer in the data centre each daemon reads itself. */
   std::size_t min_daemons_;
+  /** For how long after an answer of the store a reader tells others that they are up to date. */
+  duration fresh_for_;
+  /** A reader that was not heard for longer is skipped, and this daemon reads itself meanwhile. */
+  duration reader_timeout_;
   bool is_reader_ = false;
-  /** When the store last answered this daemon, as far as it asks. */
+  /** When the store last answered this daemon. */
   time_point answered_at_;
   std::string reader_;
   time_point reader_since_;
--- a/src/libhawthorndrum/gateway/object_watch.h
+++ b/src/libhawthorndrum/gateway/object_watch.h
@@ -94,8 +94,6 @@
   void AdvanceTo(std::uint64_t revision, std::uint64_t newest_change);
   /** Whether all objects are listed. */
   bool is_listed() const { return phase_ == phase::kWatching; }
-  /** Whether the last call that ended succeeded. */
-  bool store_answers() const { return failures_ == 0; }
   /** Starts the next call if it is due; the first call is due at the first run. */
   void Run(time_point now);
 
--- a/tests/feed/test_feed.cpp
+++ b/tests/feed/test_feed.cpp
@@ -47,7 +47,9 @@
 class feed_daemon : public feed_sender, public feed_target {
  public:
   feed_daemon(feed_fleet& fleet, const std::string& name, event_log& log)
-      : directory(name), feed(directory, *this, *this, log, name, "north", 3), fleet_(fleet) {}
+      : directory(name),
+        feed(directory, *this, *this, log, name, "north", 3, seconds(3)),
+        fleet_(fleet) {}
 
   void SendFeed(const std::string& address, const feed_message& message) override;
   std::uint64_t feed_revision() const override { return revision; }
@@ -144,9 +146,9 @@
 }
 
 void feed_daemon::Run(fake_store& store, time_point now) {
-  feed.Run(reaches_store, now);
+  feed.Run(now);
   if (feed.Follows(now) || now < next_call_) return;
-  next_call_ = now + milliseconds(700);
+  next_call_ = now + milliseconds(800);
   ++calls;
   if (!reaches_store) return;
   std::vector<object_change> changes;
@@ -232,6 +234,20 @@
   EXPECT_EQ(fleet.UpToDate(), 28u) << "the daemon that is turned away learns from the others";
 }
 
+// Guards against a data centre that believes a reader whose calls to the store are left without any
+// answer, and one after the other of those who take its place.
+TEST_F(FeedTest, ReadersWhomTheStoreLeavesWithoutAnswerKeepNobodyFromReading) {
+  for (int i = 0; i < 8; ++i) Daemon(i).reaches_store = false;
+  Change(3);
+  // A leaving upstream must be known within 3 s, by all that reach the store.
+  fleet.Pass(seconds(3));
+  EXPECT_GE(fleet.UpToDate(), 20u);
+  fleet.Pass(seconds(15));
+  Change(2);
+  fleet.Pass(seconds(3));
+  EXPECT_GE(fleet.UpToDate(), 20u);
+}
+
 TEST_F(FeedTest, AChangeThatIsOlderThanWhatIsKnownIsPassedOver) {
   Change(1);
   feed_daemon& ahead = Daemon(5);
