Review case 5: a confirmed configuration is never in force after a drill

Cause: watches go on from a revision of the store's former era, which the new era gives out again. A store's away message names its revision.

--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -151,8 +151,8 @@
         """Is away for a moment and comes back from a copy that was `age_s` old when it went."""
         taken = time.monotonic() - age_s
         kept = [each for each in self.copies if each[0] <= taken][-1]
-        self.record.say("store: away for %.1f s; will come back from a copy %.1f s old"
-                        % (away_s, age_s))
+        self.record.say("store: away at revision %d for %.1f s; will come back from a copy %.1f s "
+                        "old" % (self.revision, away_s, age_s))
         self.away = True
         for writer in list(self.writers):
             reset(writer)
