Give a starting host no part of the retry reserve

Cause: a host divided the reserve by the number of hosts that it had been told of. A process that starts knows of none, and the list was handed on once a second, so each of 84 hosts could spend the whole reserve (83 repeats in place of one) in its first second, and again after each start. Hosts also forgot what those that left had spent. Evidence: call_failed lines with retries_left=84.7 within the second after a start, 0.4 x 208 being 83.2, though daemons_listed (83 others) came 15 to 350 ms after it. Change: fleet_share. A host has a part of the reserve only when the others have had time to list it, which is also when what its former process spent has left the window; none while its list is older than 15 s; and hosts that left are counted until their repeats are out of the window. The list is handed on at once. Log line retry_share. The test failed before: 1,008 retries of 84 hosts for 504 requests, 308.8 allowed.

--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -105,6 +105,7 @@
       gateway_(PortsOf(settings, answers_, upstream_calls_, dialect, clock_, random_, log_,
                        metrics_, origins_, crashes_)),
       exchange_(gateway_, daemons_, settings.host, settings.data_centre),
+      retry_share_(settings.retries.window),
       shares_(notices_, daemons_, clock_, gateway_.shares(), incarnation_id(random_.Draw())),
       stop_timer_(io) {
   ready_endpoint_.SetCallerPort(ready_server_);
@@ -192,6 +193,7 @@
 
 void gateway_daemon::Run(time_point now) {
   ApplyLimits();
+  FollowDaemons(now);
   origins_.Run(now);
   crashes_.Run(now);
   if (const auto due = exchange_.Run(now)) notices_.Send(*due);
@@ -199,7 +201,22 @@
   if (now - swept_at_ < kSweepPeriod) return;
   swept_at_ = now;
   client_.Sweep();
-  gateway_.SetDaemons(daemons_.others());
+}
+
+void gateway_daemon::FollowDaemons(time_point now) {
+  if (daemons_.read_at() != daemons_read_at_) {
+    daemons_read_at_ = daemons_.read_at();
+    gateway_.SetDaemons(daemons_.others());
+    retry_share_.OnListed(daemons_.others(), daemons_.lists_this(), *daemons_read_at_);
+  }
+  const double share = retry_share_.At(now);
+  gateway_.SetRetryShare(share);
+  if (share == std::exchange(last_retry_share_, share)) return;
+  log_.Write(log_importance::kNotable,
+             log_record("retry_share")
+                 .Decimal("share", share)
+                 .Number("daemons", static_cast<std::int64_t>(retry_share_.daemons()))
+                 .Number("list_age_ms", ToMilliseconds(now - *daemons_read_at_)));
 }
 
 void gateway_daemon::BeginStop() {
--- a/src/gatewayd/gateway_daemon.h
+++ b/src/gatewayd/gateway_daemon.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -12,6 +13,7 @@
 #include "boot_time_clock.h"
 #include "crashes/crash_exchange.h"
 #include "gateway/daemon_directory.h"
+#include "gateway/fleet_share.h"
 #include "gateway/gateway.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/notice_exchange.h"
@@ -78,6 +80,7 @@
  private:
   http_answer ReadyPage() const;
   void ApplyLimits();
+  void FollowDaemons(time_point now);
   void StopAccepting();
   void StopWhenIdle();
 
@@ -106,6 +109,9 @@
   crash_exchange crashes_;
   gateway gateway_;
   notice_exchange exchange_;
+  fleet_share retry_share_;
+  double last_retry_share_ = 0;
+  std::optional<time_point> daemons_read_at_;
   share_datagrams shares_;
   boost::asio::steady_timer stop_timer_;
   bool stopping_ = false;
--- a/src/libhawthorndrum/gateway/daemon_directory.h
+++ b/src/libhawthorndrum/gateway/daemon_directory.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -31,11 +32,14 @@
  public:
   explicit daemon_directory(std::string own_name) : own_name_(std::move(own_name)) {}
 
-  /** Replaces the whole list; leaves out this daemon's own record. */
-  void Replace(const std::vector<daemon_record>& records) {
+  /** Replaces the whole list with that asked for at `read_at`; leaves out this daemon's record. */
+  void Replace(const std::vector<daemon_record>& records, time_point read_at = {}) {
+    read_at_ = read_at;
+    lists_this_ = false;
     std::vector<daemon_record> before = std::move(others_);
     others_.clear();
     for (const daemon_record& record : records) {
+      if (record.name == own_name_) lists_this_ = true;
       if (record.name != own_name_) others_.push_back(record);
     }
     for (const daemon_record& each : before) {
@@ -48,6 +52,10 @@
     while (departed_.size() > kMaxDeparted) departed_.pop_front();
   }
   const std::vector<daemon_record>& others() const { return others_; }
+  /** Returns whether the last list contains this daemon's record. */
+  bool lists_this() const { return lists_this_; }
+  /** Returns when the last list was asked for; none has been read before. */
+  std::optional<time_point> read_at() const { return read_at_; }
 
   /**
    * Returns whether a daemon at that IP address is listed, or was: one that stops still serves, and
@@ -71,6 +79,8 @@
 
   std::string own_name_;
   std::vector<daemon_record> others_;
+  bool lists_this_ = false;
+  std::optional<time_point> read_at_;
   std::deque<std::string> departed_;
   bool refresh_requested_ = false;
 };
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -86,7 +86,6 @@
 }
 
 void gateway::SetDaemons(const std::vector<daemon_record>& others) {
-  SetOtherDaemons(others.size());
   CountDaemons(others);
   if (statements_.SetDaemons(others, ports_.time->Now())) relay_peers_.SetDaemons(others);
 }
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -71,8 +71,8 @@
   void SetDaemons(const std::vector<daemon_record>& others);
   /** Sets what counts the requests that began; without it nothing does. */
   void SetUsageMeter(usage_meter& meter) { ports_.usage = &meter; }
-  /** Sets the number of other daemons that share the retry budget, without this one. */
-  void SetOtherDaemons(std::size_t others) { allowance_.SetDaemons(others + 1); }
+  /** Sets the part of the retry reserve that this daemon may spend, from 0 to 1. */
+  void SetRetryShare(double share) { allowance_.SetShare(share); }
 
   void OnRequest(request_id id, http_request request);
   /** Another daemon, which reaches no upstream, passed the request on to this one. */
--- a/src/libhawthorndrum/gateway/retry_allowance.cpp
+++ b/src/libhawthorndrum/gateway/retry_allowance.cpp
@@ -41,8 +41,8 @@
     extra_calls += each.extra_calls;
     if (age < static_cast<std::int64_t>(kParts)) requests += each.requests;
   }
-  const double share = limits_.reserve * kReserveMargin / static_cast<double>(daemons_);
-  return requests * limits_.ratio * kRatioMargin + share - extra_calls;
+  const double reserve = limits_.reserve * kReserveMargin * share_;
+  return requests * limits_.ratio * kRatioMargin + reserve - extra_calls;
 }
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/retry_allowance.h
+++ b/src/libhawthorndrum/gateway/retry_allowance.h
@@ -21,8 +21,8 @@
 
 /**
  * Counts each service's requests and extra calls over a sliding window. A daemon may spend the
- * ratio of its own requests and an equal share of the reserve, so all daemons together stay within
- * the limits without coordination, whatever their number.
+ * ratio of its own requests and its share of the reserve (`fleet_share`), so all daemons together
+ * stay within the limits without coordination, whatever their number.
  *
  * When an outage fails many requests at once, the budget earned in the window before may be spent
  * at once.
@@ -31,7 +31,8 @@
  public:
   explicit retry_allowance(retry_limits limits) : limits_(limits) {}
 
-  void SetDaemons(std::size_t daemons) { daemons_ = daemons == 0 ? 1 : daemons; }
+  /** Sets the part of the reserve that this daemon may spend, from 0 to 1; it is 0 at first. */
+  void SetShare(double share) { share_ = share; }
   /** Counts a request that arrived for the service. */
   void Earn(const std::string& service, time_point now);
   /** Takes one retry from the budget; returns false if none is left. */
@@ -63,7 +64,7 @@
   std::int64_t NumberOf(time_point now) const;
 
   retry_limits limits_;
-  std::size_t daemons_ = 1;
+  double share_ = 0;
   std::unordered_map<std::string, history> by_service_;
 };
 
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -28,6 +28,7 @@
   GatewayFixtureTest() : served(Ports()) {
     Configure(1);
     served.SetFleetKnown();
+    served.SetRetryShare(1);
   }
 
   static route MakeRoute(std::string prefix, route_kind kind, std::string service) {
--- a/tests/gateway/moves.cpp
+++ b/tests/gateway/moves.cpp
@@ -10,7 +10,9 @@
 class MovesTest : public GatewayFixtureTest {
  protected:
   static std::string Event(int id) { return "id: " + std::to_string(id) + "\ndata: t\n\n"; }
-  void LeaveRetries(int count) { served.SetOtherDaemons(count == 0 ? 1000 : 30 / count); }
+  void LeaveRetries(int count) {
+    served.SetRetryShare(1.0 / (1 + (count == 0 ? 1000 : 30 / count)));
+  }
   request_id Begin() {
     const request_id id = AskPrompt("/tell/x", "aa", 100, 50);
     Head(200);
--- a/tests/gateway/silence.cpp
+++ b/tests/gateway/silence.cpp
@@ -10,7 +10,9 @@
  protected:
   static std::string Event(int id) { return "id: " + std::to_string(id) + "\ndata: t\n\n"; }
   /** Makes the daemon's share of the retry budget that many retries and a part of one. */
-  void LeaveRetries(int count) { served.SetOtherDaemons(count == 0 ? 1000 : 30 / count); }
+  void LeaveRetries(int count) {
+    served.SetRetryShare(1.0 / (1 + (count == 0 ? 1000 : 30 / count)));
+  }
 };
 
 TEST_F(SilenceTest, AStreamIsNotCutWhenItsEngineFallsSilentAndNoRetryIsLeft) {
--- a/tests/gateway/taken_over.cpp
+++ b/tests/gateway/taken_over.cpp
@@ -120,7 +120,7 @@
 }
 
 TEST_F(TakenOverTest, RetriesAreEarnedAtOneDaemonOnly) {
-  served.SetOtherDaemons(1'000'000);
+  served.SetRetryShare(0);
   Add("p", "desk");
   Add("q", "desk");
   const auto fails = [&] {
--- a/tests/retry_allowance/test_retry_allowance.cpp
+++ b/tests/retry_allowance/test_retry_allowance.cpp
@@ -18,7 +18,7 @@
  public:
   budget_run(std::size_t daemons, const retry_limits& limits)
       : limits_(limits), daemons_(daemons, retry_allowance(limits)) {
-    for (retry_allowance& each : daemons_) each.SetDaemons(daemons);
+    for (retry_allowance& each : daemons_) each.SetShare(1.0 / static_cast<double>(daemons));
   }
 
   void Request(std::size_t daemon) {
@@ -94,8 +94,26 @@
   EXPECT_LE(run.WorstExcess(), 0);
 }
 
+// Guards against daemons that spend the whole reserve each until they know of one another.
+TEST(RetryAllowance, DaemonsThatStartTogetherStayWithinTheLimits) {
+  constexpr std::size_t kDaemons = 84;
+  constexpr std::size_t kRequests = 6;
+  const retry_limits limits{0.2, 208, seconds(10)};
+  const time_point now{seconds(100)};
+  std::size_t retries = 0;
+  for (std::size_t each = 0; each < kDaemons; ++each) {
+    retry_allowance started(limits);
+    for (std::size_t request = 0; request < kRequests; ++request) {
+      started.Earn("s", now);
+      for (int failed = 0; failed < 2; ++failed) retries += started.Spend("s", now) ? 1 : 0;
+    }
+  }
+  EXPECT_LE(retries, limits.ratio * kDaemons * kRequests + limits.reserve);
+}
+
 TEST(RetryAllowance, ForcedExtraCallsAreDeducted) {
   retry_allowance allowance(kLimits);
+  allowance.SetShare(1);
   time_point now{seconds(100)};
   const double before = allowance.Remaining("s", now);
   for (int i = 0; i < 30; ++i) allowance.Charge("s", now);
@@ -107,6 +125,7 @@
 
 TEST(RetryAllowance, ServicesHaveBudgetsOfTheirOwn) {
   retry_allowance allowance(kLimits);
+  allowance.SetShare(1);
   const time_point now{seconds(100)};
   while (allowance.Spend("a", now)) {
   }
