Send nothing to a limited upstream before the daemons are known

Callers saw: nothing reported. Cause: the class of the retry budget's fault: a daemon that knew of no other one took the first rank of one daemon. Change: an unknown rank sends nothing; the rank is known with the first list of daemons, also an empty one. LimitOfFleet.ADaemonThatDoesNotKnowTheOthersSendsNothing; the fixture states that no other daemon is listed.

--- a/src/libhawthorndrum/gateway/call_limit.cpp
+++ b/src/libhawthorndrum/gateway/call_limit.cpp
@@ -49,7 +49,8 @@
 
 std::size_t call_limit::Senders() const {
   const double limit = std::floor(per_second_.value_or(kMaxPerSecond));
-  return std::clamp<std::size_t>(static_cast<std::size_t>(limit), 1, rank_.daemons);
+  const std::size_t daemons = std::max<std::size_t>(1, rank_.daemons);
+  return std::clamp<std::size_t>(static_cast<std::size_t>(limit), 1, daemons);
 }
 
 double call_limit::Rate() const {
@@ -65,6 +66,7 @@
 
 time_point call_limit::NextAt(time_point heard_at, time_point now) const {
   if (!is_set()) return now;
+  if (!rank_.is_known()) return now + kIdleTime;
   if (is_sender()) {
     const double missing = 1 - TokensAt(now);
     return missing <= 0 ? now : now + Seconds(missing / Rate()) + duration(1);
--- a/src/libhawthorndrum/gateway/call_limit.h
+++ b/src/libhawthorndrum/gateway/call_limit.h
@@ -12,7 +12,10 @@
 struct caller_rank {
   /** Number of daemons that rank before this one; the same at every daemon. */
   std::size_t before = 0;
+  /** 0 while the daemons are not known. */
   std::size_t daemons = 1;
+
+  bool is_known() const { return daemons > 0; }
 };
 
 /**
@@ -20,7 +23,7 @@
  * As many daemons as the limit has requests a second, the first by rank, send at equal rates; with
  * more of them, their first requests alone would exceed it. The others send only when nobody has
  * heard of the upstream for a while, one after another, so that it is not left idle when the first
- * ones are gone or have no requests.
+ * ones are gone or have no requests. A daemon that does not know the others yet sends nothing.
  *
  * Invariant: `tokens_` is at most Burst().
  */
@@ -50,7 +53,7 @@
   void Take(time_point now);
 
  private:
-  bool is_sender() const { return rank_.before < Senders(); }
+  bool is_sender() const { return rank_.is_known() && rank_.before < Senders(); }
   std::size_t Senders() const;
   /** This daemon's rate, if it is one of the first. */
   double Rate() const;
--- a/src/libhawthorndrum/gateway/statement_handler.cpp
+++ b/src/libhawthorndrum/gateway/statement_handler.cpp
@@ -153,6 +153,7 @@
 
 caller_rank statement_handler::RankFor(const fleet_upstream& row) const {
   caller_rank rank;
+  if (!knows_daemons_) return {0, 0};
   rank.daemons = other_daemons_.size() + 1;
   const auto score = [&](const std::string& host) {
     return RendezvousScore(row.id.value(), Hash64(host));
@@ -171,7 +172,9 @@
   const auto same = [](const daemon_record& a, const daemon_record& b) {
     return a.name == b.name && a.data_centre == b.data_centre;
   };
-  if (std::equal(others.begin(), others.end(), other_daemons_.begin(), other_daemons_.end(), same))
+  const bool knew_daemons = std::exchange(knows_daemons_, true);
+  if (knew_daemons &&
+      std::equal(others.begin(), others.end(), other_daemons_.begin(), other_daemons_.end(), same))
     return false;
   other_daemons_ = others;
   fleet_.ForEach([&](fleet_upstream& row) {
--- a/src/libhawthorndrum/gateway/statement_handler.h
+++ b/src/libhawthorndrum/gateway/statement_handler.h
@@ -55,6 +55,7 @@
   gateway_ports ports_;
   fleet_table& fleet_;
   std::vector<daemon_record> other_daemons_;
+  bool knows_daemons_ = false;
 };
 
 }  // namespace hawthorndrum
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -29,6 +29,7 @@
     Configure(1);
     served.SetFleetKnown();
     served.SetRetryShare(1);
+    served.SetDaemons({});
   }
 
   static route MakeRoute(std::string prefix, route_kind kind, std::string service) {
--- a/tests/gateway/limit_of_fleet.cpp
+++ b/tests/gateway/limit_of_fleet.cpp
@@ -141,5 +141,16 @@
   }
 }
 
+// Guards against daemons that use a whole limit each until they know of one another.
+TEST(LimitOfFleet, ADaemonThatDoesNotKnowTheOthersSendsNothing) {
+  const time_point now{seconds(100)};
+  call_limit limit;
+  limit.SetRank({0, 0}, now);
+  limit.Hear(40, now, now);
+  EXPECT_FALSE(limit.Allows(now, now + seconds(1)));
+  limit.SetRank({0, 84}, now + seconds(1));
+  EXPECT_TRUE(limit.Allows(now, now + seconds(3)));
+}
+
 }  // namespace
 }  // namespace hawthorndrum
