Use no slots of another data centre before the daemons are known

Callers saw: nothing reported. Daemons that start together could each send requests to all free slots of another data centre. The placement tests state that this daemon is the only one, which had been assumed.

--- a/src/libhawthorndrum/crossing/crossing_policy.cpp
+++ b/src/libhawthorndrum/crossing/crossing_policy.cpp
@@ -91,7 +91,7 @@
 
 double crossing_policy::SlotsFor(const std::string& service, const std::string& data_centre,
                                  const crossing_room& room, time_point now) const {
-  if (room.slots <= 0 || room.free <= 0) return 0;
+  if (room.slots <= 0 || room.free <= 0 || daemons_.empty()) return 0;
   const double trust = Trust(service, data_centre, now);
   const auto senders = static_cast<double>(SendersTo(data_centre));
   // The other senders use about as much as this one; all divide what the neighbour leaves them.
--- a/src/libhawthorndrum/crossing/crossing_policy.h
+++ b/src/libhawthorndrum/crossing/crossing_policy.h
@@ -32,7 +32,10 @@
 
   crossing_policy(crossing_terms terms, std::string own_data_centre, random_source& random);
 
-  /** Sets the number of daemons in each data centre, this one included. */
+  /**
+   * Sets the number of daemons in each data centre, this one included. Before that the daemons that
+   * share the slots of another data centre are unknown, and this one may use none.
+   */
   void SetDaemons(std::map<std::string, std::size_t> daemons) { daemons_ = std::move(daemons); }
   const std::string& own_data_centre() const { return own_data_centre_; }
   bool IsNear(std::string_view data_centre) const { return data_centre == own_data_centre_; }
--- a/tests/crossing/test_crossing.cpp
+++ b/tests/crossing/test_crossing.cpp
@@ -62,6 +62,14 @@
 }
 
 // Load: a neighbour that is idle, half busy and full; its own callers come first.
+// Guards against a daemon that starts and uses all free slots, as if no other did.
+TEST_F(CrossingTest, ADaemonThatDoesNotKnowTheOthersUsesNoSlots) {
+  crossing_policy started({}, "north", random);
+  EXPECT_EQ(started.SlotsFor("llm", "south", {400, 400}, now), 0);
+  started.SetDaemons({{"north", 1}});
+  EXPECT_GT(started.SlotsFor("llm", "south", {400, 400}, now), 0);
+}
+
 TEST_F(CrossingTest, TheShareShrinksWithTheNeighboursLoad) {
   const double idle = policy.SlotsFor("llm", "south", {400, 400}, now);
   const double half = policy.SlotsFor("llm", "south", {400, 200}, now);
--- a/tests/placement/test_placement.cpp
+++ b/tests/placement/test_placement.cpp
@@ -22,6 +22,7 @@
       : crossing({}, "north", random),
         engines(fleet, speeds, random, crossing),
         services(fleet, crossing) {
+    crossing.SetDaemons({{"north", 1}});
     llm.name = "llm";
     llm.is_engine = true;
     llm.memory_tokens = 500000;
@@ -334,6 +335,7 @@
   fleet.Find(near)->peers.running = 20;  // 10 ms
   EXPECT_EQ(engines.Choose(query, now)->runs_at, near);
   crossing_policy free_bytes({0, 0}, "north", random);
+  free_bytes.SetDaemons({{"north", 1}});
   const engine_placement careless(fleet, speeds, random, free_bytes);
   EXPECT_EQ(careless.Choose(query, now)->leaves, crossing_reason::kRoom);
 }
