Count a request that is passed on for the retry budget once

Callers saw: nothing reported; repeats beyond retry_ratio are possible while hosts reach no upstream. Cause: each daemon that a request was passed on to counted it before it declined it, up to four of them, and each could spend a retry for it. Change: a daemon counts another daemon's request only when it serves it. TakenOverTest.ADeclinedRequestEarnsNoRetries failed before: 100 declined requests paid for a second call.

--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -140,13 +140,19 @@
   each.service = config_->FindService(target->service);
   if (each.service == nullptr) return Refuse(each, {"no_service", kRetryUnavailable});
   if (ShouldPassOn(each, now) && PassOn(each, now)) return;
-  if (!std::exchange(each.earned, true)) allowance_.Earn(each.service->name, now);
+  // A request that is declined here earns retries at the daemon that serves it.
+  if (!each.from_peer) EarnRetries(each, now);
   const auto place = Place(each, now);
   if (const auto refused = RefusedByShare(each, place, now)) return Refuse(each, *refused);
   if (!place) return Refuse(each, place.error());
+  EarnRetries(each, now);
   Send(each, *place, now);
 }
 
+void gateway::EarnRetries(exchange& each, time_point now) {
+  if (!std::exchange(each.earned, true)) allowance_.Earn(each.service->name, now);
+}
+
 const weighted_service& gateway::PickTarget(const route& matched) {
   double sum = 0;
   for (const weighted_service& target : matched.targets) sum += target.weight;
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -160,6 +160,8 @@
   // Placing and sending requests.
   /** Places and sends a request; `build` is set if it resumes a stream. */
   void Admit(arrived_request arrived, std::optional<software_build> build);
+  /** Counts the request, once among all daemons, for the retry budget. */
+  void EarnRetries(exchange& each, time_point now);
   const weighted_service& PickTarget(const route& matched);
   placement_query QueryFor(const exchange& each, time_point now) const;
   tl::expected<placement, placement_failure> Choose(const exchange& each,
--- a/tests/gateway/taken_over.cpp
+++ b/tests/gateway/taken_over.cpp
@@ -141,6 +141,20 @@
   EXPECT_GT(retried, 2);
 }
 
+// Guards against a request that earns retries at each of the daemons that decline it.
+TEST_F(TakenOverTest, ADeclinedRequestEarnsNoRetries) {
+  served.SetRetryShare(0);
+  for (int i = 0; i < 100; ++i)
+    EXPECT_EQ(SaidTo(PassOn("/look/x")).outcome, relay_outcome::kDeclined);
+  Add("p", "desk");
+  Add("q", "desk");
+  terms.earned = true;
+  PassOn("/look/x");
+  Head(500);
+  Done();
+  EXPECT_EQ(upstreams.sent.size(), 1u);
+}
+
 TEST_F(TakenOverTest, AStreamGoesOnAtItsBuildAfterTheLastEvent) {
   const upstream_id engine = Add("d", "llm", engine_stage::kDecode);
   terms.build = served.fleet().Find(engine)->build;
