Read the store's objects one by one

Cause: an answer of the store was parsed, copied and written as a whole. One value that the parser refuses (a number too large, a string that is no UTF-8) hid all other entries; a deeply nested one exhausted the stack. Entries without `seq` or with another type of `cold_left_ms` counted as workers, since neither is used here. Change: the objects of an answer are separated without recursion (json_parts) and read one by one, 64 levels deep at most (store_body); a part that can't be read is discarded, and is shared with other daemons without its content. An entry needs all fields of an entry.

--- a/src/libhawthorndrum/systems/json_fields.h
+++ b/src/libhawthorndrum/systems/json_fields.h
@@ -23,6 +23,14 @@
     return value > max_value ? Fail() : value;
   }
 
+  /** Returns a number that is not negative. */
+  double Number(std::string_view name) {
+    const nlohmann::json* field = Find(name);
+    if (field == nullptr || !field->is_number()) return static_cast<double>(Fail());
+    const auto value = field->get<double>();
+    return value < 0 ? static_cast<double>(Fail()) : value;
+  }
+
   bool Flag(std::string_view name) {
     const nlohmann::json* field = Find(name);
     if (field == nullptr || !field->is_boolean()) return Fail() != 0;
--- a/tests/gateway/resumes.cpp
+++ b/tests/gateway/resumes.cpp
@@ -17,10 +17,11 @@
   /** Lists a decode engine as the platform does. */
   void List(const std::string& id, const std::string& version, const std::string& state = "ready") {
     const nlohmann::json spec = {
-        {"service", "llm"}, {"addr", "10.0.0.1:" + std::to_string(++last_port)},
-        {"zone", "north"},  {"version", version},
-        {"slots", 64u},     {"state", state},
-        {"phase", "decode"}};
+        {"service", "llm"},  {"addr", "10.0.0.1:" + std::to_string(++last_port)},
+        {"zone", "north"},   {"version", version},
+        {"slots", 64u},      {"state", state},
+        {"phase", "decode"}, {"cold_left_ms", 0},
+        {"seq", 1u}};
     const auto entry = DecodeEntry(id, spec);
     ASSERT_TRUE(entry);
     served.fleet().Put(*entry);
--- /dev/null
+++ b/tests/platform/odd_entries.cpp
@@ -0,0 +1,118 @@
+/// Tests of entries that another writer left among those of the upstreams.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "buffered_calls.h"
+#include "entry_decoder.h"
+#include "store_body.h"
+
+namespace hawthorndrum {
+namespace {
+
+constexpr char kSound[] =
+    R"({"service":"desk","addr":"10.0.0.1:8080","zone":"north","version":"v1","slots":6,)"
+    R"("state":"ready","cold_left_ms":0,"seq":4,"born":1790000000123})";
+
+std::string Nested(std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); }
+
+std::string ItemOf(const std::string& name, const std::string& spec) {
+  return R"({"metadata":{"name":")" + name + R"(","rev":7},"spec":)" + spec + "}";
+}
+
+buffered_answer AnswerWith(const std::string& body) {
+  buffered_answer ended;
+  ended.received = true;
+  ended.answer.status = 200;
+  ended.answer.body = body;
+  return ended;
+}
+
+buffered_answer ListOf(const std::string& items) {
+  return AnswerWith(R"({"items":[)" + items + R"(],"has_more":false,"store_revision":9})");
+}
+
+/** Entries that name no upstream; all of them are JSON as the store keeps it. */
+std::vector<std::string> OddSpecs() {
+  const std::string sound = kSound;
+  const auto with = [&](const std::string& before, const std::string& after) {
+    std::string spec = sound;
+    return spec.replace(spec.find(before), before.size(), after);
+  };
+  return {
+      Nested(400'000),
+      with(R"("slots":6)", R"("slots":1e999)"),
+      with(R"("slots":6)", R"("slots":99999999999999999999999)"),
+      with(R"("slots":6)", R"("slots":-6)"),
+      with("10.0.0.1:8080", "10.0.0.1:80800"),
+      with("10.0.0.1:8080", "10.0.0.1:0"),
+      with("10.0.0.1:8080", R"(\udcff\udcfe)"),
+      with("10.0.0.1:8080", "\xff\xfe"),
+      with(R"(,"seq":4)", ""),
+      with(R"("seq":4)", R"("seq":"4")"),
+      with(R"("seq":4)", R"("seq":1e999)"),
+      with(R"("cold_left_ms":0)", R"("cold_left_ms":"none")"),
+      with(R"("cold_left_ms":0,)", ""),
+      with(R"("born":1790000000123)", R"("born":1e999)"),
+      with(R"("seq":4)", R"("seq":4,"more":)" + Nested(400'000)),
+      "null",
+      "[]",
+      R"("text with } and ] and \" in it")",
+  };
+}
+
+TEST(OddEntries, EachNamesNoUpstreamAndHidesNoOther) {
+  ASSERT_TRUE(DecodeEntry("a", ReadJson(kSound)));
+  for (const std::string& odd : OddSpecs()) {
+    const buffered_answer ended =
+        ListOf(ItemOf("a", kSound) + "," + ItemOf("odd", odd) + " , " + ItemOf("b", kSound));
+    const auto answer = store_body::Read(ended);
+    ASSERT_TRUE(answer) << odd.substr(0, 200);
+    EXPECT_EQ(answer->revision(), 9u);
+    const std::vector<stored_object> objects = answer->Objects();
+    ASSERT_EQ(objects.size(), 3u) << odd.substr(0, 200);
+    EXPECT_TRUE(DecodeEntry(objects[0].name, objects[0].spec));
+    EXPECT_EQ(objects[1].name, "odd");
+    EXPECT_EQ(objects[1].revision, 7u);
+    EXPECT_FALSE(DecodeEntry("odd", objects[1].spec)) << odd.substr(0, 200);
+    EXPECT_EQ(objects[2].name, "b");
+    EXPECT_TRUE(DecodeEntry(objects[2].name, objects[2].spec));
+  }
+}
+
+TEST(OddEntries, AnUnreadableOneIsSharedWithOtherDaemonsWithoutItsContent) {
+  const std::string event = R"({"object":)" + ItemOf("odd", Nested(400'000)) + "}";
+  const std::string gone = R"({"object":)" + ItemOf("a", kSound) + R"(,"deleted":true})";
+  const buffered_answer ended =
+      AnswerWith(R"({"events":[)" + event + "," + gone + R"(],"store_revision":9})");
+  const auto events = store_body::Read(ended)->Events();
+  ASSERT_EQ(events.size(), 2u);
+  EXPECT_EQ(events[0].object.spec_text, "null");
+  EXPECT_FALSE(events[0].deleted);
+  EXPECT_TRUE(events[1].deleted);
+  EXPECT_EQ(events[1].object.spec_text, kSound);
+}
+
+TEST(OddEntries, ABodyThatIsNoObjectIsAFailedCall) {
+  for (const char* body : {"", "[]", "{", R"({"items":[)", R"({"items":[]} x)", "null"})
+    EXPECT_FALSE(store_body::Read(AnswerWith(body))) << body;
+  const buffered_answer empty = ListOf("");
+  EXPECT_TRUE(store_body::Read(empty)->Objects().empty());
+}
+
+RC_GTEST_PROP(OddEntriesProperties, NoBytesEndTheProcess, ()) {
+  std::string body = ListOf(ItemOf("a", kSound) + "," + ItemOf("b", kSound)).answer.body;
+  const auto edits = *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
+      rc::gen::pair(rc::gen::inRange<std::size_t>(0, body.size()), rc::gen::arbitrary<char>()));
+  for (const auto& [at, byte] : edits) body[at] = byte;
+  const buffered_answer ended = AnswerWith(body);
+  const auto answer = store_body::Read(ended);
+  if (!answer) return;
+  for (const stored_object& each : answer->Objects()) DecodeEntry(each.name, each.spec);
+  answer->Events();
+}
+
+}  // namespace
+}  // namespace hawthorndrum
--- a/tests/scaling/test_scaling.cpp
+++ b/tests/scaling/test_scaling.cpp
@@ -215,7 +215,8 @@
 
 TEST(Scaling, EntriesTellWhichMayBeReclaimedAndWhenTheyLeave) {
   auto spec = nlohmann::json::parse(R"({"service":"llm","addr":"10.0.0.1:80","zone":"east",
-    "slots":4,"version":"v1","state":"draining","spot":true,"leaves_ms":2600})");
+    "slots":4,"version":"v1","state":"draining","cold_left_ms":0,"seq":1,"spot":true,
+    "leaves_ms":2600})");
   const auto read = DecodeEntry("a", spec);
   ASSERT_TRUE(read);
   EXPECT_TRUE(read->reclaimable && read->leaving);
