Leave out odd entries of hawthorndrumd's host list

Cause: a list with one entry that can't be read was passed over as a whole, so hawthorndrumd stopped following it. Change: the entries are read one by one, and those that can't be read, or whose port is out of range, are left out. OddHosts.NoEntryHidesTheOthers.

--- a/src/hawthorndrumd/host_list_reader.cpp
+++ b/src/hawthorndrumd/host_list_reader.cpp
@@ -3,10 +3,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <utility>
-#include <vector>
 
+#include "base/json_parts.h"
+#include "base/yaml_fields.h"
 #include "buffered_calls.h"
 #include "ports/event_sink.h"
 #include "ports/random_source.h"
@@ -30,7 +30,7 @@
   if (!item.is_object()) return std::nullopt;
   host_entry entry;
   entry.address = ReadText(item, "address");
-  if (entry.address.empty()) return std::nullopt;
+  if (!IsAddress(entry.address)) return std::nullopt;
   const std::string kind = ReadText(item, "kind");
   if (kind == "engine") {
     entry.kind = host_kind::kEngine;
@@ -54,23 +54,20 @@
   return entry;
 }
 
-/** Parses the list; returns nothing if any entry can't be parsed. */
-std::optional<std::vector<host_entry>> ReadList(const std::string& body) {
-  const json text = json::parse(body, nullptr, false);
-  if (!text.is_object()) return std::nullopt;
-  const auto hosts = text.find("hosts");
-  if (hosts == text.end() || !hosts->is_array()) return std::nullopt;
+}  // namespace
+
+std::optional<std::vector<host_entry>> ReadHostList(std::string_view body) {
+  const auto members = MembersOf(body);
+  if (!members) return std::nullopt;
+  const auto hosts = ElementsOf(ValueOf(*members, "hosts"));
+  if (!hosts) return std::nullopt;
   std::vector<host_entry> entries;
-  for (const json& item : *hosts) {
-    auto entry = ReadEntry(item);
-    if (!entry) return std::nullopt;
-    entries.push_back(std::move(*entry));
+  for (const std::string_view host : *hosts) {
+    if (auto entry = ReadEntry(ReadJson(host))) entries.push_back(std::move(*entry));
   }
   return entries;
 }
 
-}  // namespace
-
 host_list_reader::host_list_reader(boost::asio::io_context& io, buffered_calls& calls,
                                    event_sink& events, random_source& random, std::string address)
     : timer_(io), calls_(calls), events_(events), random_(random), address_(std::move(address)) {}
@@ -85,7 +82,8 @@
   call.total_timeout = kTimeout;
   calls_.Start(std::move(call), [this](buffered_answer ended) {
     if (ended.received && ended.answer.status == 200) {
-      if (auto hosts = ReadList(ended.answer.body)) events_.Post(hosts_listed{std::move(*hosts)});
+      if (auto hosts = ReadHostList(ended.answer.body))
+        events_.Post(hosts_listed{std::move(*hosts)});
     }
     ScheduleNextRead();
   });
--- a/src/hawthorndrumd/host_list_reader.h
+++ b/src/hawthorndrumd/host_list_reader.h
@@ -2,9 +2,13 @@
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "base/units.h"
+#include "ports/host_entry.h"
 
 namespace hawthorndrum {
 
@@ -12,6 +16,9 @@
 class random_source;
 class buffered_calls;
 
+/** Returns the list without the entries that can't be read; nothing if the body is no list. */
+std::optional<std::vector<host_entry>> ReadHostList(std::string_view body);
+
 /**
  * Posts a hosts_listed event for each list that was read completely. Jitter spreads the polls of
  * different daemons over time.
