Trust no answer without an id on a connection used before

Callers saw (an operator's report): "not run, try again" for requests that a worker had run or was running. Cause: an answer whose id is that of another request was passed over, but one without an id was taken for the answer of the request under way. A refusal that is written once more without its id made that request count as not run: refused (REFUSED), or sent to a second worker (TWICE). Change: on a connection that has carried another request, an answer without an id ends the call as one that may have run. Calls to other daemons are exempt: their refusals carry no id, and they answer each request once. ExchangeTest.ACopyWithoutIdOfAnEarlierRefusalIsNotTakenForTheAnswer; before, the call ended with status 503. A copy with the earlier request's id was passed over before as well (ALateAnswerToAnEarlierRequestIsPassedOver, and ASecondCopyOfAnAnswerIsNotTakenForTheNextTryOfItsRequest for the same request's next try).

--- a/src/gatewayd/http_upstream_calls.cpp
+++ b/src/gatewayd/http_upstream_calls.cpp
@@ -31,7 +31,7 @@
   call.connect_timeout = kConnectTimeout;
   // An upstream may be silent until the request's deadline, which the gateway enforces.
   call.idle_timeout = duration(0);
-  call.expected_answer = {answer_id_header_, std::move(sent.caller_id)};
+  call.expected_answer = {answer_id_header_, std::move(sent.caller_id), sent.answers_carry_id};
   const http_call_id id = client_.Start(std::move(call), *this);
   attempts_[id] = sent.attempt;
   calls_[sent.attempt] = id;
--- a/src/libhawthorndrum/gateway/gateway_relay.cpp
+++ b/src/libhawthorndrum/gateway/gateway_relay.cpp
@@ -99,6 +99,8 @@
   call.address = peer->notices_address;
   call.upstream = upstream_id(Hash64(peer->name));
   call.caller_id = each.terms.caller_id;
+  // A daemon's own refusals do not carry it, and daemons answer each request once.
+  call.answers_carry_id = false;
   call.longest_idle = each.matched->is_idempotent() ? kMaxIdle : kMaxIdleForFinal;
   call.request = each.request;
   SetRelayTerms(terms, call.request.headers);
--- a/src/libhawthorndrum/gateway/upstream_calls.h
+++ b/src/libhawthorndrum/gateway/upstream_calls.h
@@ -19,6 +19,8 @@
   http_request request;
   /** The request id that the answer must carry; other answers are ignored. */
   std::string caller_id;
+  /** Whether all its answers carry it, also refusals. */
+  bool answers_carry_id = true;
   /** A pooled connection that was idle for longer is not reused. */
   duration longest_idle{0};
 };
--- a/src/libtransport/http_call.h
+++ b/src/libtransport/http_call.h
@@ -21,6 +21,11 @@
 struct answer_id {
   std::string header;
   std::string value;
+  /**
+   * Whether all answers carry it. On a connection that has carried another request, an answer
+   * without it may then be a copy of that one's answer, and the call ends with OnLost.
+   */
+  bool is_required = false;
 };
 
 /**
--- a/src/libtransport/http_client.cpp
+++ b/src/libtransport/http_client.cpp
@@ -91,6 +91,7 @@
   void ReadHead();
   void OnHeadRead(beast::error_code failed);
   bool IsForAnotherRequest() const;
+  bool MayBeForAnotherRequest() const;
   void ReadBody();
   void OnBodyRead(beast::error_code failed);
   void DeliverBody();
@@ -205,6 +206,12 @@
   return found != parser_->get().end() && found->value() != expected.value;
 }
 
+bool http_client::impl::running_call::MayBeForAnotherRequest() const {
+  const answer_id& expected = call_.expected_answer;
+  return expected.is_required && !connection_->answered.empty() &&
+         parser_->get().find(expected.header) == parser_->get().end();
+}
+
 void http_client::impl::running_call::OnHeadRead(beast::error_code failed) {
   if (failed && RetryOnFreshConnection()) return;
   if (failed) return FailWithError(failed);
@@ -214,6 +221,7 @@
   if ((is_interim || discarding_) && ++unrelated_answers_ > kMaxUnrelatedAnswers)
     return Fail(attempt_failure::kMalformed);
   if (is_interim) return ReadHead();
+  if (MayBeForAnotherRequest()) return Fail(attempt_failure::kMalformed);
   if (!discarding_) {
     listener_.OnHead(id_, static_cast<int>(parser_->get().result_int()), ToHeaders(parser_->get()));
     if (ended_) return;
--- a/tests/http/exchanges.cpp
+++ b/tests/http/exchanges.cpp
@@ -126,6 +126,31 @@
   EXPECT_EQ(again.body, "run");
 }
 
+// Guards against "not run" for a request that runs: an earlier refusal, written once more, has no
+// id.
+TEST_F(ExchangeTest, ACopyWithoutIdOfAnEarlierRefusalIsNotTakenForTheAnswer) {
+  const auto call = [&](const std::string& id) {
+    http_call made = Call(id);
+    made.expected_answer.is_required = true;
+    return made;
+  };
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  answer_recorder refused;
+  answer_recorder running;
+  client.Start(call("1"), refused);
+  tcp::socket upstream = Accept();
+  ReadUntil(upstream, "POST /x");
+  Write(upstream, refusal);
+  ASSERT_TRUE(RunUntil([&] { return refused.has_ended(); }));
+  EXPECT_EQ(refused.status, 503) << "the first answer on a connection belongs to its first request";
+  client.Start(call("2"), running);
+  ReadUntil(upstream, "POST /x");
+  Write(upstream, refusal);
+  ASSERT_TRUE(RunUntil([&] { return running.has_ended(); }));
+  EXPECT_EQ(running.status, 0);
+  EXPECT_EQ(running.lost, attempt_failure::kMalformed);
+}
+
 TEST_F(ExchangeTest, AnAnswerWithNeitherLengthNorChunksIsWholeAtTheClose) {
   answer_recorder recorder;
   client.Start(Call("1"), recorder);
