Ask for news before a stream goes on at the only version known

Callers saw (an operator's report): during a release, streams that had begun at workers of a new version through other hosts were taken up at a host that was cut off or had stood still, and went on at a worker of another version (ORDER). Cause: the host knew one version only, and counted its list as current until a call to the store failed: a watch that is open across a silent cut fails after up to 20 s, and a pause of less than 2 s was not noticed at all. Change: before a stream that nobody remembers goes on at the only version known, the host asks the store what has changed since its list and its configuration; the answers are linearizable. Without an answer, or with another version among the changes, the stream is refused (not run). Requests that wait share a check. ResumesTest.AVersionThatOnlyOtherDaemonsHaveHeardOfMayHaveBegunTheStream: before, the stream was sent to the old version at once, without a question.

--- a/src/libhawthorndrum/resumes/single_build.h
+++ b/src/libhawthorndrum/resumes/single_build.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -45,6 +46,8 @@
   /** Whether newer configurations arrive. */
   void SetConfigCurrent(bool is_current) { config_is_current_ = is_current; }
   void OnConfig(const gateway_config& config, time_point now);
+  /** An upstream of that build was listed lately, though it may not be in the fleet (any more). */
+  void OnListed(std::string_view service, software_build build) { builds_.Add(service, build); }
   /** Records the builds that are listed; called before rows of the fleet are erased. */
   void Observe(time_point now);
 
--- a/src/libhawthorndrum/resumes/stream_resumes.cpp
+++ b/src/libhawthorndrum/resumes/stream_resumes.cpp
@@ -12,6 +12,7 @@
 #include "ports/clock.h"
 #include "ports/event_log.h"
 #include "resumes/build_record_port.h"
+#include "resumes/change_check_port.h"
 #include "resumes/resume_listener.h"
 
 namespace hawthorndrum {
@@ -56,6 +57,12 @@
   const bool asks = may_ask && !only && record_port_ != nullptr &&
                     only_.NeedsRecord(*waiting.matched, now) && record_port_->Request(now);
   if (asks) return waiting_for_record_.push_back(std::move(waiting));
+  // A daemon that was cut off or stood still has not heard of upstreams that others use already.
+  if (only && check_port_ != nullptr && !waiting.is_checked) {
+    waiting_for_check_.push_back(std::move(waiting));
+    if (being_checked_.empty()) Check();
+    return;
+  }
   const std::string_view unknown = waiting.arrived.terms.resumes.empty() ? "not_named" : "unknown";
   Decide(std::move(waiting.arrived), only, only ? "only_version" : unknown);
 }
@@ -66,6 +73,27 @@
   for (waiting_request& each : answered) DecideUnremembered(std::move(each), false);
 }
 
+void stream_resumes::Check() {
+  being_checked_ = std::exchange(waiting_for_check_, {});
+  check_port_->Check();
+}
+
+void stream_resumes::OnChecked(const std::optional<listed_builds>& listed) {
+  if (listed) {
+    for (const auto& [service, build] : *listed) only_.OnListed(service, build);
+  }
+  std::vector<waiting_request> answered = std::exchange(being_checked_, {});
+  for (waiting_request& each : answered) {
+    each.is_checked = true;
+    if (!listed) {
+      Decide(std::move(each.arrived), std::nullopt, "not_checked");
+      continue;
+    }
+    DecideUnremembered(std::move(each), false);
+  }
+  if (!waiting_for_check_.empty()) Check();
+}
+
 void stream_resumes::Drop(request_id id) {
   for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
     if (it->second.arrived.id != id) continue;
@@ -73,8 +101,10 @@
     return;
   }
   const auto is_it = [id](const waiting_request& each) { return each.arrived.id == id; };
-  const auto gone = std::find_if(waiting_for_record_.begin(), waiting_for_record_.end(), is_it);
-  if (gone != waiting_for_record_.end()) waiting_for_record_.erase(gone);
+  for (auto* waiting : {&waiting_for_record_, &waiting_for_check_, &being_checked_}) {
+    const auto gone = std::find_if(waiting->begin(), waiting->end(), is_it);
+    if (gone != waiting->end()) waiting->erase(gone);
+  }
 }
 
 void stream_resumes::Decide(arrived_request arrived, std::optional<software_build> build,
--- a/src/libhawthorndrum/resumes/stream_resumes.h
+++ b/src/libhawthorndrum/resumes/stream_resumes.h
@@ -4,7 +4,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -15,6 +17,7 @@
 namespace hawthorndrum {
 
 class build_record_port;
+class change_check_port;
 class fleet_table;
 class gateway_config;
 class resume_listener;
@@ -40,6 +43,14 @@
   void OnOrigin(stream_key key, std::optional<software_build> build);
   /** The record that was asked for; null if there is none that can be trusted. */
   void OnRecord(const settled_builds* record);
+  /**
+   * The result of a check: the builds of each service that were listed since this daemon's last
+   * news; nothing if it is not known, or if routes may have changed.
+   */
+  using listed_builds = std::vector<std::pair<std::string, software_build>>;
+  void OnChecked(const std::optional<listed_builds>& listed);
+  /** Sets what checks for changes; without, this daemon is taken to have heard of all. */
+  void SetCheckPort(change_check_port& port) { check_port_ = &port; }
   /** Sets where the record is read; without, only what this daemon itself followed counts. */
   void SetRecordPort(build_record_port& port) { record_port_ = &port; }
   /** Forgets a request whose caller has gone. */
@@ -47,17 +58,24 @@
 
   single_build& only() { return only_; }
   /** Requests whose stream is being asked for. */
-  std::size_t waiting() const { return waiting_.size() + waiting_for_record_.size(); }
+  std::size_t waiting() const {
+    return waiting_.size() + waiting_for_record_.size() + waiting_for_check_.size() +
+           being_checked_.size();
+  }
 
  private:
   struct waiting_request {
     arrived_request arrived;
     std::shared_ptr<const gateway_config> config;
     const route* matched = nullptr;
+    /** Whether changes were checked for after it had arrived. */
+    bool is_checked = false;
   };
 
   /** Decides on a stream that no daemon remembers, or waits for the record. */
   void DecideUnremembered(waiting_request waiting, bool may_ask);
+  /** Asks for changes, on behalf of all requests that wait for that. */
+  void Check();
   void Decide(arrived_request arrived, std::optional<software_build> build,
               std::string_view source);
 
@@ -65,10 +83,16 @@
   resume_listener& listener_;
   single_build only_;
   build_record_port* record_port_ = nullptr;
+  change_check_port* check_port_ = nullptr;
   /** Other daemons were asked for their streams. */
   std::multimap<stream_key, waiting_request> waiting_;
   /** No daemon remembers their streams, and the record is being read. */
   std::vector<waiting_request> waiting_for_record_;
+  /** Their streams can have begun at one build only, unless there is news; the next check is
+   * theirs. */
+  std::vector<waiting_request> waiting_for_check_;
+  /** The check that is open began after they had arrived. */
+  std::vector<waiting_request> being_checked_;
 };
 
 }  // namespace hawthorndrum
--- a/tests/gateway/resumes.cpp
+++ b/tests/gateway/resumes.cpp
@@ -6,6 +6,7 @@
 
 #include "entry_decoder.h"
 #include "gateway_fixture.h"
+#include "resumes/change_check_port.h"
 
 namespace hawthorndrum {
 namespace {
@@ -243,6 +244,53 @@
   ExpectRefused(ResumeAfterFirstEvent(""));
 }
 
+class counting_check : public change_check_port {
+ public:
+  void Check() override { ++checks; }
+  int checks = 0;
+};
+
+// Guards against joined versions at a daemon that was cut off or stood still while a version came.
+TEST_F(ResumesTest, AVersionThatOnlyOtherDaemonsHaveHeardOfMayHaveBegunTheStream) {
+  counting_check check;
+  served.resumes().SetCheckPort(check);
+  List("old0", "v1");
+  Pass(kLongEnough);
+  const request_id id = ResumeAfterFirstEvent("");
+  EXPECT_TRUE(upstreams.sent.empty());
+  EXPECT_EQ(served.in_flight(), 1u);
+  EXPECT_EQ(check.checks, 1);
+  served.resumes().OnChecked(stream_resumes::listed_builds{{"llm", BuildOf("llm", "v2")}});
+  ExpectRefused(id);
+}
+
+TEST_F(ResumesTest, AStreamGoesOnWhenTheStoreKnowsOfNoOtherVersion) {
+  counting_check check;
+  served.resumes().SetCheckPort(check);
+  List("old0", "v1");
+  Pass(kLongEnough);
+  ResumeAfterFirstEvent("");
+  ResumeAfterFirstEvent("");
+  const request_id third = ResumeAfterFirstEvent("");
+  served.OnCallerGone(third);
+  served.resumes().OnChecked(stream_resumes::listed_builds{{"llm", BuildOf("llm", "v1")}});
+  EXPECT_EQ(upstreams.sent.size(), 1u) << "the second one came after the check had begun";
+  EXPECT_EQ(check.checks, 2);
+  served.resumes().OnChecked(stream_resumes::listed_builds());
+  EXPECT_EQ(upstreams.sent.size(), 2u);
+  EXPECT_EQ(check.checks, 2);
+}
+
+TEST_F(ResumesTest, AStreamIsRefusedWhenTheStoreDoesNotTellOfChanges) {
+  counting_check check;
+  served.resumes().SetCheckPort(check);
+  List("old0", "v1");
+  Pass(kLongEnough);
+  const request_id id = ResumeAfterFirstEvent("");
+  served.resumes().OnChecked(std::nullopt);
+  ExpectRefused(id);
+}
+
 TEST_F(ResumesTest, ALongNameOfAnAttemptIsCutInTheLog) {
   List("old0", "v1");
   ResumeAfterFirstEvent(std::string(8000, 'x'));
