List objects again when the store comes back from an older copy

Cause: watches went on from a revision of the store's former era, which the new era gives out again, so changes made in between were never read. The class: a position that is compared without what it counts from. Messages of the shared reading name the era, and one of another era is not applied. Entries that are too long for such a message are left to each host's own reading. DiscoveryTest.AStoreThatComesBackFromAnOlderCopyIsListedAgain; FeedTest.AStoreThatComesBackFromAnOlderCopyIsReadByEachDaemonFirst fails when messages name no era.

--- a/src/libhawthorndrum/feed/change_feed.cpp
+++ b/src/libhawthorndrum/feed/change_feed.cpp
@@ -40,6 +40,14 @@
       fresh_for_(Scaled(known_within, kFreshShare)),
       reader_timeout_(Scaled(known_within, kTimeoutShare)) {}
 
+bool change_feed::Fits(const feed_message& message) {
+  const auto is_short = [](const object_change& each) {
+    return !each.content || each.content->size() <= feed_message::kMaxContentLength;
+  };
+  return message.changes.size() <= feed_message::kMaxChanges &&
+         std::all_of(message.changes.begin(), message.changes.end(), is_short);
+}
+
 std::string change_feed::Reader(time_point now) const {
   const auto is_skipped = [&](const std::string& name) {
     const auto skipped = skipped_until_.find(name);
@@ -88,7 +96,9 @@
 }
 
 void change_feed::Send(const feed_message& message, boost::span<const std::string> to) {
-  for (const std::string& address : to) sender_.SendFeed(address, message);
+  feed_message sent = message;
+  sent.era = target_.feed_era();
+  for (const std::string& address : to) sender_.SendFeed(address, sent);
 }
 
 std::vector<feed_message> change_feed::Divide(std::uint64_t from, std::uint64_t to,
@@ -124,7 +134,7 @@
   const std::vector<std::string> followers = is_reader_ ? Followers() : std::vector<std::string>();
   for (feed_message& part : Divide(from, to, newest_change, changes)) {
     // Daemons that miss too large a part read the store themselves.
-    const bool fits = part.changes.size() <= feed_message::kMaxChanges;
+    const bool fits = Fits(part);
     if (fits) Send(part, followers);
     if (!fits) {
       history_.clear();
@@ -148,12 +158,15 @@
 }
 
 void change_feed::Answer(const feed_message& question, const std::string& to) {
+  const std::vector<std::string> receiver = {to};
   for (const feed_message& part : history_) {
-    if (part.to > question.to) sender_.SendFeed(to, part);
+    if (part.to > question.to) Send(part, receiver);
   }
 }
 
 void change_feed::OnMessage(const feed_message& message, const std::string& from, time_point now) {
+  // Revisions of another era name other changes; this daemon reads the store until it agrees.
+  if (message.era != target_.feed_era()) return;
   if (message.kind == feed_message_kind::kQuestion) return Answer(message, from);
   if (is_reader_) return;
   heard_at_ = now;
@@ -171,7 +184,7 @@
   feed_message question;
   question.kind = feed_message_kind::kQuestion;
   question.from = question.to = own;
-  sender_.SendFeed(from, question);
+  Send(question, std::vector<std::string>{from});
 }
 
 void change_feed::ApplyMessage(const feed_message& message, time_point now) {
--- a/src/libhawthorndrum/feed/change_feed.h
+++ b/src/libhawthorndrum/feed/change_feed.h
@@ -71,6 +71,8 @@
   static std::vector<feed_message> Divide(std::uint64_t from, std::uint64_t to,
                                           std::uint64_t newest_change,
                                           boost::span<const object_change> changes);
+  /** Whether one datagram may carry the message. */
+  static bool Fits(const feed_message& message);
   /** Nothing changed after `from` up to `to`. */
   void NoteUnchanged(std::uint64_t from, std::uint64_t to, std::uint64_t newest_change);
   void Answer(const feed_message& question, const std::string& to);
--- a/src/libhawthorndrum/feed/feed_message.cpp
+++ b/src/libhawthorndrum/feed/feed_message.cpp
@@ -14,7 +14,6 @@
 constexpr char kKind[] = "feed";
 constexpr std::uint64_t kFormatVersion = 1;
 constexpr std::size_t kMaxNameLength = 256;
-constexpr std::size_t kMaxContentLength = 4096;
 constexpr auto kLastKind = static_cast<std::uint64_t>(feed_message_kind::kQuestion);
 
 bool ReadChange(const nlohmann::json& item, object_change& change) {
@@ -22,7 +21,7 @@
   change.name = fields.Text(kMaxNameLength);
   change.revision = fields.Unsigned();
   // A removal has no content.
-  if (fields.HasMore()) change.content = fields.Text(kMaxContentLength);
+  if (fields.HasMore()) change.content = fields.Text(feed_message::kMaxContentLength);
   return fields.ok();
 }
 
@@ -35,9 +34,11 @@
     if (each.content) item.push_back(*each.content);
     changes.push_back(std::move(item));
   }
-  return EncodeCbor(
+  nlohmann::json items =
       nlohmann::json::array({kKind, kFormatVersion, static_cast<std::uint64_t>(message.kind),
-                             message.from, message.to, message.newest_change, std::move(changes)}));
+                             message.from, message.to, message.newest_change, std::move(changes)});
+  if (message.era != 0) items.push_back(message.era);
+  return EncodeCbor(items);
 }
 
 expected<feed_message> DecodeFeedMessage(boost::span<const std::uint8_t> bytes) {
@@ -52,6 +53,7 @@
   message.to = fields.Unsigned();
   message.newest_change = fields.Unsigned();
   const nlohmann::json* changes = fields.Array(feed_message::kMaxChanges);
+  if (fields.HasMore()) message.era = fields.Unsigned();
   bool ok = is_feed && is_known && fields.ok() && message.from <= message.to;
   for (std::size_t i = 0; ok && i < changes->size(); ++i) {
     ok = ReadChange((*changes)[i], message.changes.emplace_back());
--- a/src/libhawthorndrum/feed/feed_message.h
+++ b/src/libhawthorndrum/feed/feed_message.h
@@ -20,6 +20,7 @@
 struct feed_message {
   /** Changes in one message; a datagram has room for entries of this number. */
   static constexpr std::size_t kMaxChanges = 16;
+  static constexpr std::size_t kMaxContentLength = 4096;
 
   feed_message_kind kind = feed_message_kind::kChanges;
   std::uint64_t from = 0;
@@ -28,6 +29,8 @@
   std::uint64_t newest_change = 0;
   /** In the order of the changes. */
   std::vector<object_change> changes;
+  /** The store's era, within which revisions are compared; 0 where it names none. */
+  std::uint64_t era = 0;
 };
 
 std::vector<std::uint8_t> EncodeFeedMessage(const feed_message& message);
--- a/src/libhawthorndrum/gateway/object_watch.h
+++ b/src/libhawthorndrum/gateway/object_watch.h
@@ -43,12 +43,14 @@
   virtual void OnCurrent(bool is_current) = 0;
   /** The store answers again after an outage of this length. */
   virtual void OnStoreRecovered(duration outage) = 0;
+  /** The store came back from an older copy; all objects are listed again. */
+  virtual void OnStoreRestored() {}
 };
 
 /**
  * Has one call open at a time. A watch that fails is retried from the same revision. The objects
- * are listed again only if the store no longer has the history, or if the watch missed a change
- * that another daemon reports.
+ * are listed again only if the store no longer has the history, if it came back from an older copy,
+ * or if the watch missed a change that another daemon reports.
  */
 class object_watch {
  public:
@@ -83,6 +85,13 @@
   void OnEvents(std::uint64_t call, std::uint64_t revision, std::uint64_t newest_change,
                 time_point now);
   void OnCallFailed(std::uint64_t call, store_trouble trouble, time_point now);
+  /**
+   * Notes the store's era, which rises when it comes back from an older copy and gives revisions
+   * out again; 0 where it names none. Returns whether the answer to the call is still of use: after
+   * a change of era the objects are listed again instead.
+   */
+  bool AcceptEra(std::uint64_t call, std::uint64_t era, time_point now);
+  std::uint64_t era() const { return era_; }
   /** Whether the call is the one that is open; the answer to any other one is to be ignored. */
   bool IsOpen(std::uint64_t call) const { return call_open_ && call == call_; }
   /**
@@ -119,6 +128,7 @@
   time_point next_call_;
   std::string after_;
   std::uint64_t revision_ = 0;
+  std::uint64_t era_ = 0;
   bool held_ = false;
   int failures_ = 0;
   time_point failed_since_;
--- a/src/libhawthorndrum/gateway/peer_load_table.h
+++ b/src/libhawthorndrum/gateway/peer_load_table.h
@@ -50,6 +50,8 @@
   /** The latest versions that any received notice has named. */
   std::uint64_t newest_config_version() const { return newest_config_version_; }
   std::uint64_t newest_fleet_revision() const { return newest_fleet_revision_; }
+  /** Revisions are given out again. */
+  void ForgetFleetRevision() { newest_fleet_revision_ = 0; }
   /** Returns when the last digest of this data centre was received, if that host sent it. */
   time_point DigestReceivedAt(const std::string& host) const;
 
--- a/src/libhawthorndrum/gateway/upstream_directory.cpp
+++ b/src/libhawthorndrum/gateway/upstream_directory.cpp
@@ -80,6 +80,12 @@
 
 void upstream_directory::OnCurrent(bool is_current) { gateway_.SetFleetCurrent(is_current); }
 
+void upstream_directory::OnStoreRestored() {
+  // Upstreams that the older copy lacks write their entries again.
+  expiry_grace_until_ = time_.Now() + kExpiryGrace;
+  gateway_.peers().ForgetFleetRevision();
+}
+
 void upstream_directory::OnStoreRecovered(duration outage) {
   if (outage >= kMinExpiryOutage) expiry_grace_until_ = time_.Now() + kExpiryGrace;
 }
--- a/src/libhawthorndrum/gateway/upstream_directory.h
+++ b/src/libhawthorndrum/gateway/upstream_directory.h
@@ -38,6 +38,7 @@
   void OnListComplete() override;
   void OnCurrent(bool is_current) override;
   void OnStoreRecovered(duration outage) override;
+  void OnStoreRestored() override;
 
  private:
   time_point RemovalTime(time_point now) const;
--- a/tests/discovery/test_discovery.cpp
+++ b/tests/discovery/test_discovery.cpp
@@ -97,6 +97,23 @@
   EXPECT_EQ(watch.revision(), 0u) << "the answer to the old call is ignored";
 }
 
+// Guards against a watch that goes on from a revision of the store's former era.
+TEST_F(DiscoveryTest, AStoreThatComesBackFromAnOlderCopyIsListedAgain) {
+  EXPECT_TRUE(watch.AcceptEra(reader.last, 3, clock.Now()));
+  ListOnce();
+  directory.Put(Entry("b"));
+  EXPECT_TRUE(watch.AcceptEra(reader.last, 3, clock.Now()));
+  watch.OnEvents(reader.last, 11, 11, clock.Now());
+  EXPECT_FALSE(watch.AcceptEra(reader.last, 4, clock.Now()));
+  EXPECT_EQ(reader.calls.back(), "list ");
+  directory.OnListBegins();
+  directory.Put(Entry("a"));
+  EXPECT_TRUE(watch.AcceptEra(reader.last, 4, clock.Now()));
+  watch.OnListPart(reader.last, {"", 9}, clock.Now());
+  EXPECT_EQ(watch.revision(), 9u);
+  EXPECT_TRUE(TakesWork("b")) << "it has yet to write its entry again";
+}
+
 TEST_F(DiscoveryTest, OnlyChangesOfTheKindAreNews) {
   watch.Run(clock.Now());
   watch.OnListPart(reader.last, {"", 40, 12}, clock.Now());
--- a/tests/feed/test_feed.cpp
+++ b/tests/feed/test_feed.cpp
@@ -19,6 +19,7 @@
 
 /** The objects of one kind, and all changes to them. */
 struct fake_store {
+  std::uint64_t era = 0;
   std::uint64_t revision = 100;
   std::vector<object_change> history;
   std::vector<std::uint64_t> revisions;
@@ -28,6 +29,13 @@
     history.push_back({name, content ? revision : 0, std::move(content)});
     revisions.push_back(revision);
   }
+  /** Comes back from a copy without the last changes, whose revisions are given out again. */
+  void Restore(std::size_t lost) {
+    history.resize(history.size() - lost);
+    revisions.resize(history.size());
+    revision -= lost;
+    ++era;
+  }
   std::map<std::string, std::string> Objects() const {
     std::map<std::string, std::string> objects;
     for (const object_change& each : history) {
@@ -53,6 +61,7 @@
 
   void SendFeed(const std::string& address, const feed_message& message) override;
   std::uint64_t feed_revision() const override { return revision; }
+  std::uint64_t feed_era() const override { return era; }
   void Apply(boost::span<const object_change> changes, std::uint64_t to, std::uint64_t) override {
     for (const object_change& each : changes) Put(each);
     revision = std::max(revision, to);
@@ -70,6 +79,7 @@
   change_feed feed;
   std::map<std::string, std::string> objects;
   std::uint64_t revision = 100;
+  std::uint64_t era = 0;
   int calls = 0;
   bool lives = true;
   bool reaches_store = true;
@@ -151,6 +161,12 @@
   next_call_ = now + milliseconds(800);
   ++calls;
   if (!reaches_store) return;
+  if (store.era != era) {
+    era = store.era;
+    objects = store.Objects();
+    revision = store.revision;
+    return feed.OnListed(now);
+  }
   std::vector<object_change> changes;
   for (std::size_t i = 0; i < store.history.size(); ++i) {
     if (store.revisions[i] > revision) changes.push_back(store.history[i]);
@@ -197,6 +213,19 @@
   EXPECT_EQ(fleet.UpToDate(), 28u);
 }
 
+// Guards against daemons that apply changes of a restored store to the list of its former era.
+TEST_F(FeedTest, AStoreThatComesBackFromAnOlderCopyIsReadByEachDaemonFirst) {
+  Change(20);
+  fleet.Pass(seconds(1));
+  fleet.store.Restore(10);
+  for (int i = 0; i < 40; ++i) {
+    Change(1);
+    fleet.Pass(milliseconds(200));
+  }
+  fleet.Pass(seconds(2));
+  EXPECT_EQ(fleet.UpToDate(), 28u);
+}
+
 // Load: changes while one message in five is lost.
 TEST_F(FeedTest, LostMessagesAreMadeUp) {
   fleet.loss = 0.2;
