Tell a new reporting host which windows are fixed

Cause: the store's record of fixed windows goes back with its copy. The hosts remember the first window that is not fixed, but the former reporting host told each of them only once a window, and nobody tells the new one. Change: messages of counts name the sender's first window that is not fixed, and a host that hears a reporting host name an earlier one answers at once, before that one may act. Messages without it are read as before.

--- a/src/libhawthorndrum/usage/usage_exchange.cpp
+++ b/src/libhawthorndrum/usage/usage_exchange.cpp
@@ -63,6 +63,8 @@
 void usage_exchange::OnCounts(const usage_counts_message& message, const std::string& from,
                               time_point now) {
   const std::uint64_t open = WindowAt(now);
+  // The store may have lost which reports an earlier reporting daemon had fixed.
+  if (holding_ && message.next <= open + 1) SetNext(message.next);
   // One whose clock differs by more is followed only once the clocks agree.
   const bool kept = message.window >= next_ && message.window + kMaxWindows > open &&
                     message.window <= open + 1 && message.counter != self_;
@@ -93,6 +95,7 @@
   if (from != holder_address_) return;
   holder_heard_at_ = now;
   if (message.clock_ms != 0) Follow(message.clock_ms, now);
+  if (message.next < next_) PushWindow(open_, false, false, holder_address_, now);
   SetNext(message.next);
   const counted_window* own = tally_.Find(self_, message.window);
   const std::uint64_t total = own == nullptr ? 0 : own->total;
@@ -200,6 +203,7 @@
   message.window = window;
   message.began = began_;
   message.closed = closed;
+  message.next = next_;
   if (const counted_window* own = tally_.Find(self_, window)) {
     message.total = own->total;
     const auto changed = changed_.find(window);
--- a/src/libhawthorndrum/usage/usage_message.cpp
+++ b/src/libhawthorndrum/usage/usage_message.cpp
@@ -46,6 +46,7 @@
     }
     nlohmann::json items = HeadOf(message);
     items.push_back(std::move(counts));
+    if (message.next != 0) items.push_back(message.next);
     datagrams.push_back(EncodeCbor(items));
   } while (next != message.counts.end());
   return datagrams;
@@ -66,6 +67,7 @@
   message.total = fields.Unsigned();
   const nlohmann::json* items = fields.Array(kMaxItems);
   if (items == nullptr || !message.counter) return Malformed();
+  if (fields.HasMore()) message.next = fields.Unsigned();
   cbor_reader counts(*items);
   while (counts.HasMore()) {
     std::string team = counts.Text(kLongestTeam);
--- a/src/libhawthorndrum/usage/usage_message.h
+++ b/src/libhawthorndrum/usage/usage_message.h
@@ -28,6 +28,8 @@
   std::uint64_t total = 0;
   /** Some or all of the teams; a count never decreases. */
   std::map<std::string, std::uint64_t> counts;
+  /** The first window whose report is not fixed, as far as the sender knows; 0 if it does not. */
+  std::uint64_t next = 0;
 };
 
 /** What the daemon that reports usage has. */
--- a/src/libhawthorndrum/usage/usage_reporter.cpp
+++ b/src/libhawthorndrum/usage/usage_reporter.cpp
@@ -127,6 +127,7 @@
 }
 
 void usage_reporter::Fix(time_point now) {
+  stored_.next = std::max(stored_.next, with_.exchange.next());
   usage_record record = stored_;
   const std::uint64_t last = stored_.next + kMaxPending;
   for (; record.next < last && IsDue(record.next, now); ++record.next) {
--- a/tests/usage/test_usage.cpp
+++ b/tests/usage/test_usage.cpp
@@ -129,6 +129,24 @@
   EXPECT_EQ(fleet.Missing(fleet.OpenWindow() - 4, kLateMs, kOff), 0);
 }
 
+// Guards against a second content of a window whose fixed report the store has lost.
+TEST(Usage, AStoreThatLosesAFixedReportCausesNoSecondContent) {
+  usage_fleet fleet(18);
+  fleet.store.BeginEras();
+  Serve(fleet, seconds(18));
+  for (int drill = 0; drill < 9; ++drill) {
+    while (fleet.WallMs() % usage_fleet::kWindowMs < 3'500) Serve(fleet, usage_fleet::kStep);
+    fleet.store.Copy();
+    const std::size_t reports = fleet.reports.size();
+    while (fleet.reports.size() == reports) Serve(fleet, usage_fleet::kStep);
+    Serve(fleet, milliseconds(500));
+    fleet.store.Restore();
+    Serve(fleet, seconds(30));
+    ASSERT_EQ(fleet.Violations(), "") << "drill " << drill;
+  }
+  EXPECT_GE(fleet.Holder(), 0);
+}
+
 TEST(Usage, AnUnreadableRecordIsReplacedWithoutASecondContent) {
   usage_fleet fleet(3);
   Serve(fleet, seconds(20));
