Names, and tests in tables, after reading the diff

Change: malformed entries and hosts; the three tests of the check for changes are two with one fixture, and two of equal parts are one table; a record's retention. All cases are kept.

--- a/src/libhawthorndrum/gateway/fleet_share.cpp
+++ b/src/libhawthorndrum/gateway/fleet_share.cpp
@@ -20,13 +20,13 @@
   }
   for (const daemon_record& each : others) missing_since_[each.name].reset();
   for (auto each = missing_since_.begin(); each != missing_since_.end();) {
-    const bool is_over = each->second && read_at - *each->second > Memory();
+    const bool is_over = each->second && read_at - *each->second > Retention();
     each = is_over ? missing_since_.erase(each) : std::next(each);
   }
 }
 
 double fleet_share::At(time_point now) const {
-  if (!listed_since_ || now - *listed_since_ < Memory()) return 0;
+  if (!listed_since_ || now - *listed_since_ < Retention()) return 0;
   if (now - read_at_ > kMaxListAge) return 0;
   return 1 / static_cast<double>(daemons());
 }
--- a/src/libhawthorndrum/gateway/fleet_share.h
+++ b/src/libhawthorndrum/gateway/fleet_share.h
@@ -40,7 +40,7 @@
 
  private:
   /** How long what a daemon has used matters after it was last listed, or before it was. */
-  duration Memory() const { return window_ + kMaxListAge; }
+  duration Retention() const { return window_ + kMaxListAge; }
 
   duration window_;
   /** The other daemons that count; those that are not listed any more, with the first such list. */
--- a/src/libhawthorndrum/resumes/stream_resumes.h
+++ b/src/libhawthorndrum/resumes/stream_resumes.h
@@ -88,10 +88,9 @@
   std::multimap<stream_key, waiting_request> waiting_;
   /** No daemon remembers their streams, and the record is being read. */
   std::vector<waiting_request> waiting_for_record_;
-  /** Their streams can have begun at one build only, unless there is news; the next check is
-   * theirs. */
+  /** Each arrived after the open check had begun, so the next one is for them. */
   std::vector<waiting_request> waiting_for_check_;
-  /** The check that is open began after they had arrived. */
+  /** Requests that the open check is for; each arrived before it began. */
   std::vector<waiting_request> being_checked_;
 };
 
--- a/tests/crossing/test_crossing.cpp
+++ b/tests/crossing/test_crossing.cpp
@@ -61,7 +61,6 @@
   EXPECT_TRUE(policy.Pays(50, kRequestBytes, "llm", "south"));
 }
 
-// Load: a neighbour that is idle, half busy and full; its own callers come first.
 // Guards against a daemon that starts and uses all free slots, as if no other did.
 TEST_F(CrossingTest, ADaemonThatDoesNotKnowTheOthersUsesNoSlots) {
   crossing_policy started({}, "north", random);
@@ -70,6 +69,7 @@
   EXPECT_GT(started.SlotsFor("llm", "south", {400, 400}, now), 0);
 }
 
+// Load: a neighbour that is idle, half busy and full; its own callers come first.
 TEST_F(CrossingTest, TheShareShrinksWithTheNeighboursLoad) {
   const double idle = policy.SlotsFor("llm", "south", {400, 400}, now);
   const double half = policy.SlotsFor("llm", "south", {400, 200}, now);
--- a/tests/discovery/odd_hosts.cpp
+++ b/tests/discovery/malformed_hosts.cpp
@@ -1,4 +1,4 @@
-/// Tests of a host list in which another writer left an odd entry.
+/// Tests of a host list with a malformed entry.
 #include <gtest/gtest.h>
 
 #include <string>
@@ -8,15 +8,15 @@
 namespace hawthorndrum {
 namespace {
 
-std::string ListOf(const std::string& odd) {
+std::string ListOf(const std::string& malformed) {
   const std::string sound =
       R"({"address":"127.0.0.1:9001","kind":"engine","data_centre":"north","state":"live"})";
-  return R"({"hosts":[)" + odd + "," + sound + "]}";
+  return R"({"hosts":[)" + malformed + "," + sound + "]}";
 }
 
-TEST(OddHosts, NoEntryHidesTheOthers) {
+TEST(MalformedHosts, NoEntryHidesTheOthers) {
   const std::string nested = std::string(400'000, '[') + std::string(400'000, ']');
-  for (const std::string& odd : {
+  for (const std::string& malformed : {
            nested,
            std::string(R"({"address":"127.0.0.1:90010","kind":"engine"})"),
            std::string(R"({"address":"127.0.0.1:9002","kind":"engine","incarnation":1e999})"),
@@ -24,9 +24,9 @@
            std::string(R"({"address":"\udcff","kind":"engine"})"),
            std::string("null"),
        }) {
-    const auto hosts = ReadHostList(ListOf(odd));
-    ASSERT_TRUE(hosts) << odd.substr(0, 200);
-    ASSERT_EQ(hosts->size(), 1u) << odd.substr(0, 200);
+    const auto hosts = ReadHostList(ListOf(malformed));
+    ASSERT_TRUE(hosts) << malformed.substr(0, 200);
+    ASSERT_EQ(hosts->size(), 1u) << malformed.substr(0, 200);
     EXPECT_EQ(hosts->front().address, "127.0.0.1:9001");
   }
   EXPECT_FALSE(ReadHostList(R"({"hosts":{}})"));
--- a/tests/gateway/resumes.cpp
+++ b/tests/gateway/resumes.cpp
@@ -244,51 +244,44 @@
   ExpectRefused(ResumeAfterFirstEvent(""));
 }
 
-class counting_check : public change_check_port {
- public:
+/** One version was listed for long, and the store is asked for changes before a stream goes on. */
+class CheckedResumesTest : public ResumesTest, public change_check_port {
+ protected:
+  CheckedResumesTest() {
+    served.resumes().SetCheckPort(*this);
+    List("old0", "v1");
+    Pass(kLongEnough);
+  }
   void Check() override { ++checks; }
+
   int checks = 0;
 };
 
-// Guards against joined versions at a daemon that was cut off or stood still while a version came.
-TEST_F(ResumesTest, AVersionThatOnlyOtherDaemonsHaveHeardOfMayHaveBegunTheStream) {
-  counting_check check;
-  served.resumes().SetCheckPort(check);
-  List("old0", "v1");
-  Pass(kLongEnough);
-  const request_id id = ResumeAfterFirstEvent("");
-  EXPECT_TRUE(upstreams.sent.empty());
-  EXPECT_EQ(served.in_flight(), 1u);
-  EXPECT_EQ(check.checks, 1);
-  served.resumes().OnChecked(stream_resumes::listed_builds{{"llm", BuildOf("llm", "v2")}});
-  ExpectRefused(id);
+// Guards against joined versions at a daemon that was partitioned or paused while a version came.
+TEST_F(CheckedResumesTest, AStreamGoesOnOnlyIfTheStoreTellsOfNoOtherVersion) {
+  using listed_builds = stream_resumes::listed_builds;
+  for (const std::optional<listed_builds>& changes :
+       {std::optional<listed_builds>(),
+        std::optional(listed_builds{{"llm", BuildOf("llm", "v2")}})}) {
+    const request_id id = ResumeAfterFirstEvent("");
+    EXPECT_TRUE(upstreams.sent.empty());
+    EXPECT_EQ(served.in_flight(), 1u);
+    served.resumes().OnChecked(changes);
+    ExpectRefused(id);
+  }
+  EXPECT_EQ(checks, 2);
 }
 
-TEST_F(ResumesTest, AStreamGoesOnWhenTheStoreKnowsOfNoOtherVersion) {
-  counting_check check;
-  served.resumes().SetCheckPort(check);
-  List("old0", "v1");
-  Pass(kLongEnough);
+TEST_F(CheckedResumesTest, RequestsThatCameAfterACheckHadBegunWaitForTheNext) {
   ResumeAfterFirstEvent("");
   ResumeAfterFirstEvent("");
-  const request_id third = ResumeAfterFirstEvent("");
-  served.OnCallerGone(third);
+  served.OnCallerGone(ResumeAfterFirstEvent(""));
   served.resumes().OnChecked(stream_resumes::listed_builds{{"llm", BuildOf("llm", "v1")}});
-  EXPECT_EQ(upstreams.sent.size(), 1u) << "the second one came after the check had begun";
-  EXPECT_EQ(check.checks, 2);
+  EXPECT_EQ(upstreams.sent.size(), 1u);
+  EXPECT_EQ(checks, 2);
   served.resumes().OnChecked(stream_resumes::listed_builds());
   EXPECT_EQ(upstreams.sent.size(), 2u);
-  EXPECT_EQ(check.checks, 2);
-}
-
-TEST_F(ResumesTest, AStreamIsRefusedWhenTheStoreDoesNotTellOfChanges) {
-  counting_check check;
-  served.resumes().SetCheckPort(check);
-  List("old0", "v1");
-  Pass(kLongEnough);
-  const request_id id = ResumeAfterFirstEvent("");
-  served.resumes().OnChecked(std::nullopt);
-  ExpectRefused(id);
+  EXPECT_EQ(checks, 2);
 }
 
 TEST_F(ResumesTest, ALongNameOfAnAttemptIsCutInTheLog) {
--- a/tests/platform/odd_entries.cpp
+++ b/tests/platform/malformed_entries.cpp
@@ -1,4 +1,4 @@
-/// Tests of entries that another writer left among those of the upstreams.
+/// Tests of malformed entries among those of the upstreams.
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -35,7 +35,7 @@
 }
 
 /** Entries that name no upstream; all of them are JSON as the store keeps it. */
-std::vector<std::string> OddSpecs() {
+std::vector<std::string> MalformedSpecs() {
   const std::string sound = kSound;
   const auto with = [&](const std::string& before, const std::string& after) {
     std::string spec = sound;
@@ -63,27 +63,27 @@
   };
 }
 
-TEST(OddEntries, EachNamesNoUpstreamAndHidesNoOther) {
+TEST(MalformedEntries, EachNamesNoUpstreamAndHidesNoOther) {
   ASSERT_TRUE(DecodeEntry("a", ReadJson(kSound)));
-  for (const std::string& odd : OddSpecs()) {
-    const buffered_answer ended =
-        ListOf(ItemOf("a", kSound) + "," + ItemOf("odd", odd) + " , " + ItemOf("b", kSound));
+  for (const std::string& malformed : MalformedSpecs()) {
+    const buffered_answer ended = ListOf(
+        ItemOf("a", kSound) + "," + ItemOf("malformed", malformed) + " , " + ItemOf("b", kSound));
     const auto answer = store_body::Read(ended);
-    ASSERT_TRUE(answer) << odd.substr(0, 200);
+    ASSERT_TRUE(answer) << malformed.substr(0, 200);
     EXPECT_EQ(answer->revision(), 9u);
     const std::vector<stored_object> objects = answer->Objects();
-    ASSERT_EQ(objects.size(), 3u) << odd.substr(0, 200);
+    ASSERT_EQ(objects.size(), 3u) << malformed.substr(0, 200);
     EXPECT_TRUE(DecodeEntry(objects[0].name, objects[0].spec));
-    EXPECT_EQ(objects[1].name, "odd");
+    EXPECT_EQ(objects[1].name, "malformed");
     EXPECT_EQ(objects[1].revision, 7u);
-    EXPECT_FALSE(DecodeEntry("odd", objects[1].spec)) << odd.substr(0, 200);
+    EXPECT_FALSE(DecodeEntry("malformed", objects[1].spec)) << malformed.substr(0, 200);
     EXPECT_EQ(objects[2].name, "b");
     EXPECT_TRUE(DecodeEntry(objects[2].name, objects[2].spec));
   }
 }
 
-TEST(OddEntries, AnUnreadableOneIsSharedWithOtherDaemonsWithoutItsContent) {
-  const std::string event = R"({"object":)" + ItemOf("odd", Nested(400'000)) + "}";
+TEST(MalformedEntries, AnUnreadableOneIsSharedWithOtherDaemonsWithoutItsContent) {
+  const std::string event = R"({"object":)" + ItemOf("malformed", Nested(400'000)) + "}";
   const std::string gone = R"({"object":)" + ItemOf("a", kSound) + R"(,"deleted":true})";
   const buffered_answer ended =
       AnswerWith(R"({"events":[)" + event + "," + gone + R"(],"store_revision":9})");
@@ -95,14 +95,14 @@
   EXPECT_EQ(events[1].object.spec_text, kSound);
 }
 
-TEST(OddEntries, ABodyThatIsNoObjectIsAFailedCall) {
+TEST(MalformedEntries, ABodyThatIsNoObjectIsAFailedCall) {
   for (const char* body : {"", "[]", "{", R"({"items":[)", R"({"items":[]} x)", "null"})
     EXPECT_FALSE(store_body::Read(AnswerWith(body))) << body;
   const buffered_answer empty = ListOf("");
   EXPECT_TRUE(store_body::Read(empty)->Objects().empty());
 }
 
-RC_GTEST_PROP(OddEntriesProperties, NoBytesEndTheProcess, ()) {
+RC_GTEST_PROP(MalformedEntriesProperties, NoBytesEndTheProcess, ()) {
   std::string body = ListOf(ItemOf("a", kSound) + "," + ItemOf("b", kSound)).answer.body;
   const auto edits = *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
       rc::gen::pair(rc::gen::inRange<std::size_t>(0, body.size()), rc::gen::arbitrary<char>()));
--- a/tests/retry_allowance/fleet_shares.cpp
+++ b/tests/retry_allowance/fleet_shares.cpp
@@ -93,18 +93,13 @@
 };
 
 TEST(FleetShares, EachDaemonGetsAnEqualPartOnceAllAreListed) {
-  sharing_fleet fleet(8);
-  for (std::size_t each = 0; each < 8; ++each) fleet.Start(each);
-  fleet.Pass(seconds(60));
-  EXPECT_DOUBLE_EQ(fleet.PartOf(3), 1.0 / 8);
-  EXPECT_LE(fleet.most_used(), 1 + kTolerance);
-}
-
-TEST(FleetShares, ADaemonWithoutOthersGetsTheWhole) {
-  sharing_fleet fleet(1);
-  fleet.Start(0);
-  fleet.Pass(seconds(60));
-  EXPECT_DOUBLE_EQ(fleet.PartOf(0), 1);
+  for (const std::size_t daemons : {1u, 8u}) {
+    sharing_fleet fleet(daemons);
+    for (std::size_t each = 0; each < daemons; ++each) fleet.Start(each);
+    fleet.Pass(seconds(60));
+    EXPECT_DOUBLE_EQ(fleet.PartOf(daemons - 1), 1.0 / static_cast<double>(daemons));
+    EXPECT_LE(fleet.most_used(), 1 + kTolerance);
+  }
 }
 
 TEST(FleetShares, ADaemonThatStartsAgainDoesNotUseItsHostsPartTwice) {
