Append only the rest of a stream to a stream that has begun

What callers saw here: a stream began and broke off, the next upstream answered 200 with a problem document, or with the text or head of an error as if it were an event, and that text was written into the stream; events from the start came twice; a 204 or 206, or a repeated last event, ended the stream as if it were whole.

Cause: any sealed success on a stream route was taken for the rest of the stream, and the splitter for events looked for empty lines only. Answers of 4xx and 5xx were cut off before already, also those of other daemons; a daemon's answer without its outcome was appended and then cut.

Change: an answer continues a stream only with status 200, a seal, no other content type than text/event-stream, and, from another daemon, with its outcome. Every event has fields or comments only, and ids that increase. Anything else ends the call, and the stream goes on at another upstream or is cut. Without a begun stream, an answer of another type is forwarded whole.

--- a/src/libhawthorndrum/gateway/event_splitter.cpp
+++ b/src/libhawthorndrum/gateway/event_splitter.cpp
@@ -1,6 +1,12 @@
 /// Parses event boundaries and ids.
 #include "gateway/event_splitter.h"
 
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+
 namespace hawthorndrum {
 
 namespace {
@@ -17,38 +23,80 @@
   }
 }
 
+/** Returns whether the text before the first colon, if any, can be the name of a field. */
+bool IsFieldOrComment(std::string_view line) {
+  const std::string_view name = line.substr(0, line.find(':'));
+  return std::all_of(name.begin(), name.end(),
+                     [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_'; });
+}
+
+std::optional<std::uint64_t> ReadNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, number);
+  if (text.empty() || read.ec != std::errc() || read.ptr != end) return std::nullopt;
+  return number;
+}
+
 }  // namespace
 
-bool event_splitter::Feed(std::string_view bytes, std::string& complete) {
+std::string_view NameOf(event_fault fault) {
+  switch (fault) {
+    case event_fault::kNone:
+      return "none";
+    case event_fault::kTooLong:
+      return "event_too_large";
+    case event_fault::kNotAnEvent:
+      return "not_an_event";
+    case event_fault::kRepeated:
+      return "event_repeated";
+  }
+  return "unknown";
+}
+
+event_fault event_splitter::Feed(std::string_view bytes, std::string& complete) {
   rest_.append(bytes);
   std::size_t taken = 0;
+  event_fault fault = event_fault::kNone;
   for (;;) {
     std::string_view open = rest_;
     open.remove_prefix(taken);
     const std::size_t end = EndOfEvent(open);
     if (end == std::string_view::npos) break;
-    ParseId(open.substr(0, end));
+    fault = Read(open.substr(0, end));
+    if (fault != event_fault::kNone) break;
     ++events_;
     taken += end;
   }
   complete.append(rest_, 0, taken);
   rest_.erase(0, taken);
-  return rest_.size() <= kLongestEvent;
+  if (fault != event_fault::kNone) return fault;
+  return rest_.size() <= kLongestEvent ? event_fault::kNone : event_fault::kTooLong;
 }
 
-void event_splitter::ParseId(std::string_view event) {
+event_fault event_splitter::Read(std::string_view event) {
+  std::string_view id;
   while (!event.empty()) {
     const std::size_t end = event.find('\n');
     std::string_view line = event.substr(0, end);
     if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    if (!IsFieldOrComment(line)) return event_fault::kNotAnEvent;
     if (line.substr(0, 3) == "id:") {
       line.remove_prefix(3);
       if (!line.empty() && line.front() == ' ') line.remove_prefix(1);
-      last_id_ = std::string(line);
+      id = line;
     }
-    if (end == std::string_view::npos) return;
-    event.remove_prefix(end + 1);
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
   }
+  return id.empty() ? event_fault::kNone : ReadId(id);
+}
+
+event_fault event_splitter::ReadId(std::string_view id) {
+  const auto before = ReadNumber(last_id_);
+  const auto number = ReadNumber(id);
+  if (id == last_id_ || (before && number && *number <= *before)) return event_fault::kRepeated;
+  last_id_ = std::string(id);
+  return event_fault::kNone;
 }
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/event_splitter.h
+++ b/src/libhawthorndrum/gateway/event_splitter.h
@@ -7,18 +7,31 @@
 
 namespace hawthorndrum {
 
+/** Why bytes are not part of the stream. */
+enum class event_fault {
+  kNone,
+  kTooLong,
+  /** A line is neither a field nor a comment, as in the text of an error. */
+  kNotAnEvent,
+  /** The event's id is not after the one before. */
+  kRepeated,
+};
+
+std::string_view NameOf(event_fault fault);
+
 /**
  * Accepts chunks of any size and returns complete events, so that a stream that breaks inside an
  * event can resume at another upstream after the last complete one.
  *
- * Invariant: rest_ holds the bytes after the last event boundary, at most kLongestEvent of them.
+ * Invariants: the ids of returned events increase; rest_ holds the bytes after the last event
+ * boundary, at most kLongestEvent of them.
  */
 class event_splitter {
  public:
   static constexpr std::size_t kLongestEvent = 1 << 20;
 
-  /** Appends newly completed events to `complete`; returns false once an event is too long. */
-  bool Feed(std::string_view bytes, std::string& complete);
+  /** Appends the newly completed events before the first fault to `complete`. */
+  event_fault Feed(std::string_view bytes, std::string& complete);
 
   /** Returns the `id` of the last complete event that had one. */
   const std::string& last_id() const { return last_id_; }
@@ -29,7 +42,9 @@
   void DropIncomplete() { rest_.clear(); }
 
  private:
-  void ParseId(std::string_view event);
+  /** Checks the event's lines, and records its id. */
+  event_fault Read(std::string_view event);
+  event_fault ReadId(std::string_view id);
 
   std::string rest_;
   std::string last_id_;
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -216,7 +216,10 @@
   void FinishStream(exchange& each, time_point now);
   /** Returns whether more of the answer may be buffered; an upstream may send without end. */
   bool FitsBuffer(const exchange& each) const;
+  /** Returns whether the answer is a stream of events, or the rest of one that broke off. */
+  static bool IsEventStream(const exchange& each);
   void RelayEvents(exchange& each, std::string_view bytes);
+  void ForwardEvents(exchange& each, std::string_view events, time_point now);
   /** Reads the call's upstream no faster than the caller reads. */
   void FollowCaller(exchange& each, time_point now);
   void Deliver(exchange& each);
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -1,5 +1,6 @@
 /// Forwards upstreams' answers to callers.
 #include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
 #include <utility>
 
 #include "base/log_record.h"
@@ -14,6 +15,8 @@
 
 namespace {
 
+constexpr int kStreamStatus = 200;
+constexpr std::string_view kStreamType = "text/event-stream";
 /** Maximum size of a buffered answer; no plain service sends larger ones. */
 constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
 /** A prefill's answer only names what the engine keeps. */
@@ -77,10 +80,7 @@
   const bool success = IsSuccess(terms.status) && terms.sealed;
   if (success || each->state == exchange_state::kPrefilling)
     RecordFirstByte(*each, ports_.time->Now());
-  const bool runs = each->state == exchange_state::kRunning || passed_on;
-  if (runs && each->is_stream() && success) {
-    return RelayEvents(*each, bytes.bytes);
-  }
+  if (IsEventStream(*each)) return RelayEvents(*each, bytes.bytes);
   each->call.stalled = false;
   each->call.progress_at = ports_.time->Now();
   each->answer.body += bytes.bytes;
@@ -91,6 +91,16 @@
   Recover(*each, {"answer_too_large", true, false, false}, ports_.time->Now());
 }
 
+bool gateway::IsEventStream(const exchange& each) {
+  const answer_terms& terms = each.answer.terms;
+  const bool is_upstreams = each.state == exchange_state::kRunning ||
+                            (each.state == exchange_state::kPassedOn &&
+                             each.answer.relayed.outcome == relay_outcome::kAnswered);
+  const std::string_view type = FindHeader(each.answer.headers, "Content-Type");
+  return is_upstreams && each.is_stream() && terms.status == kStreamStatus && terms.sealed &&
+         (type.empty() || boost::algorithm::istarts_with(type, kStreamType));
+}
+
 bool gateway::FitsBuffer(const exchange& each) const {
   const std::size_t size = each.answer.body.size();
   if (each.state == exchange_state::kPrefilling) return size <= kMaxPrefillAnswerBytes;
@@ -101,17 +111,20 @@
 void gateway::RelayEvents(exchange& each, std::string_view bytes) {
   const time_point now = ports_.time->Now();
   std::string complete_events;
-  if (!each.events.Feed(bytes, complete_events)) {
-    ports_.upstreams->Cancel(each.call.attempt);
-    if (each.state == exchange_state::kPassedOn) return FailUnknown(each, "event_too_large", 502);
-    return Recover(each, {"event_too_large", true, false, false}, now);
-  }
+  const event_fault fault = each.events.Feed(bytes, complete_events);
+  each.call.has_part = complete_events.empty();
+  // Bytes that complete no event are no progress: a stalled upstream may send some now and then.
+  if (!complete_events.empty()) ForwardEvents(each, complete_events, now);
+  if (fault == event_fault::kNone) return;
+  ports_.upstreams->Cancel(each.call.attempt);
+  if (each.state == exchange_state::kPassedOn) return FailUnknown(each, NameOf(fault), 502);
+  Recover(each, {NameOf(fault), true, false, false}, now);
+}
+
+void gateway::ForwardEvents(exchange& each, std::string_view events, time_point now) {
   const bool runs_here = each.state == exchange_state::kRunning;
   if (runs_here && now - each.call.first_byte_at >= crash_recorder::kLivedOn)
     crash_recorder_.RecordLivedOn(each, now);
-  // Bytes that complete no event are no progress: a stalled upstream may send some now and then.
-  each.call.has_part = complete_events.empty();
-  if (each.call.has_part) return;
   each.call.stalled = false;
   each.call.progress_at = now;
   each.call.stall_timeout =
@@ -128,7 +141,7 @@
     if (runs_here) speeds_.ObserveInterval(each.service->name, interval);
   }
   each.last_event_at = now;
-  ports_.callers->Write(each.id, complete_events);
+  ports_.callers->Write(each.id, events);
   FollowCaller(each, now);
 }
 
@@ -156,9 +169,7 @@
   if (each->state == exchange_state::kPassedOn) return FinishPassedOn(*each, now);
   if (each->state == exchange_state::kPrefilling) return FinishPrefill(*each, now);
   each->call.ended_by_close = finished.by_close;
-  if (each->is_stream() && IsSuccess(each->answer.terms.status) && each->answer.terms.sealed) {
-    return FinishStream(*each, now);
-  }
+  if (IsEventStream(*each)) return FinishStream(*each, now);
   FinishPlain(*each, now);
 }
 
@@ -246,6 +257,8 @@
   if (failed && each.matched->is_idempotent()) {
     return Recover(each, {"upstream_error", true, false, true}, now);
   }
+  // An answer that is no stream cannot continue one.
+  if (each.head_sent) return Recover(each, {"answer_unusable", true, false, false}, now);
   Deliver(each);
 }
 
--- a/src/libhawthorndrum/gateway/gateway_relay.cpp
+++ b/src/libhawthorndrum/gateway/gateway_relay.cpp
@@ -29,8 +29,6 @@
 constexpr duration kSilenceSlack = milliseconds(800);
 constexpr duration kRetryAfterDeclined = milliseconds(500);
 
-bool IsSuccess(int status) { return status >= 200 && status < 300; }
-
 }  // namespace
 
 bool gateway::IsForLackOfUpstreams(std::string_view reason) {
@@ -136,7 +134,7 @@
     case relay_outcome::kAnswered:
       break;
   }
-  if (!each.is_stream() || !IsSuccess(terms.status) || !terms.sealed) {
+  if (!IsEventStream(each)) {
     if (!IsDeliverable(each)) return FailUnknown(each, "answer_unusable", 502);
     return Deliver(each);
   }
