Write one head an answer, and cut an answer without chunks by a reset

Change: a second head aborts the answer. A begun answer without chunks that isn't whole ends with a reset.

--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -121,6 +121,8 @@
   bool keep_alive_ = true;
   bool head_only_ = false;
   bool chunked_ = false;
+  /** Whether Begin was called for the current request; its answer has one head. */
+  bool begun_ = false;
   /** Whether all bytes of the answer to the current request are queued. */
   bool answer_ended_ = false;
   /** The answer was aborted: bytes already written are sent, then the connection is closed. */
@@ -153,6 +155,7 @@
 template <typename Stream>
 void http_stream_session<Stream>::ReadHeader() {
   parser_.emplace();
+  begun_ = false;
   answer_ended_ = false;
   if (const auto owner = owner_.lock()) limits_ = owner->limits();
   parser_->header_limit(limits_.header_bytes);
@@ -236,6 +239,7 @@
 template <typename Stream>
 void http_stream_session<Stream>::Answer(http_answer answer) {
   if (closed_ || answer_ended_) return;
+  if (begun_) return Abort();
   answer_ended_ = true;
   keep_alive_ = keep_alive_ && !close_after_answer_ && !closing_;
   Queue(AnswerBytes(answer, version_, keep_alive_, head_only_));
@@ -243,7 +247,8 @@
 
 template <typename Stream>
 void http_stream_session<Stream>::Begin(int status, std::vector<http_header> headers) {
-  if (closed_) return;
+  if (closed_ || answer_ended_) return;
+  if (std::exchange(begun_, true)) return Abort();
   chunked_ = version_ >= 11;
   keep_alive_ = keep_alive_ && chunked_ && !close_after_answer_ && !closing_;
   Queue(HeadBytes(status, headers, version_, keep_alive_, chunked_));
@@ -356,7 +361,13 @@
   waiting_ = false;
   idle_timer_.cancel();
   error_type ignored;
-  Socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  const bool is_whole = answer_ended_ && !aborted_ && unsent_bytes_ == 0;
+  if (begun_ && !chunked_ && !is_whole) {
+    // An ordinary close would end such an answer as a whole one.
+    Socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  } else {
+    Socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  }
   Socket().close(ignored);
   LeaveOwner();
 }
