Take no empty answer for whole that ends right after its head

Another operator reported answers whose head broke off and that reached callers as a 200 with an empty or short body, framed as whole (MIXED). Bytes that end inside a head are never taken for an answer (BrokenHeadsTest in tests/http). But a success without length or chunks whose connection was closed right after its head was forwarded as an empty 200 with a length of 0, although a crash closes the connection as well. The same held for hawthorndrumd, and for the answers of other daemons, which always name a length or send chunks, so that such an end is the daemon's own.

Change: such an answer of an upstream counts as broken off and may have run; that of a daemon ends the request as one that may have run. Answers with a body may still end with their connection.

--- a/src/hawthorndrumd/http_upstream_port.cpp
+++ b/src/hawthorndrumd/http_upstream_port.cpp
@@ -47,6 +47,10 @@
   events_.Post(attempt_finished{RemoveCall(id)});
 }
 
+void http_upstream_port::OnFinishedByClose(http_call_id id) {
+  events_.Post(attempt_finished{RemoveCall(id), true});
+}
+
 void http_upstream_port::OnLost(http_call_id id, attempt_failure failure, bool bytes_sent) {
   events_.Post(attempt_lost{RemoveCall(id), failure, bytes_sent});
 }
--- a/src/hawthorndrumd/http_upstream_port.h
+++ b/src/hawthorndrumd/http_upstream_port.h
@@ -26,6 +26,7 @@
   void OnHead(http_call_id id, int status, std::vector<http_header> headers) override;
   void OnBody(http_call_id id, std::string bytes) override;
   void OnFinished(http_call_id id) override;
+  void OnFinishedByClose(http_call_id id) override;
   void OnLost(http_call_id id, attempt_failure failure, bool bytes_sent) override;
 
  private:
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -228,6 +228,11 @@
   /** Removes an upstream at whose address another one answered. */
   void OnUpstreamReplaced(const fleet_upstream& row, const answer_terms& terms, time_point now);
   bool IsDeliverable(const exchange& each) const;
+  /**
+   * Returns whether the connection was closed right after the head of a success that names no
+   * length: an upstream that crashes closes it too.
+   */
+  static bool BreaksOffAfterHead(const exchange& each);
 
   // Upstreams that asked for time.
   /** Returns the failure, or that all upstreams asked for time and when the first one's ends. */
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -166,9 +166,9 @@
   exchange* each = FindByAttempt(finished.attempt);
   if (each == nullptr) return;
   const time_point now = ports_.time->Now();
+  each->call.ended_by_close = finished.by_close;
   if (each->state == exchange_state::kPassedOn) return FinishPassedOn(*each, now);
   if (each->state == exchange_state::kPrefilling) return FinishPrefill(*each, now);
-  each->call.ended_by_close = finished.by_close;
   if (IsEventStream(*each)) return FinishStream(*each, now);
   FinishPlain(*each, now);
 }
@@ -234,6 +234,12 @@
   return terms.sealed || !IsSuccess(terms.status);
 }
 
+bool gateway::BreaksOffAfterHead(const exchange& each) {
+  const answer_terms& terms = each.answer.terms;
+  return each.call.ended_by_close && each.call.answer_bytes == 0 && IsSuccess(terms.status) &&
+         !terms.not_run;
+}
+
 void gateway::FinishPlain(exchange& each, time_point now) {
   const answer_terms& terms = each.answer.terms;
   fleet_upstream* row = fleet_.Find(each.call.upstream);
@@ -245,6 +251,10 @@
       service_placement::Observe(*row, now - each.call.sent_at);
     }
   }
+  if (BreaksOffAfterHead(each)) {
+    crash_recorder_.RecordCrash(each, now);
+    return Recover(each, {"ended_after_head", true, true, false}, now);
+  }
   // An upstream may fail a request before it begins an answer.
   if (!terms.not_run && IsSuccess(terms.status)) crash_recorder_.RecordLivedOn(each, now);
   if (terms.not_run) {
--- a/src/libhawthorndrum/gateway/gateway_relay.cpp
+++ b/src/libhawthorndrum/gateway/gateway_relay.cpp
@@ -134,6 +134,8 @@
     case relay_outcome::kAnswered:
       break;
   }
+  // Daemons name a length or send chunks.
+  if (each.call.ended_by_close) return FailUnknown(each, kConnectionLost, 502);
   if (!IsEventStream(each)) {
     if (!IsDeliverable(each)) return FailUnknown(each, "answer_unusable", 502);
     return Deliver(each);
--- a/src/libhawthorndrum/systems/request_attempts.cpp
+++ b/src/libhawthorndrum/systems/request_attempts.cpp
@@ -41,6 +41,8 @@
   return "the upstream failed";
 }
 
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
 bool IsNotStarted(const attempt_head& head) {
   return FindHeader(head.headers, "X-Not-Started") == "1";
 }
@@ -182,6 +184,13 @@
     return Recover(*attempt, {UpstreamFailed(outcome::kUnknown, "the stream was cut"), true, true},
                    false);
   }
+  // An upstream that crashes closes its connection too, right after the head of its answer.
+  const bool breaks_off =
+      finished.by_close && !attempt->has_bytes && IsSuccess(attempt->answer.status);
+  if (breaks_off) {
+    return Recover(*attempt,
+                   {UpstreamFailed(outcome::kUnknown, "the answer broke off"), true, true}, false);
+  }
   FinishAnswer(*attempt, *request);
 }
 
