Refuse what cannot end before a planned stop, and answer what is in flight

Here the port and idle connections were closed after 2.6 s, but a request whose last bytes came later was still passed on, a long one was taken although it could not end, and at the end of the grace the process ended with whatever was in flight: callers of requests that may not be repeated saw their connection closed.

Change: from SIGTERM on, a request is taken only if it ends before the grace does, judged by the longest answer of its route of late and its time limit. Others are refused as not run, with a short Retry-After, since another daemon can take them at once; those of other daemons are left to them. Half a second before the end all requests in flight are answered: as not run if they have not, else with 502, and streams that have begun are cut.

Tests of the decision, and of how requests in flight end, need no network.

--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -17,8 +17,10 @@
 /** The load balancer probes every second and acts on the second not-ready answer in a row. */
 constexpr duration kServeAfterStop = milliseconds(2600);
 constexpr duration kStopCheckInterval = milliseconds(50);
-/** When only this much of the grace period is left, open connections are no longer waited for. */
+/** When only this much of the grace period is left, requests in flight are answered as failed. */
 constexpr duration kStopReserve = milliseconds(500);
+/** When only this much is left, these answers are no longer waited for. */
+constexpr duration kExitReserve = milliseconds(300);
 constexpr duration kSweepPeriod = seconds(1);
 /** File descriptors reserved for connections to upstreams and the store, and for files. */
 constexpr std::uint32_t kReservedDescriptors = 1200;
@@ -228,6 +230,7 @@
              log_record("stopping")
                  .Number("in_flight", static_cast<std::int64_t>(gateway_.in_flight()))
                  .Number("connections", static_cast<std::int64_t>(caller_server_.connections())));
+  gateway_.BeginStop(stop_began_ + settings_.stop_grace - kStopReserve);
   caller_server_.CloseAfterAnswers();
   relay_server_.CloseAfterAnswers();
   stop_timer_.expires_after(std::min<duration>(kServeAfterStop, settings_.stop_grace / 2));
@@ -242,11 +245,20 @@
   StopWhenIdle();
 }
 
+void gateway_daemon::EndInFlight() {
+  if (std::exchange(ended_all_, true)) return;
+  log_.Write(log_importance::kImportant,
+             log_record("grace_over")
+                 .Number("in_flight", static_cast<std::int64_t>(gateway_.in_flight())));
+  gateway_.EndAll();
+}
+
 void gateway_daemon::StopWhenIdle() {
+  const duration left = settings_.stop_grace - (clock_.Now() - stop_began_);
+  if (left < kStopReserve) EndInFlight();
   const bool idle = gateway_.in_flight() == 0 && caller_server_.busy_connections() == 0 &&
                     relay_server_.busy_connections() == 0;
-  const bool late = clock_.Now() - stop_began_ > settings_.stop_grace - kStopReserve;
-  if (idle || late) {
+  if (idle || left < kExitReserve) {
     log_.Write(log_importance::kImportant,
                log_record("stopped")
                    .Text("reason", idle ? "idle" : "grace_over")
--- a/src/gatewayd/gateway_daemon.h
+++ b/src/gatewayd/gateway_daemon.h
@@ -50,8 +50,9 @@
   expected<void> Start();
   /**
    * Reports not ready from now on. New connections are accepted until the load balancer has had
-   * time to notice, and each connection closes after its answer. The io_context stops when no
-   * request is in flight, or shortly before the grace period ends.
+   * time to notice, and each connection closes after its answer. Requests that cannot end in time
+   * are refused. The io_context stops when no request is in flight; what still is shortly before
+   * the grace period ends is answered as failed.
    */
   void BeginStop();
   /** Adds a system that runs at each tick, after the gateway. */
@@ -82,6 +83,8 @@
   void ApplyLimits();
   void FollowDaemons(time_point now);
   void StopAccepting();
+  /** Answers what is still in flight shortly before the grace period ends. */
+  void EndInFlight();
   void StopWhenIdle();
 
   boost::asio::io_context& io_;
@@ -115,6 +118,7 @@
   share_datagrams shares_;
   boost::asio::steady_timer stop_timer_;
   bool stopping_ = false;
+  bool ended_all_ = false;
   std::uint64_t limits_version_ = 0;
   time_point stop_began_;
   time_point swept_at_;
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -113,7 +113,7 @@
   const route* matched = config_->FindRoute(host, PathOf(arrived.request.target));
   if (matched == nullptr) return RefuseRouteless(arrived);
   const auto caller = Identify(arrived, *matched);
-  if (!caller) return;
+  if (!caller || RefusedByStop(arrived, *matched)) return;
   const weighted_service* target =
       build ? TargetOfBuild(*matched, *build, now) : &PickTarget(*matched);
   exchange& each = exchanges_[arrived.id];
@@ -249,7 +249,8 @@
   ports_.metrics->Counter("gateway_refused_total", MetricLabel("reason", reason)).Add();
   http_answer answer = ProblemAnswer(status, reason, retry_after);
   // Without a route: the daemon that passed it on may know a newer configuration.
-  const bool is_unavailable = reason == kNotStarted || reason == kRelayFull || reason == kHostFull;
+  const bool is_unavailable =
+      reason == kNotStarted || reason == kRelayFull || reason == kHostFull || reason == kStopping;
   const relay_outcome outcome =
       is_unavailable ? relay_outcome::kUnavailable : relay_outcome::kDeclined;
   if (arrived.relayed) SetRelayAnswer({outcome, {}}, answer.headers);
@@ -363,6 +364,7 @@
   const duration taken = ports_.time->Now() - each.arrived;
   const fleet_upstream* last = fleet_.Find(each.call.upstream);
   MetersOf(*each.matched).RecordEnd(outcome, taken);
+  if (outcome == kAnswered) stop_admission_.Record(each.matched->name, taken);
   ports_.log->Write(
       log_importance::kRoutine,
       log_record("request_ended")
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -29,6 +29,7 @@
 #include "gateway/retry_allowance.h"
 #include "gateway/service_placement.h"
 #include "gateway/statement_handler.h"
+#include "gateway/stop_admission.h"
 #include "origins/origin_listener.h"
 #include "ports/attempt_event.h"
 #include "relay/relay_answer.h"
@@ -74,6 +75,14 @@
   /** Sets the part of the retry reserve that this daemon may spend, from 0 to 1. */
   void SetRetryShare(double share) { allowance_.SetShare(share); }
 
+  /**
+   * The daemon stops then: requests that cannot end before are refused from now on, as those that
+   * other daemons can serve.
+   */
+  void BeginStop(time_point ends_at);
+  /** Answers all requests in flight, those that have not run with a refusal. */
+  void EndAll();
+
   void OnRequest(request_id id, http_request request);
   /** Another daemon, which reaches no upstream, passed the request on to this one. */
   void OnPassedOn(request_id id, http_request request);
@@ -108,6 +117,7 @@
 
  private:
   struct route_meters;
+  static constexpr std::string_view kAnswered = "answered";
   /** Failure reason: the upstream stated that it did not run the call. */
   static constexpr std::string_view kRefusedByUpstream = "upstream_refused";
   /** Failure reason: no connection could be made, and nothing was sent. */
@@ -118,6 +128,8 @@
   static constexpr std::string_view kRelayFull = "relay_full";
   /** Refusal reason: this host holds as much for callers and upstreams as it may. */
   static constexpr std::string_view kHostFull = "host_full";
+  /** Why requests are refused, or end, when this daemon stops. */
+  static constexpr std::string_view kStopping = "stopping";
   /** Refusal reasons: no upstream of the service can be called. */
   static constexpr std::string_view kNoUpstream = "no_upstream";
   static constexpr std::string_view kNoEngine = "no_engine";
@@ -152,6 +164,8 @@
   /** Returns why the request is refused for its team's share of the room, if it is. */
   std::optional<placement_failure> RefusedByShare(
       exchange& each, const tl::expected<placement, placement_failure>& place, time_point now);
+  /** Refuses a request that cannot end before this daemon stops; returns whether it did. */
+  bool RefusedByStop(const arrived_request& arrived, const route& matched);
   /** Refuses a request that no route matches. */
   void RefuseRouteless(const arrived_request& arrived);
   /** Returns whether another daemon has reported a newer configuration. */
@@ -310,6 +324,7 @@
   flow_control flow_;
   stream_resumes resumes_;
   team_shares shares_;
+  stop_admission stop_admission_;
   std::shared_ptr<const gateway_config> config_;
   bool fleet_known_ = false;
   std::uint64_t fleet_revision_ = 0;
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -214,7 +214,7 @@
   if (!each.head_sent) BeginAnswer(each);
   crossing_meter_.OnAnswer(each.matched->name, each.call.answer_bytes);
   ports_.callers->End(each.id);
-  Close(each, "answered", each.answer.terms.status);
+  Close(each, kAnswered, each.answer.terms.status);
 }
 
 void gateway::OnUpstreamReplaced(const fleet_upstream& row, const answer_terms& terms,
@@ -283,7 +283,7 @@
   crossing_meter_.OnAnswer(each.matched->name, each.answer.body.size());
   AnswerCaller(each, {status, each.answer.headers, std::move(each.answer.body)},
                relay_outcome::kAnswered);
-  Close(each, IsSuccess(status) ? "answered" : "upstream_error", status);
+  Close(each, IsSuccess(status) ? kAnswered : "upstream_error", status);
 }
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/gateway_relay.cpp
+++ b/src/libhawthorndrum/gateway/gateway_relay.cpp
@@ -143,7 +143,7 @@
   if (!each.events.between_events()) return FailUnknown(each, "ended_inside_an_event", 502);
   if (!each.head_sent) BeginAnswer(each);
   ports_.callers->End(each.id);
-  Close(each, "answered", terms.status);
+  Close(each, kAnswered, terms.status);
 }
 
 void gateway::OnNotRunElsewhere(exchange& each, time_point now) {
--- a/src/libhawthorndrum/resumes/stream_resumes.cpp
+++ b/src/libhawthorndrum/resumes/stream_resumes.cpp
@@ -94,6 +94,17 @@
   if (!waiting_for_check_.empty()) Check();
 }
 
+std::vector<arrived_request> stream_resumes::TakeAll() {
+  std::vector<arrived_request> taken;
+  for (auto& [key, each] : waiting_) taken.push_back(std::move(each.arrived));
+  for (auto* waiting : {&waiting_for_record_, &waiting_for_check_, &being_checked_}) {
+    for (waiting_request& each : *waiting) taken.push_back(std::move(each.arrived));
+    waiting->clear();
+  }
+  waiting_.clear();
+  return taken;
+}
+
 void stream_resumes::Drop(request_id id) {
   for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
     if (it->second.arrived.id != id) continue;
--- a/src/libhawthorndrum/resumes/stream_resumes.h
+++ b/src/libhawthorndrum/resumes/stream_resumes.h
@@ -29,7 +29,7 @@
  * the only build that can have begun it. Otherwise the request is refused and does not run.
  *
  * Invariant: each request that is handed over with Resume is reported to the listener once, unless
- * it is dropped.
+ * it is dropped or taken back.
  */
 class stream_resumes {
  public:
@@ -53,6 +53,8 @@
   void SetCheckPort(change_check_port& port) { check_port_ = &port; }
   /** Sets where the record is read; without, only what this daemon itself followed counts. */
   void SetRecordPort(build_record_port& port) { record_port_ = &port; }
+  /** Hands all waiting requests back, without a report to the listener. */
+  std::vector<arrived_request> TakeAll();
   /** Forgets a request whose caller has gone. */
   void Drop(request_id id);
 
