Log the signal that ends a process, and what it was doing

The users saw gateways end by a segmentation fault, and the log had no line on it, so that hypotheses could not be told apart.

--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "base/log_record.h"
+#include "fatal_signals.h"
 #include "gateway/wire_dialect.h"
 #include "ports/engine_port.h"
 #include "ports/object_store.h"
@@ -47,6 +48,21 @@
   return result;
 }
 
+/** Names the handling of the event for the log of a fatal signal. */
+const char* ActivityOf(const event& handled) {
+  if (std::holds_alternative<request_arrived>(handled)) return "request_arrived";
+  if (std::holds_alternative<caller_gone>(handled)) return "caller_gone";
+  if (std::holds_alternative<attempt_connected>(handled)) return "attempt_connected";
+  if (std::holds_alternative<attempt_head>(handled)) return "attempt_head";
+  if (std::holds_alternative<attempt_bytes>(handled)) return "attempt_bytes";
+  if (std::holds_alternative<attempt_finished>(handled)) return "attempt_finished";
+  if (std::holds_alternative<attempt_lost>(handled)) return "attempt_lost";
+  if (std::holds_alternative<probe_ended>(handled)) return "probe_ended";
+  if (std::holds_alternative<store_answered>(handled)) return "store_answered";
+  if (std::holds_alternative<order_answered>(handled)) return "order_answered";
+  return "other_event";
+}
+
 gateway_ports PortsOf(const gateway_settings& settings, caller_port& callers,
                       upstream_calls& upstreams, const wire_dialect& dialect, const clock& time,
                       random_source& random, event_log& log, metrics_registry& metrics,
@@ -152,6 +168,7 @@
 }
 
 void gateway_daemon::Receive(event new_event) {
+  SetActivity(ActivityOf(new_event));
   if (auto* arrived = std::get_if<request_arrived>(&new_event)) {
     if (arrived->from_peer)
       return gateway_.OnPassedOn(arrived->request, std::move(arrived->message));
@@ -194,6 +211,7 @@
 }
 
 void gateway_daemon::Run(time_point now) {
+  SetActivity("tick");
   ApplyLimits();
   FollowDaemons(now);
   origins_.Run(now);
--- a/src/gatewayd/notice_socket.cpp
+++ b/src/gatewayd/notice_socket.cpp
@@ -7,6 +7,7 @@
 
 #include "base/metrics_registry.h"
 #include "endpoint.h"
+#include "fatal_signals.h"
 #include "ports/clock.h"
 
 namespace hawthorndrum {
@@ -75,6 +76,7 @@
 }
 
 void notice_socket::Dispatch(boost::span<const std::uint8_t> bytes) {
+  SetActivity("datagram");
   const std::string ip = sender_.address().to_string();
   const bool known = daemons_.IsKnownHost(ip);
   if (!known) daemons_.RequestRefresh();
