Soak: configurations in quick succession, and entries of another writer

It now writes series of configurations that change routes, times, limits and services and add routes by the hundred, and entries of the kind of the workers that name none, among them one that is nested 400,000 deep. A gateway that ends by itself is a failure also when it is started again later.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -52,13 +52,27 @@
 def seen_by(content, gateway):
     """Returns the content with the addresses at which that gateway reaches the workers."""
     if isinstance(content, dict):
-        return {key: value[gateway] if key == "addr" and isinstance(value, list)
+        return {key: value[gateway] if key == "addr" and isinstance(value, list) and value
                 else seen_by(value, gateway) for key, value in content.items()}
     if isinstance(content, list):
         return [seen_by(item, gateway) for item in content]
     return content
 
 
+def to_text(content):
+    """Returns JSON, in which objects with a `text` stand for that text."""
+    texts = []
+
+    def keep(raw):
+        texts.append(raw.text)
+        return "raw text %d" % (len(texts) - 1)
+
+    whole = json.dumps(content, default=keep)
+    for number, text in enumerate(texts):
+        whole = whole.replace('"raw text %d"' % number, text)
+    return whole
+
+
 class Store:
     """Objects by kind and name, with revisions and watches."""
 
@@ -106,7 +120,7 @@
                 content = seen_by(content, gateway)
                 if self.fault == "lost" and self.rng.random() < 0.5:
                     break
-                writer.write(answer(status, {}, json.dumps(content).encode()))
+                writer.write(answer(status, {}, to_text(content).encode("latin-1")))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             pass
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,6 +19,7 @@
 import tempfile
 
 from caller import HOST, Caller
+from config_storms import ConfigStorms
 from duty_records import LATENESS_S, WINDOW_S, PlatformApi
 from fault_proxy import FaultProxy, Ports
 from gateway_cuts import GatewayCuts
@@ -86,7 +87,8 @@
     def on_connected(worker, gateway, port):
         worker.gateways[port] = gateway
 
-    async def configure(self):
+    async def configure(self, change=None):
+        """Writes a configuration; `change` may alter it before."""
         self.version += self.rng.randrange(1, 4)
         routes = [dict(r, host=HOST, timeout_ms=3000, goal_ms=500, priority=1,
                        no_auth=r["path_prefix"] in OPEN_ROUTES) for r in ROUTES]
@@ -94,9 +96,11 @@
         services = [{"name": "llm", "max_conns": 300, "engine": engine},
                     {"name": "desk", "max_conns": 300}]
         limits = {"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000}
-        await self.store.put("config", "main", {"version": self.version, "routes": routes,
-                                                "services": services, "limits": limits,
-                                                "tenants": self.records.keys.spec()})
+        spec = {"version": self.version, "routes": routes, "services": services, "limits": limits,
+                "tenants": self.records.keys.spec()}
+        if change:
+            change(spec)
+        await self.store.put("config", "main", spec)
         self.records.keys.written()
 
     async def take_key_away(self):
@@ -178,6 +182,8 @@
         process = gateway["process"]
         while process.poll() is None:
             await asyncio.sleep(0.05)
+        if process.returncode not in (0, -signal.SIGKILL):
+            self.records.fail("a gateway exited with code %d" % process.returncode)
         await asyncio.sleep(self.rng.uniform(0.1, 1))
         if gateway["process"] is process:
             self.start_gateway(gateway)
@@ -355,9 +361,10 @@
         cuts = asyncio.ensure_future(self.cuts.run())
         rests = asyncio.ensure_future(statements.rests())
         calls = asyncio.ensure_future(self.api.faults(self))
+        storms = asyncio.ensure_future(ConfigStorms(self).run())
         await asyncio.sleep(self.options.seconds)
         self.faults_stopped = True
-        await asyncio.gather(faults, breaks, crashes, limits, cuts, rests, calls)
+        await asyncio.gather(faults, breaks, crashes, limits, cuts, rests, calls, storms)
         await asyncio.sleep(4 - MAX_SILENCE_S)
         self.silences_stopped = True
         await silences
