List objects again after a watch whose body cannot be read

Cause: a body that cannot be divided into objects counted as a refusal by the store. It is told apart now (`trouble` is `unreadable` in the log), and the objects are listed after the backoff; the list has the present ones only.

--- a/src/libhawthorndrum/gateway/object_watch.cpp
+++ b/src/libhawthorndrum/gateway/object_watch.cpp
@@ -32,6 +32,8 @@
       return "history_gone";
     case store_trouble::kRefused:
       return "refused";
+    case store_trouble::kUnreadable:
+      return "unreadable";
     case store_trouble::kNoAnswer:
       return "silent";
   }
@@ -170,6 +172,8 @@
                    .Text("trouble", NameOf(trouble))
                    .Number("revision", static_cast<std::int64_t>(revision_)));
   }
+  // A watch from the same revision would bring the same body; a list has the present objects only.
+  if (trouble == store_trouble::kUnreadable) StartList();
   const duration backoff =
       std::min<duration>(kInitialBackoff * (1 << std::min(failures_, 5)), kMaxBackoff);
   failures_ += 1;
--- a/src/libhawthorndrum/gateway/object_watch.h
+++ b/src/libhawthorndrum/gateway/object_watch.h
@@ -26,8 +26,10 @@
 enum class store_trouble {
   /** The store no longer has the changes after the watch's revision. */
   kHistoryGone,
-  /** The store answered with an error or with a malformed body. */
+  /** The store answered with an error. */
   kRefused,
+  /** The store answered with a body that cannot be divided into objects. */
+  kUnreadable,
   /** No complete answer was received. */
   kNoAnswer,
 };
--- a/tests/discovery/test_discovery.cpp
+++ b/tests/discovery/test_discovery.cpp
@@ -133,6 +133,19 @@
   EXPECT_EQ(reader.calls.back(), "watch 10");
 }
 
+// Guards against a daemon that learns of no change any more: the body of its watch cannot be read
+// because of an object that is gone by now, and each further watch from that revision brings it.
+TEST_F(DiscoveryTest, AnUnreadableWatchIsFollowedByAList) {
+  ListOnce();
+  watch.OnCallFailed(reader.last, store_trouble::kUnreadable, clock.Now());
+  watch.Run(clock.Now());
+  EXPECT_EQ(reader.calls.size(), 2u) << "the retry waits for the backoff";
+  clock.Advance(seconds(1));
+  watch.Run(clock.Now());
+  EXPECT_EQ(reader.calls.back(), "list ");
+  EXPECT_TRUE(TakesWork("a")) << "upstreams stay known while the list is read";
+}
+
 TEST_F(DiscoveryTest, ALostHistoryIsListedAnewAtOnce) {
   ListOnce();
   watch.OnCallFailed(reader.last, store_trouble::kHistoryGone, clock.Now());
