Draw each daemon's address once, also where two records share it

Found while looking for ends of gateways of their own (FAULT): a daemon that asks others for evidence of crashes draws addresses until it has enough different ones. Where two records have one address, as after a host was replaced under another name while the record of the former one stayed, there are not enough, and the daemon never came back from its first tick.

Change: addresses are drawn without replacement, and fewer are asked if there are no more.

--- a/src/libhawthorndrum/crashes/crash_exchange.cpp
+++ b/src/libhawthorndrum/crashes/crash_exchange.cpp
@@ -116,12 +116,16 @@
 }
 
 std::vector<std::string> crash_exchange::RandomDaemons(std::size_t count) {
-  const auto& others = daemons_.others();
+  // Two records may have one address: that of a host that was replaced under another name stays.
+  std::vector<std::string_view> left;
+  for (const daemon_record& other : daemons_.others()) left.push_back(other.notices_address);
   std::vector<std::string> drawn;
-  const std::size_t wanted = std::min(count, others.size());
-  while (drawn.size() < wanted) {
-    const std::string& address = others[random_.Below(others.size())].notices_address;
-    if (std::find(drawn.begin(), drawn.end(), address) == drawn.end()) drawn.push_back(address);
+  while (drawn.size() < count && !left.empty()) {
+    std::string_view& chosen = left[random_.Below(left.size())];
+    const bool is_new = std::find(drawn.begin(), drawn.end(), chosen) == drawn.end();
+    if (is_new) drawn.emplace_back(chosen);
+    chosen = left.back();
+    left.pop_back();
   }
   return drawn;
 }
--- a/tests/crashes/fleet.cpp
+++ b/tests/crashes/fleet.cpp
@@ -234,5 +234,18 @@
   EXPECT_EQ(most_bytes, 0u);
 }
 
+// Guards against a daemon that never comes back from its first tick: a host was replaced under
+// another name, the record of the former one stayed, and both have the same address.
+TEST(CrashExchange, RecordsWithOneAddressAreOneDaemon) {
+  fake_clock time;
+  fake_random_source random;
+  simulated_daemon daemon("g1", time, random);
+  daemon.directory.Replace({{"g2", "10.1.0.2:7380", "north"}, {"g3", "10.1.0.2:7380", "north"}});
+  time.Advance(seconds(10));
+  daemon.exchange->Run(time.Now());
+  ASSERT_EQ(daemon.sent.size(), 1u);
+  EXPECT_EQ(daemon.sent.front().first, "10.1.0.2:7380");
+}
+
 }  // namespace
 }  // namespace hawthorndrum
