Refuse a header that the HTTP library cannot hold

The library keeps lengths of fields in 16 bits and throws from within the read.

Change: no more than 65,535 bytes of a header are read; beyond that the request is refused with 431.

Evidence: LongHeadersTest ended with the exception "field value too large" before.

--- a/src/libtransport/http_limits.h
+++ b/src/libtransport/http_limits.h
@@ -13,6 +13,7 @@
  * its answer too slowly, is closed.
  */
 struct http_limits {
+  /** No more than 65,535 are taken, whatever is set. */
   std::uint32_t header_bytes = 16 * 1024;
   std::uint64_t body_bytes = 4 * 1024 * 1024;
   std::size_t connections = 12000;
--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -14,6 +14,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/ssl/ssl_stream.hpp>
 #include <chrono>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -69,6 +70,8 @@
   static constexpr std::size_t kFirstReadBytes = 1024;
   /** A slow caller may take the write timeout for each piece of this size. */
   static constexpr std::size_t kWriteBytes = 64 * 1024;
+  /** The library throws at a field that is longer. */
+  static constexpr std::uint32_t kLongestHeader = 0xffff;
   static constexpr duration kReadAfterAnswer = milliseconds(300);
   /** A caller sends its first request within this time after it connected. */
   static constexpr duration kFirstRequestTime = milliseconds(500);
@@ -158,7 +161,7 @@
   begun_ = false;
   answer_ended_ = false;
   if (const auto owner = owner_.lock()) limits_ = owner->limits();
-  parser_->header_limit(limits_.header_bytes);
+  parser_->header_limit(std::min(limits_.header_bytes, kLongestHeader));
   parser_->body_limit(limits_.body_bytes);
   if (buffer_.size() == 0) return WaitForRequest();
   SetTimeout(limits_.header_timeout);
