--- a/tests/flow/test_flow.cpp
+++ b/tests/flow/test_flow.cpp
@@ -95,7 +95,7 @@
   }
   void Event(std::size_t unsent) {
     slow_callers.unsent[request_id(1)] = unsent;
-    gate.OnAttemptBytes({attempt, "id: 1\ndata: x\n\n"});
+    gate.OnAttemptBytes({attempt, "id: " + std::to_string(++last_event) + "\ndata: x\n\n"});
   }
   void PassTime(duration time) {
     for (duration left = time; left > duration(0); left -= milliseconds(100)) {
@@ -108,6 +108,7 @@
   pausable_calls calls;
   gateway gate;
   attempt_id attempt;
+  int last_event = 0;
 };
 
 // Guards against a stream that is taken for stalled, and cut, because its caller reads slowly.
