Log the build, failed starts, and memory that nears its limit

Three ends of a process looked alike to an operator: one that the platform ends for its memory leaves no line, one that fails to open a port wrote plain text on standard error only, and builds of two commits named the same release.

--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -10,6 +10,7 @@
 #include "gateway/wire_dialect.h"
 #include "ports/engine_port.h"
 #include "ports/object_store.h"
+#include "process_memory.h"
 
 namespace hawthorndrum {
 
@@ -93,6 +94,7 @@
     : io_(io),
       settings_(settings),
       log_(clock_, metrics_, settings.host),
+      memory_(settings.memory, log_, metrics_),
       ticks_(io, *this, clock_, metrics_),
       client_(io),
       daemons_(settings.host),
@@ -140,6 +142,26 @@
 }
 
 expected<void> gateway_daemon::Start() {
+  log_.Write(log_importance::kImportant, log_record("starting")
+                                             .Text("version", HAWTHORNDRUM_VERSION)
+                                             .Text("build", HAWTHORNDRUM_BUILD));
+  const auto opened = OpenPorts();
+  if (!opened) {
+    log_.Write(log_importance::kImportant,
+               log_record("start_failed").Text("why", opened.error().message));
+    return opened;
+  }
+  ticks_.Start();
+  log_.Write(log_importance::kImportant, log_record("started")
+                                             .Text("version", HAWTHORNDRUM_VERSION)
+                                             .Text("data_centre", settings_.data_centre)
+                                             .Text("callers", settings_.callers_address)
+                                             .Text("notices", settings_.notices_address)
+                                             .Text("store", settings_.store_address));
+  return {};
+}
+
+expected<void> gateway_daemon::OpenPorts() {
   auto port = caller_server_.Listen(settings_.callers_address);
   if (!port) return tl::make_unexpected(port.error());
   port = relay_server_.Listen(settings_.notices_address);
@@ -150,16 +172,7 @@
     port = metrics_server_.Listen(settings_.metrics_address);
     if (!port) return tl::make_unexpected(port.error());
   }
-  const auto opened = notices_.Open(settings_.notices_address);
-  if (!opened) return opened;
-  ticks_.Start();
-  log_.Write(log_importance::kImportant, log_record("started")
-                                             .Text("version", HAWTHORNDRUM_VERSION)
-                                             .Text("data_centre", settings_.data_centre)
-                                             .Text("callers", settings_.callers_address)
-                                             .Text("notices", settings_.notices_address)
-                                             .Text("store", settings_.store_address));
-  return {};
+  return notices_.Open(settings_.notices_address);
 }
 
 http_answer gateway_daemon::ReadyPage() const {
@@ -221,6 +234,9 @@
   if (now - swept_at_ < kSweepPeriod) return;
   swept_at_ = now;
   client_.Sweep();
+  memory_.Observe({ResidentBytes(), gateway_.held_bytes(),
+                   caller_server_.connections() + relay_server_.connections(),
+                   gateway_.in_flight()});
 }
 
 void gateway_daemon::FollowDaemons(time_point now) {
--- a/src/gatewayd/gateway_daemon.h
+++ b/src/gatewayd/gateway_daemon.h
@@ -22,6 +22,7 @@
 #include "http_server.h"
 #include "http_upstream_calls.h"
 #include "json_log.h"
+#include "memory_watch.h"
 #include "notice_socket.h"
 #include "origins/origin_exchange.h"
 #include "page_endpoint.h"
@@ -46,7 +47,7 @@
                  const wire_dialect& dialect);
   ~gateway_daemon() override;
 
-  /** Opens the ports; returns the error of the first one that cannot be opened. */
+  /** Opens the ports and logs the outcome; returns the error of the first that cannot be opened. */
   expected<void> Start();
   /**
    * Reports not ready from now on. New connections are accepted until the load balancer has had
@@ -79,6 +80,7 @@
   bool stopping() const { return stopping_; }
 
  private:
+  expected<void> OpenPorts();
   http_answer ReadyPage() const;
   void ApplyLimits();
   void FollowDaemons(time_point now);
@@ -93,6 +95,7 @@
   system_random_source random_;
   metrics_registry metrics_;
   json_log log_;
+  memory_watch memory_;
   tick_driver ticks_;
   http_client client_;
   daemon_directory daemons_;
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -114,6 +114,8 @@
   bool is_cut_off() const { return cut_off_.IsCutOffFromAll(); }
   bool is_ready() const { return config_ != nullptr && fleet_known_; }
   std::size_t in_flight() const { return exchanges_.size() + resumes_.waiting(); }
+  /** Bytes of requests and answers that are held for callers and upstreams. */
+  std::size_t held_bytes() const { return flow_.held(); }
 
  private:
   struct route_meters;
