--- /dev/null
+++ b/tests/starting/gateway_process.h
@@ -0,0 +1,50 @@
+/// A gateway as a process of its own, with a settings file that may be a named pipe.
+#pragma once
+
+#include <sys/types.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace hawthorndrum {
+
+/** Polls until the condition holds; false after 30 s. */
+bool WaitFor(const std::function<bool()>& holds);
+
+/** The destructor kills the process and removes its folder. */
+class gateway_process {
+ public:
+  gateway_process();
+  ~gateway_process();
+  gateway_process(const gateway_process&) = delete;
+  gateway_process& operator=(const gateway_process&) = delete;
+
+  /** Writes the settings as the file; `changes` replace or add keys. */
+  void WriteSettings(const std::map<std::string, std::string>& changes = {});
+  /** Starts the program; its output goes to `out`, else to the log. */
+  void Start(int out = -1);
+  void Signal(int signal) const;
+  bool running();
+  /** Waits for the end; returns the exit code, or minus the signal that ended the process. */
+  int Wait();
+  /** Whether a caller gets an answer. */
+  bool serves() const;
+  std::string log() const;
+  /** Whether the log has a line of the event. */
+  bool logged(const std::string& event) const;
+  /** An address of this test: callers, readiness, notices or metrics. */
+  boost::asio::ip::tcp::endpoint Address(const std::string& key) const;
+  const std::string& settings() const { return settings_; }
+
+ private:
+  std::string folder_;
+  std::string settings_;
+  std::map<std::string, std::string> values_;
+  pid_t pid_ = -1;
+  int status_ = 0;
+};
+
+}  // namespace hawthorndrum
