Use the open files that the system allows

What was seen: a gateway with file_limit 4096 on a system with a soft limit of 256 left callers beyond that in the kernel's queue, and opened no connection to the store or to upstreams while they stayed; its readiness port closed connections unanswered.

Cause: hawthorndrum-gateway never raised the soft limit of open files, which by default is 1,024 on most systems, and took its settings for granted; only hawthorndrumd raised it.

--- a/src/hawthorndrumd/main.cpp
+++ b/src/hawthorndrumd/main.cpp
@@ -1,17 +1,19 @@
 /// hawthorndrumd: the daemon that runs on every entry host.
 #include <glog/logging.h>
-#include <sys/resource.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdint>
 #include <cstdio>
+#include <limits>
 #include <optional>
 #include <string>
 
 #include "daemon.h"
 #include "daemon_command_line.h"
 #include "log_setup.h"
+#include "open_files.h"
 #include "systems/settings_reader.h"
 
 namespace hawthorndrum {
@@ -56,19 +58,9 @@
   });
 }
 
-/**
- * Raises the soft limit of open files to the hard limit: the settings bound the connections, so the
- * soft limit must not.
- */
-void RaiseFileLimit() {
-  rlimit files{};
-  if (getrlimit(RLIMIT_NOFILE, &files) != 0) return;
-  files.rlim_cur = files.rlim_max;
-  setrlimit(RLIMIT_NOFILE, &files);
-}
-
 int Serve(const daemon_settings& settings) {
-  RaiseFileLimit();
+  // The settings bound the connections, so the soft limit must not.
+  RaiseOpenFiles(std::numeric_limits<std::uint32_t>::max());
   boost::asio::io_context io(1);
   daemon instance(io, settings);
   const auto started = instance.Start();
--- a/tests/starting/gateway_process.cpp
+++ b/tests/starting/gateway_process.cpp
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <thread>
 #include <vector>
@@ -127,6 +128,12 @@
   return text.str();
 }
 
+int gateway_process::open_files() const {
+  std::error_code failed;
+  const std::filesystem::directory_iterator files("/proc/" + std::to_string(pid_) + "/fd", failed);
+  return static_cast<int>(std::distance(begin(files), end(files)));
+}
+
 bool gateway_process::logged(const std::string& event) const {
   return log().find("\"event\":\"" + event + "\"") != std::string::npos;
 }
--- a/tests/starting/gateway_process.h
+++ b/tests/starting/gateway_process.h
@@ -35,6 +35,8 @@
   std::string log() const;
   /** Whether the log has a line of the event. */
   bool logged(const std::string& event) const;
+  /** The number of its open files and sockets. */
+  int open_files() const;
   /** An address of this test: callers, readiness, notices or metrics. */
   boost::asio::ip::tcp::endpoint Address(const std::string& key) const;
   const std::string& settings() const { return settings_; }
