Count requests against the memory before they are read

Callers saw nothing of it until the platform ended the process: a request counted toward a third of the memory only once it was whole, so bodies and headers that were still being read counted nowhere.

One budget is now shared by flow control and the connections of all servers of a process. A connection counts a declared body when it begins, a chunked one in pieces, a header once it goes beyond the first read. What doesn't fit is answered 503 `host_full`, not run, with Retry-After, and not read; the connection is closed after its caller has closed it, 3 s later at most, so that the answer isn't lost to a reset. The count moves with the request through the queue of events to its end; answers that the core has handed over are counted until they are written. A whole declared body is counted once, so uploads can't block each other; large ones leave a quarter of the budget to small requests, small ones an eighth to answers. Requests of other daemons are refused in the relay's own words. A buffer that grew for a long header is released when its connection becomes idle. The first bytes are parsed where they are read, which takes no further system call.

--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -67,7 +67,8 @@
 gateway_ports PortsOf(const gateway_settings& settings, caller_port& callers,
                       upstream_calls& upstreams, const wire_dialect& dialect, const clock& time,
                       random_source& random, event_log& log, metrics_registry& metrics,
-                      stream_origins& origins, crash_evidence& crashes) {
+                      stream_origins& origins, crash_evidence& crashes,
+                      std::shared_ptr<byte_budget> budget) {
   gateway_ports ports;
   ports.callers = &callers;
   ports.upstreams = &upstreams;
@@ -83,6 +84,7 @@
   ports.incarnation = incarnation_id(random.Draw());
   ports.retries = settings.retries;
   ports.flow = flow_limits::ForMemory(settings.memory);
+  ports.budget = std::move(budget);
   ports.crossing = settings.crossing;
   return ports;
 }
@@ -98,6 +100,8 @@
       ticks_(io, *this, clock_, metrics_),
       client_(io),
       daemons_(settings.host),
+      budget_(std::make_shared<byte_budget>(flow_limits::ForMemory(settings.memory).total)),
+      refusals_(*budget_, log_, metrics_),
       caller_endpoint_(ticks_),
       relay_endpoint_(ticks_, daemons_),
       ready_endpoint_([this] { return ReadyPage(); }),
@@ -105,11 +109,12 @@
         return http_answer{200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.ToText()};
       }),
       caller_server_(io, caller_endpoint_, random_, metrics_, "callers",
-                     LimitsOf({}, settings.file_limit)),
-      relay_server_(io, relay_endpoint_, random_, metrics_, "daemons", RelayLimits({})),
+                     LimitsOf({}, settings.file_limit), nullptr, budget_),
+      relay_server_(io, relay_endpoint_, random_, metrics_, "daemons", RelayLimits({}), nullptr,
+                    budget_),
       answers_(caller_server_, relay_server_),
-      ready_server_(io, ready_endpoint_, random_, metrics_, "readiness", {}),
-      metrics_server_(io, metrics_endpoint_, random_, metrics_, "metrics", {}),
+      ready_server_(io, ready_endpoint_, random_, metrics_, "readiness", {}, nullptr, budget_),
+      metrics_server_(io, metrics_endpoint_, random_, metrics_, "metrics", {}, nullptr, budget_),
       upstream_calls_(client_, ticks_, std::string(dialect.answer_id_header())),
       notices_(
           io, daemons_, clock_, metrics_,
@@ -123,11 +128,13 @@
       origins_(daemons_, notices_, settings.host, settings.data_centre),
       crashes_(daemons_, notices_, random_, log_, settings.host),
       gateway_(PortsOf(settings, answers_, upstream_calls_, dialect, clock_, random_, log_,
-                       metrics_, origins_, crashes_)),
+                       metrics_, origins_, crashes_, budget_)),
       exchange_(gateway_, daemons_, settings.host, settings.data_centre),
       retry_share_(settings.retries.window),
       shares_(notices_, daemons_, clock_, gateway_.shares(), incarnation_id(random_.Draw())),
       stop_timer_(io) {
+  caller_endpoint_.SetRefusals(refusals_);
+  relay_endpoint_.SetRefusals(refusals_);
   ready_endpoint_.SetCallerPort(ready_server_);
   metrics_endpoint_.SetCallerPort(metrics_server_);
   origins_.SetListener(gateway_);
--- a/src/gatewayd/gateway_daemon.h
+++ b/src/gatewayd/gateway_daemon.h
@@ -3,11 +3,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
 
 #include "answer_router.h"
+#include "base/byte_budget.h"
 #include "base/error.h"
 #include "base/metrics_registry.h"
 #include "boot_time_clock.h"
@@ -32,6 +34,7 @@
 #include "systems/event_receiver.h"
 #include "systems/system.h"
 #include "tick_driver.h"
+#include "unread_refusals.h"
 
 namespace hawthorndrum {
 
@@ -99,6 +102,9 @@
   tick_driver ticks_;
   http_client client_;
   daemon_directory daemons_;
+  /** What is buffered for callers and other daemons, at all servers. */
+  std::shared_ptr<byte_budget> budget_;
+  unread_refusals refusals_;
   gateway_endpoint caller_endpoint_;
   relay_endpoint relay_endpoint_;
   page_endpoint ready_endpoint_;
--- a/src/gatewayd/relay_endpoint.h
+++ b/src/gatewayd/relay_endpoint.h
@@ -12,6 +12,7 @@
 #include "ports/caller_port.h"
 #include "ports/event_sink.h"
 #include "relay/relay_headers.h"
+#include "unread_refusals.h"
 
 namespace hawthorndrum {
 
@@ -32,6 +33,8 @@
     asking_ = &asking;
   }
 
+  void SetRefusals(unread_refusals& refusals) { refusals_ = &refusals; }
+
   std::optional<http_answer> RefusalFor(std::string_view ip) override {
     if (daemons_.IsKnownHost(ip)) return std::nullopt;
     daemons_.RequestRefresh();
@@ -46,12 +49,17 @@
     events_.Post(request_arrived{request, std::move(message), true});
   }
   void OnCallerGone(request_id request) override { events_.Post(caller_gone{request}); }
+  void OnRefusedUnread(std::uint64_t bytes, http_answer& refusal) override {
+    SetRelayAnswer({relay_outcome::kUnavailable, {}}, refusal.headers);
+    if (refusals_ != nullptr) refusals_->Record("daemons", bytes);
+  }
 
  private:
   event_sink& events_;
   daemon_directory& daemons_;
   config_answer config_answer_;
   caller_port* asking_ = nullptr;
+  unread_refusals* refusals_ = nullptr;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/base/http_message.h
+++ b/src/libhawthorndrum/base/http_message.h
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <vector>
 
+#include "base/byte_claim.h"
+
 namespace hawthorndrum {
 
 struct http_header {
@@ -25,6 +27,8 @@
   std::vector<http_header> headers;
   std::string body;
   bool repeatable = true;
+  /** Counts the body while the request lives. */
+  byte_claim held{};
 };
 
 struct http_answer {
--- a/src/libhawthorndrum/flow/flow_control.h
+++ b/src/libhawthorndrum/flow/flow_control.h
@@ -3,37 +3,48 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 #include <unordered_map>
 
+#include "base/byte_budget.h"
+#include "base/byte_claim.h"
 #include "base/ids.h"
 #include "flow/flow_limits.h"
 
 namespace hawthorndrum {
 
+struct http_request;
+
 /**
  * Short answers are read out at once, since an upstream cuts off an answer that stays unread; long
  * ones are read at their caller's pace.
  *
- * Invariant: held_ is the sum of what requests_ holds.
+ * Its budget is shared with the connections that requests are read from and answers written to.
  */
 class flow_control {
  public:
-  explicit flow_control(const flow_limits& limits) : limits_(limits) {}
+  /** Without a budget it has one of its own, of `limits.total` bytes. */
+  explicit flow_control(const flow_limits& limits, std::shared_ptr<byte_budget> budget = nullptr);
 
-  /** Sets what is held of a request: its body, and what is buffered of its answer. */
+  /** Counts the request's body while the request lives, unless its connection did so already. */
+  void Hold(http_request& request) const;
+  /** Sets what is buffered of a request's answer. */
   void SetHeld(request_id request, std::size_t bytes);
   void Forget(request_id request) { SetHeld(request, 0); }
-  /** Returns whether a request with a body of this size may be taken. */
-  bool MayTake(std::size_t body_bytes) const;
+  /** Returns whether the request may be taken. */
+  bool MayTake(const http_request& request) const;
+  /** Returns whether a request may be taken whose body, of this size, is not counted yet. */
+  bool MayTake(std::size_t body_bytes) const { return budget_->MaySend(0, body_bytes); }
   /** Returns whether the upstream is to be paused, given the answer's unsent bytes. */
   bool IsPaused(bool paused_before, std::size_t unsent_bytes) const;
 
-  std::size_t held() const { return held_; }
+  std::size_t held() const { return budget_->held(); }
 
  private:
   flow_limits limits_;
-  std::unordered_map<request_id, std::size_t> requests_;
-  std::size_t held_ = 0;
+  std::shared_ptr<byte_budget> budget_;
+  /** What is buffered of each answer. */
+  std::unordered_map<request_id, byte_claim> answers_;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/gateway.cpp
+++ b/src/libhawthorndrum/gateway/gateway.cpp
@@ -62,7 +62,7 @@
       statements_(ports_, fleet_),
       crash_recorder_(fleet_, *ports.crashes),
       notices_(ports_, fleet_, cut_off_, statements_, demand_, speeds_),
-      flow_(ports.flow),
+      flow_(ports.flow, ports.budget),
       resumes_(ports_, fleet_, *this) {}
 
 gateway::~gateway() = default;
@@ -95,7 +95,7 @@
   caller_terms terms = ports_.dialect->TakeCallerTerms(request);
   arrived_request arrived{id, std::move(request), std::move(terms), now};
   if (!is_ready()) return RefuseUnplaced(arrived, 503, kNotStarted, kRetryUnavailable);
-  if (!flow_.MayTake(arrived.request.body.size()))
+  if (!flow_.MayTake(arrived.request))
     return RefuseUnplaced(arrived, 503, kHostFull, kRetryUnavailable);
   const caller_terms& asked = arrived.terms;
   const route* matched =
@@ -124,7 +124,7 @@
     each.earned = arrived.relayed->earned;
   }
   each.request = std::move(arrived.request);
-  flow_.SetHeld(each.id, each.request.body.size());
+  flow_.Hold(each.request);
   each.terms = std::move(arrived.terms);
   SetTeam(each, *caller, *matched);
   each.config = config_;
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -84,7 +84,7 @@
   each->call.stalled = false;
   each->call.progress_at = ports_.time->Now();
   each->answer.body += bytes.bytes;
-  flow_.SetHeld(each->id, each->request.body.size() + each->answer.body.size());
+  flow_.SetHeld(each->id, each->answer.body.size());
   if (FitsBuffer(*each)) return;
   ports_.upstreams->Cancel(each->call.attempt);
   if (passed_on) return FailUnknown(*each, "answer_too_large", 502);
@@ -148,7 +148,7 @@
 void gateway::FollowCaller(exchange& each, time_point now) {
   const std::size_t unsent = ports_.callers->UnsentBytes(each.id);
   const bool paused = flow_.IsPaused(each.call.paused, unsent);
-  flow_.SetHeld(each.id, each.request.body.size() + each.answer.body.size() + unsent);
+  flow_.SetHeld(each.id, each.answer.body.size() + unsent);
   // The upstream's silence is no stall while it is not read.
   if (paused || each.call.paused) each.call.stalls_at = now + each.call.stall_timeout;
   if (paused == each.call.paused) return;
--- a/src/libhawthorndrum/gateway/gateway_ports.h
+++ b/src/libhawthorndrum/gateway/gateway_ports.h
@@ -1,6 +1,7 @@
 /// The gateway's dependencies.
 #pragma once
 
+#include <memory>
 #include <string>
 
 #include "base/ids.h"
@@ -10,6 +11,7 @@
 
 namespace hawthorndrum {
 
+class byte_budget;
 class caller_port;
 class clock;
 class crash_evidence;
@@ -39,6 +41,8 @@
   incarnation_id incarnation;
   retry_limits retries;
   flow_limits flow;
+  /** What the caller port's connections count in as well; null if they count nothing. */
+  std::shared_ptr<byte_budget> budget;
   crossing_terms crossing;
 };
 
--- a/src/libhawthorndrum/gateway/gateway_relay.cpp
+++ b/src/libhawthorndrum/gateway/gateway_relay.cpp
@@ -209,7 +209,7 @@
                           relayed.value_or(relay_terms())};
   if (!relayed) return RefuseUnplaced(arrived, 503, "relay_malformed", duration(0));
   if (!is_ready()) return RefuseUnplaced(arrived, 503, kNotStarted, kRetryAfterDeclined);
-  if (!flow_.MayTake(arrived.request.body.size()))
+  if (!flow_.MayTake(arrived.request))
     return RefuseUnplaced(arrived, 503, kHostFull, kRetryAfterDeclined);
   const auto taken = std::count_if(exchanges_.begin(), exchanges_.end(),
                                    [](const auto& entry) { return entry.second.from_peer; });
--- a/src/libtransport/http_handler.h
+++ b/src/libtransport/http_handler.h
@@ -1,6 +1,7 @@
 /// Handles the requests of an HTTP server.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -18,6 +19,11 @@
   /** Returns the answer to all requests from that IP address, unless they are to be handled. */
   virtual std::optional<http_answer> RefusalFor(std::string_view ip) { return std::nullopt; }
   virtual void OnRequest(request_id request, http_request message) = 0;
+  /**
+   * The request, of `bytes` as far as is known, was refused before it was read since the process
+   * buffers too much. The handler may add to the refusal.
+   */
+  virtual void OnRefusedUnread(std::uint64_t bytes, http_answer& refusal) {}
   /** The caller closed its connection before its answer was complete. */
   virtual void OnCallerGone(request_id request) = 0;
 };
--- a/src/libtransport/http_server.cpp
+++ b/src/libtransport/http_server.cpp
@@ -24,26 +24,31 @@
 
 namespace {
 constexpr duration kAcceptRetryDelay = milliseconds(20);
-}
+/** Retry-After of requests that are not read. */
+constexpr duration kRetryWhenFull = milliseconds(500);
+}  // namespace
 
 class http_server::impl : public http_session_owner,
                           public std::enable_shared_from_this<http_server::impl> {
  public:
   impl(asio::io_context& io, http_handler& handler, random_source& random,
        metrics_registry& metrics, std::string_view name, http_limits limits,
-       std::shared_ptr<asio::ssl::context> tls)
+       std::shared_ptr<asio::ssl::context> tls, std::shared_ptr<byte_budget> budget)
       : acceptor_(io),
         retry_timer_(io),
         handler_(handler),
         random_(random),
         limits_(limits),
         tls_(std::move(tls)),
+        budget_(std::move(budget)),
         accepted_(metrics.Counter("http_connections_total", MetricLabel("server", name))),
         open_(metrics.Counter("http_connections_open", MetricLabel("server", name))),
         evicted_(
             metrics.Counter("http_idle_connections_closed_total", MetricLabel("server", name))),
         over_limit_(metrics.Counter("http_connections_refused_total", MetricLabel("server", name))),
-        rejected_(metrics.Counter("http_requests_rejected_total", MetricLabel("server", name))) {}
+        rejected_(metrics.Counter("http_requests_rejected_total", MetricLabel("server", name))),
+        refused_unread_(
+            metrics.Counter("http_requests_refused_unread_total", MetricLabel("server", name))) {}
 
   expected<std::uint16_t> Listen(std::string_view address);
   void StopListening();
@@ -65,6 +70,7 @@
   void OnSessionDone(request_id request, bool gone) override;
   void OnSessionIdle(http_session& session, bool idle) override;
   void OnSessionClosed(http_session& session) override;
+  http_answer OnSessionFull(std::uint64_t bytes) override;
   void OnSessionRejected(int) override { rejected_.Add(); }
 
  private:
@@ -93,11 +99,13 @@
   random_source& random_;
   http_limits limits_;
   std::shared_ptr<asio::ssl::context> tls_;
+  std::shared_ptr<byte_budget> budget_;
   counter& accepted_;
   counter& open_;
   counter& evicted_;
   counter& over_limit_;
   counter& rejected_;
+  counter& refused_unread_;
   bool close_after_answers_ = false;
   std::unordered_map<http_session*, session_entry> sessions_;
   /** Idle connections, the longest idle first. */
@@ -204,8 +212,8 @@
 
 template <typename Stream>
 http_session* http_server::impl::Open(Stream stream, std::string remote) {
-  auto session =
-      std::make_shared<http_stream_session<Stream>>(std::move(stream), weak_from_this(), limits_);
+  auto session = std::make_shared<http_stream_session<Stream>>(std::move(stream), weak_from_this(),
+                                                               limits_, budget_);
   session_entry& entry = sessions_[session.get()];
   entry.session = session;
   entry.remote = std::move(remote);
@@ -226,6 +234,16 @@
   return requests_.count(id) > 0 ? id : request_id();
 }
 
+http_answer http_server::impl::OnSessionFull(std::uint64_t bytes) {
+  refused_unread_.Add();
+  http_answer refusal = TransportProblem(503, "host_full");
+  // Jitter, so that callers refused at the same time do not return at the same time.
+  const double after = ToSeconds(kRetryWhenFull) * (1 + 0.5 * random_.Fraction());
+  refusal.headers.push_back({"Retry-After", std::to_string(after)});
+  handler_.OnRefusedUnread(bytes, refusal);
+  return refusal;
+}
+
 void http_server::impl::OnSessionDone(request_id request, bool gone) {
   requests_.erase(request);
   if (gone) handler_.OnCallerGone(request);
@@ -250,8 +268,10 @@
 
 http_server::http_server(asio::io_context& io, http_handler& handler, random_source& random,
                          metrics_registry& metrics, std::string_view name, http_limits limits,
-                         std::shared_ptr<asio::ssl::context> tls)
-    : impl_(std::make_shared<impl>(io, handler, random, metrics, name, limits, std::move(tls))) {}
+                         std::shared_ptr<asio::ssl::context> tls,
+                         std::shared_ptr<byte_budget> budget)
+    : impl_(std::make_shared<impl>(io, handler, random, metrics, name, limits, std::move(tls),
+                                   std::move(budget))) {}
 
 http_server::~http_server() { impl_->StopListening(); }
 
--- a/src/libtransport/http_server.h
+++ b/src/libtransport/http_server.h
@@ -18,6 +18,7 @@
 
 namespace hawthorndrum {
 
+class byte_budget;
 class http_handler;
 class metrics_registry;
 class random_source;
@@ -28,10 +29,14 @@
  */
 class http_server : public caller_port {
  public:
-  /** `name` is the label of the metrics. With a TLS context only TLS connections are served. */
+  /**
+   * `name` is the label of the metrics. With a TLS context only TLS connections are served. With a
+   * budget, requests that don't fit are answered 503 before they are read.
+   */
   http_server(boost::asio::io_context& io, http_handler& handler, random_source& random,
               metrics_registry& metrics, std::string_view name, http_limits limits,
-              std::shared_ptr<boost::asio::ssl::context> tls = nullptr);
+              std::shared_ptr<boost::asio::ssl::context> tls = nullptr,
+              std::shared_ptr<byte_budget> budget = nullptr);
   ~http_server() override;
 
   /** Listens on `ip:port`; port 0 chooses a free one. Returns the port. */
--- a/src/libtransport/http_session_owner.h
+++ b/src/libtransport/http_session_owner.h
@@ -1,6 +1,8 @@
 /// A connection's interface to the server that owns it.
 #pragma once
 
+#include <cstdint>
+
 #include "base/http_message.h"
 #include "base/ids.h"
 #include "http_limits.h"
@@ -23,6 +25,8 @@
   /** Called when a connection becomes idle or busy. An idle connection may be evicted. */
   virtual void OnSessionIdle(http_session& session, bool idle) = 0;
   virtual void OnSessionClosed(http_session& session) = 0;
+  /** Returns the answer to a request, of `bytes` as far as is known, that is not read. */
+  virtual http_answer OnSessionFull(std::uint64_t bytes) = 0;
   /** Called when a connection violated HTTP or a limit. */
   virtual void OnSessionRejected(int status) = 0;
 };
--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -22,6 +22,7 @@
 #include <type_traits>
 #include <utility>
 
+#include "base/byte_claim.h"
 #include "http_session.h"
 #include "http_session_owner.h"
 #include "http_wire.h"
@@ -40,10 +41,14 @@
 class http_stream_session final : public http_session,
                                   public std::enable_shared_from_this<http_stream_session<Stream>> {
  public:
-  http_stream_session(Stream stream, std::weak_ptr<http_session_owner> owner, http_limits limits)
+  http_stream_session(Stream stream, std::weak_ptr<http_session_owner> owner, http_limits limits,
+                      std::shared_ptr<byte_budget> budget)
       : stream_(std::move(stream)),
         owner_(std::move(owner)),
         limits_(limits),
+        budget_(std::move(budget)),
+        reading_(budget_),
+        sending_(budget_),
         idle_timer_(stream_.get_executor()) {}
 
   void Start() override;
@@ -73,6 +78,9 @@
   /** The library throws at a field that is longer. */
   static constexpr std::uint32_t kLongestHeader = 0xffff;
   static constexpr duration kReadAfterAnswer = milliseconds(300);
+  /** A caller may send its body until then before it reads the refusal. */
+  static constexpr duration kReadAfterRefusal = seconds(3);
+  static constexpr std::size_t kDiscardBytes = 8 * 1024;
   /** A caller sends its first request within this time after it connected. */
   static constexpr duration kFirstRequestTime = milliseconds(500);
   static constexpr bool kTls = !std::is_same_v<Stream, boost::beast::tcp_stream>;
@@ -92,13 +100,21 @@
   void OnFirstBytes(error_type failed, std::size_t size);
   void EndWait();
   void StartIdleTimer(std::chrono::steady_clock::time_point expiry);
+  void ParseHeader();
   void OnHeader(error_type failed);
+  /** Counts the request before its body is read; false if it doesn't fit. */
+  bool ClaimRequest();
+  void RefuseUnread();
   void ReadBody();
+  /** Reads the next part of a body without a known length. */
+  void ReadChunks();
   void OnBody(error_type failed);
   void Reject(int status, std::string_view detail);
   void OnReadError(error_type failed);
   void WatchForClose();
   void Queue(std::string bytes);
+  /** Counts what is unsent of a whole answer; the rest of one that goes on is its sender's. */
+  void CountUnsent();
   void WriteNext();
   void OnWritten(error_type failed, std::size_t size);
   void FinishAnswer();
@@ -112,6 +128,12 @@
   std::weak_ptr<http_session_owner> owner_;
   /** The limits that were in force when the connection began to wait for the current request. */
   http_limits limits_;
+  std::shared_ptr<byte_budget> budget_;
+  /** Counts what is read and is to be read of a request that is not whole. */
+  byte_claim reading_;
+  byte_claim sending_;
+  /** What is counted for the header. */
+  std::size_t header_bytes_ = 0;
   /** Apart from the stream's timer, which can't be changed while a read is pending. */
   boost::asio::steady_timer idle_timer_;
   std::chrono::steady_clock::time_point idle_since_;
@@ -132,6 +154,7 @@
   bool aborted_ = false;
   bool writing_ = false;
   bool closing_ = false;
+  bool refused_unread_ = false;
   /** The connection is closed after the next answer. */
   bool close_after_answer_ = false;
   bool closed_ = false;
@@ -155,77 +178,6 @@
   }
 }
 
-template <typename Stream>
-void http_stream_session<Stream>::ReadHeader() {
-  parser_.emplace();
-  begun_ = false;
-  answer_ended_ = false;
-  if (const auto owner = owner_.lock()) limits_ = owner->limits();
-  parser_->header_limit(std::min(limits_.header_bytes, kLongestHeader));
-  parser_->body_limit(limits_.body_bytes);
-  if (buffer_.size() == 0) return WaitForRequest();
-  SetTimeout(limits_.header_timeout);
-  boost::beast::http::async_read_header(
-      stream_, buffer_, *parser_,
-      [self = Self()](error_type failed, std::size_t) { self->OnHeader(failed); });
-}
-
-template <typename Stream>
-void http_stream_session<Stream>::OnHeader(error_type failed) {
-  if (failed) return OnReadError(failed);
-  const auto& message = parser_->get();
-  version_ = message.version();
-  head_only_ = message.method() == boost::beast::http::verb::head;
-  if (boost::beast::iequals(message[boost::beast::http::field::expect], "100-continue")) {
-    Queue("HTTP/1.1 100 Continue\r\n\r\n");
-  }
-  ReadBody();
-}
-
-template <typename Stream>
-void http_stream_session<Stream>::ReadBody() {
-  SetTimeout(limits_.body_timeout);
-  boost::beast::http::async_read(
-      stream_, buffer_, *parser_,
-      [self = Self()](error_type failed, std::size_t) { self->OnBody(failed); });
-}
-
-template <typename Stream>
-void http_stream_session<Stream>::OnBody(error_type failed) {
-  if (failed) return OnReadError(failed);
-  const auto owner = owner_.lock();
-  if (!owner) return Close();
-  keep_alive_ = parser_->get().keep_alive();
-  boost::beast::get_lowest_layer(stream_).expires_never();
-  request_ = owner->OnSessionRequest(*this, ToRequest(parser_->release()));
-  if (closed_ && request_) owner->OnSessionDone(std::exchange(request_, request_id()), true);
-  WatchForClose();
-}
-
-template <typename Stream>
-void http_stream_session<Stream>::OnReadError(error_type failed) {
-  namespace http = boost::beast::http;
-  if (failed == http::error::header_limit) return Reject(431, "the header is too large");
-  if (failed == http::error::body_limit) return Reject(413, "the body is too large");
-  if (failed == http::error::partial_message || failed == http::error::end_of_stream) {
-    return Close();
-  }
-  if (failed.category() == make_error_code(http::error::bad_method).category()) {
-    return Reject(400, "the request is not valid HTTP: " + failed.message());
-  }
-  Close();
-}
-
-template <typename Stream>
-void http_stream_session<Stream>::Reject(int status, std::string_view detail) {
-  if (const auto owner = owner_.lock()) owner->OnSessionRejected(status);
-  keep_alive_ = false;
-  closing_ = true;
-  answer_ended_ = true;
-  SetTimeout(limits_.write_timeout);
-  Queue(AnswerBytes(TransportProblem(status, detail), 11, false, false));
-}
-
 template <typename Stream>
 void http_stream_session<Stream>::WatchForClose() {
   if (closed_) return;
@@ -283,9 +235,15 @@
   unsent_bytes_ += bytes.size();
   if (!answer_ended_ && unsent_bytes_ > limits_.unsent_bytes) return Close();
   unsent_.push_back(std::move(bytes));
+  CountUnsent();
   if (!writing_) WriteNext();
 }
 
+template <typename Stream>
+void http_stream_session<Stream>::CountUnsent() {
+  sending_.Set(answer_ended_ ? unsent_bytes_ + front_written_ : 0);
+}
+
 template <typename Stream>
 void http_stream_session<Stream>::WriteNext() {
   writing_ = true;
@@ -312,6 +270,7 @@
     unsent_.pop_front();
     front_written_ = 0;
   }
+  CountUnsent();
   if (!unsent_.empty()) return WriteNext();
   if (aborted_) return Close();
   if (request_) boost::beast::get_lowest_layer(stream_).expires_never();
@@ -335,11 +294,11 @@
   closing_ = true;
   error_type ignored;
   // Without unread bytes the server need not wait for it.
-  if (!HasUnreadBytes()) LeaveOwner();
+  if (!refused_unread_ && !HasUnreadBytes()) LeaveOwner();
   // Ends the wait of WatchForClose.
   Socket().cancel(ignored);
   Socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-  idle_timer_.expires_after(kReadAfterAnswer);
+  idle_timer_.expires_after(refused_unread_ ? kReadAfterRefusal : kReadAfterAnswer);
   idle_timer_.async_wait([self = Self()](error_type failed) {
     if (!failed) self->Close();
   });
@@ -349,7 +308,7 @@
 template <typename Stream>
 void http_stream_session<Stream>::DiscardBytes() {
   buffer_.clear();
-  Socket().async_read_some(buffer_.prepare(kFirstReadBytes),
+  Socket().async_read_some(buffer_.prepare(refused_unread_ ? kDiscardBytes : kFirstReadBytes),
                            [self = Self()](error_type failed, std::size_t) {
                              if (self->closed_) return;
                              if (failed) return self->Close();
@@ -387,4 +346,5 @@
 
 }  // namespace hawthorndrum
 
+#include "http_stream_session_read.h"
 #include "http_stream_session_wait.h"
--- a/src/libtransport/http_stream_session_wait.h
+++ b/src/libtransport/http_stream_session_wait.h
@@ -14,6 +14,7 @@
   // applies.
   boost::beast::get_lowest_layer(stream_).expires_never();
   waiting_ = true;
+  if (buffer_.capacity() > kFirstReadBytes) buffer_.shrink_to_fit();
   idle_since_ = std::chrono::steady_clock::now();
   StartIdleTimer(idle_since_ + limits_.idle_timeout);
   if (const auto owner = owner_.lock()) owner->OnSessionIdle(*this, true);
