Reject requests whose transfer codings do not end in chunks

A request with `Transfer-Encoding: x`, or `chunked, x`, reached an upstream without its body, and the bytes of its body were read as the next request on the connection: a request hidden in a body would have run. The parser takes such codings for no framing at all. RFC 9112, section 6.3 demands 400 and the connection's end.

--- a/src/libtransport/http_stream_session_read.h
+++ b/src/libtransport/http_stream_session_read.h
@@ -42,6 +42,7 @@
   const auto& message = parser_->get();
   version_ = message.version();
   head_only_ = message.method() == boost::beast::http::verb::head;
+  if (!HasKnownCoding(message)) return Reject(400, "the transfer coding is not supported");
   if (!ClaimRequest()) return RefuseUnread();
   if (boost::beast::iequals(message[boost::beast::http::field::expect], "100-continue")) {
     Queue("HTTP/1.1 100 Continue\r\n\r\n");
--- a/src/libtransport/http_wire.cpp
+++ b/src/libtransport/http_wire.cpp
@@ -68,6 +68,12 @@
   return headers;
 }
 
+bool HasKnownCoding(const http::fields& fields) {
+  const auto count = fields.count(http::field::transfer_encoding);
+  return count == 0 ||
+         (count == 1 && boost::beast::iequals(fields[http::field::transfer_encoding], "chunked"));
+}
+
 http_request ToRequest(beast_request&& message) {
   http_request request;
   request.method = std::string(message.method_string());
--- a/src/libtransport/http_wire.h
+++ b/src/libtransport/http_wire.h
@@ -15,6 +15,12 @@
 
 using beast_request = boost::beast::http::request<boost::beast::http::string_body>;
 
+/**
+ * Returns whether the body ends where its length or its chunks say. With other transfer codings it
+ * cannot be told from the next request.
+ */
+bool HasKnownCoding(const boost::beast::http::fields& fields);
+
 /** Converts a parsed request to the core's type. */
 http_request ToRequest(beast_request&& message);
 
