Send no body with the rejection of a HEAD request

Callers of HEAD that were answered 400, 413 or 431 by the server itself got a body, which they take for bytes outside of any answer. A rejection was written without regard to the method, which is known as soon as the first line is read.

HttpTest.ARejectedHeadRequestGetsNoBody failed on the code before: the answer ended at byte 223 and not with its head at byte 108. test_http passes.

--- a/src/libtransport/http_stream_session_read.h
+++ b/src/libtransport/http_stream_session_read.h
@@ -141,7 +141,8 @@
   closing_ = true;
   answer_ended_ = true;
   SetTimeout(limits_.write_timeout);
-  Queue(AnswerBytes(TransportProblem(status, detail), 11, false, false));
+  const bool head_only = parser_->get().method() == boost::beast::http::verb::head;
+  Queue(AnswerBytes(TransportProblem(status, detail), 11, false, head_only));
 }
 
 }  // namespace hawthorndrum
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -170,6 +170,16 @@
   EXPECT_TRUE(handler.requests.empty());
 }
 
+// Guards against bytes that callers take for the next answer.
+TEST_F(HttpTest, ARejectedHeadRequestGetsNoBody) {
+  Listen();
+  for (const std::string size : {"-1", "99999999"}) {
+    const std::string answer = Exchange("HEAD / HTTP/1.1\r\nContent-Length: " + size + "\r\n\r\n");
+    EXPECT_EQ(answer.substr(0, 10), "HTTP/1.1 4");
+    EXPECT_EQ(answer.find("\r\n\r\n") + 4, answer.size()) << answer;
+  }
+}
+
 TEST_F(HttpTest, TruncatedBodyNeverReachesTheHandler) {
   Listen();
   tcp::socket socket = Connect();
