Take token counts that no engine can hold for unreadable

Counts were read as any 64-bit number. Their sums overflow, and the expected time leaves the range of a duration, where the cast is undefined: it saturates on arm64, and gives a negative time on x86-64, with which such a request is placed.

A count beyond 10^9 now makes the sizes unreadable, as letters do: the request is placed like any other call, and the upstream decides.

--- a/src/libhawthorndrum/gateway/prompt.cpp
+++ b/src/libhawthorndrum/gateway/prompt.cpp
@@ -12,6 +12,8 @@
 
 /** More parts than any caller needs. */
 constexpr std::size_t kMaxParts = 64;
+/** More tokens than any engine holds; sums of so many and their times do not overflow. */
+constexpr std::uint64_t kMaxTokens = 1'000'000'000;
 
 tl::unexpected<error> Bad(std::string_view what) {
   return tl::make_unexpected(error{error_code::kInvalid, "unreadable " + std::string(what)});
@@ -22,6 +24,10 @@
   return read.ec == std::errc() && read.ptr == text.data() + text.size();
 }
 
+bool ReadTokens(std::string_view text, std::uint64_t& tokens) {
+  return ReadNumber(text, 10, tokens) && tokens <= kMaxTokens;
+}
+
 /** Parses ids of up to 16 digits as numbers and hashes longer ones. */
 bool ReadPartId(std::string_view text, std::uint64_t& id) {
   if (text.empty()) return false;
@@ -50,8 +56,8 @@
   prompt read;
   const std::size_t comma = token_counts.find(',');
   std::uint64_t counted = 0;
-  if (comma == std::string_view::npos || !ReadNumber(token_counts.substr(0, comma), 10, counted) ||
-      !ReadNumber(token_counts.substr(comma + 1), 10, read.output_tokens)) {
+  if (comma == std::string_view::npos || !ReadTokens(token_counts.substr(0, comma), counted) ||
+      !ReadTokens(token_counts.substr(comma + 1), read.output_tokens)) {
     return Bad("token counts");
   }
   while (!parts.empty()) {
@@ -61,7 +67,7 @@
     prompt_part part;
     if (colon == std::string_view::npos || read.parts.size() >= kMaxParts ||
         !ReadPartId(item.substr(0, colon), part.id) ||
-        !ReadNumber(item.substr(colon + 1), 10, part.tokens)) {
+        !ReadTokens(item.substr(colon + 1), part.tokens)) {
       return Bad("prompt parts");
     }
     read.parts.push_back(part);
--- a/src/libhawthorndrum/gateway/prompt.h
+++ b/src/libhawthorndrum/gateway/prompt.h
@@ -30,7 +30,8 @@
 
 /**
  * Parses `ID:TOKENS,ID:TOKENS,...` (ids in hexadecimal) and `PROMPT,OUTPUT` token counts. Without
- * parts, the whole prompt is one unshared part of the counted size.
+ * parts, the whole prompt is one unshared part of the counted size. A count that no engine could
+ * hold is an error.
  */
 expected<prompt> ReadPrompt(std::string_view parts, std::string_view token_counts);
 
