Hold a session while it leaves its owner

LeaveOwner may drop the last reference to a session; CloseAfterReading went on using its members after that, and was safe only since the watch for the caller's close holds a reference at that time, which nothing said. Both callers now hold one of their own for the duration. No input was found that reaches a use after the end, so there is no test that failed before; test_http passes (73 tests).

--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -291,6 +291,8 @@
 
 template <typename Stream>
 void http_stream_session<Stream>::CloseAfterReading() {
+  // LeaveOwner may drop the last other reference.
+  const auto self = Self();
   closing_ = true;
   error_type ignored;
   // Without unread bytes the server need not wait for it.
@@ -319,6 +321,7 @@
 template <typename Stream>
 void http_stream_session<Stream>::Close() {
   if (closed_) return;
+  const auto self = Self();
   closed_ = true;
   waiting_ = false;
   idle_timer_.cancel();
