--- a/src/libtransport/http_stream_session_read.h
+++ b/src/libtransport/http_stream_session_read.h
@@ -114,7 +114,7 @@
   boost::beast::get_lowest_layer(stream_).expires_never();
   http_request request = ToRequest(parser_->release());
   reading_.Set(header_bytes_ + request.body.capacity());
-  request.held = std::exchange(reading_, byte_claim(budget_));
+  request.held = std::exchange(reading_, byte_claim{budget_});
   request_ = owner->OnSessionRequest(*this, std::move(request));
   if (closed_ && request_) owner->OnSessionDone(std::exchange(request_, request_id()), true);
   WatchForClose();
--- a/tests/flow/stalled_uploads.cpp
+++ b/tests/flow/stalled_uploads.cpp
@@ -76,11 +76,11 @@
 
 class StalledUploadsTest : public testing::TestWithParam<std::size_t> {
  protected:
-  StalledUploadsTest() : ports_(FreePorts(4)) {
+  StalledUploadsTest() : ports(FreePorts(4)) {
     const std::string settings = testing::TempDir() + "stalled_uploads_" +
                                  std::to_string(getpid()) + "_" + std::to_string(GetParam());
     std::ofstream file(settings);
-    const auto at = [&](std::size_t i) { return "127.0.0.1:" + std::to_string(ports_[i]) + "\n"; };
+    const auto at = [&](std::size_t i) { return "127.0.0.1:" + std::to_string(ports[i]) + "\n"; };
     file << "host: h\ndata_centre: d\ncallers: " << at(0) << "readiness: " << at(1)
          << "notices: " << at(2) << "store: " << at(3) << "file_limit: 4096\nmemory: " << kMemoryMiB
          << "MiB\n";
@@ -92,13 +92,13 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, 1, "/dev/null", O_WRONLY, 0);
-    posix_spawn(&pid_, arguments[0], &actions, nullptr, arguments, environ);
+    posix_spawn(&pid, arguments[0], &actions, nullptr, arguments, environ);
     posix_spawn_file_actions_destroy(&actions);
   }
   ~StalledUploadsTest() override {
-    for (const upload& each : uploads_) close(each.socket);
-    kill(pid_, SIGKILL);
-    waitpid(pid_, nullptr, 0);
+    for (const upload& each : uploads) close(each.socket);
+    kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
   }
 
   bool Wait(const std::function<bool()>& done) {
@@ -110,7 +110,7 @@
   upload Open(std::string bytes) {
     upload opened;
     opened.bytes = std::move(bytes);
-    const sockaddr_in address = LoopbackAddress(ports_[0]);
+    const sockaddr_in address = LoopbackAddress(ports[0]);
     const bool connected = Wait([&] {
       opened.socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
       if (connect(opened.socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0)
@@ -124,7 +124,7 @@
   }
   /** The largest resident size that the process has had. */
   std::size_t PeakBytes() const {
-    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
     for (std::string word; status >> word;) {
       std::size_t kibibytes = 0;
       if (word == "VmHWM:" && status >> kibibytes) return kibibytes * 1024;
@@ -144,26 +144,27 @@
       unsigned unread = 0;
       std::sscanf(line.c_str(), " %*d: %*8x:%4x %*8x:%4x %*2x %8x:%8x", &local, &remote, &unsent,
                   &unread);
-      const bool is_ours = local == ports_[0] || remote == ports_[0];
+      const bool is_ours = local == ports[0] || remote == ports[0];
       if (is_ours && unsent + unread > 0) return true;
     }
     return false;
   }
 
-  std::vector<std::uint16_t> ports_;
-  pid_t pid_ = -1;
-  std::vector<upload> uploads_;
+  std::vector<std::uint16_t> ports;
+  pid_t pid = -1;
+  std::vector<upload> uploads;
 };
 
 // Guards against bodies that are still being read and count toward no limit.
 TEST_P(StalledUploadsTest, TheProcessStaysWithinItsMemoryAndServesOthers) {
   const std::string head =
       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n";
+  uploads.reserve(GetParam());
   for (std::size_t i = 0; i < GetParam(); ++i)
-    uploads_.push_back(Open(head + std::string(kSentBytes, 'x')));
+    uploads.push_back(Open(head + std::string(kSentBytes, 'x')));
   EXPECT_TRUE(Wait([&] {
     bool ended = true;
-    for (upload& each : uploads_) {
+    for (upload& each : uploads) {
       each.Advance();
       ended = ended && each.HasEnded();
     }
@@ -173,7 +174,7 @@
   EXPECT_GT(peak, 0u);
   EXPECT_LT(peak, kMemoryMiB << 20) << "resident bytes, at most";
   std::size_t unanswered = 0;
-  for (const upload& each : uploads_) {
+  for (const upload& each : uploads) {
     if (each.answer.empty()) {
       ++unanswered;
       EXPECT_FALSE(each.failed) << "a connection was closed without an answer";
--- a/tests/http/unread_requests.cpp
+++ b/tests/http/unread_requests.cpp
@@ -135,8 +135,10 @@
 }
 
 TEST_F(UnreadRequestsTest, HeadersThatStallCountToo) {
+  constexpr std::size_t kStalled = 100;
   std::vector<tcp::socket> stalled;
-  for (int i = 0; i < 100; ++i)
+  stalled.reserve(kStalled);
+  for (std::size_t i = 0; i < kStalled; ++i)
     stalled.push_back(Send("GET / HTTP/1.1\r\nX: " + std::string(2000, 'x')));
   ASSERT_TRUE(RunUntil([&] { return !handler.refused.empty(); }));
   tcp::socket whole = Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -147,6 +149,20 @@
   EXPECT_TRUE(RunUntil([&] { return budget->held() == 0; }));
 }
 
+TEST_F(UnreadRequestsTest, ABodyThatStallsCountsUntilItsTimeout) {
+  http_limits limits;
+  limits.body_timeout = milliseconds(200);
+  server.SetLimits(limits);
+  tcp::socket whole = Send(Post(kLargeBody) + "a part");
+  tcp::socket chunked =
+      Send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\na par");
+  ASSERT_TRUE(RunUntil([&] { return budget->held() > kLargeBody; }));
+  EXPECT_EQ(ReadAll(whole), "");
+  EXPECT_EQ(ReadAll(chunked), "");
+  EXPECT_TRUE(RunUntil([&] { return budget->held() == 0; }));
+  EXPECT_TRUE(handler.requests.empty());
+}
+
 // Guards against bytes that count twice or for ever: a request counts until its handler drops it,
 // an answer until it is written or its connection closed.
 TEST_F(UnreadRequestsTest, RequestsAndUnsentAnswersCountWhileTheyLast) {
