--- a/tests/message_versions/message_samples.h
+++ b/tests/message_versions/message_samples.h
@@ -1,15 +1,20 @@
-/// Samples of the messages whose bytes commit 3a2dfa8 wrote into tests/message_versions/3a2dfa8.
+/// Samples of the messages whose bytes earlier versions wrote into folders named by their commits.
+/// They set only what all versions with a folder know, so that this file builds with each.
 #pragma once
 
+#include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "crashes/crash_message.h"
+#include "feed/feed_message.h"
 #include "gateway/load_notice.h"
 #include "origins/origin_message.h"
 #include "relay/relay_answer.h"
 #include "relay/relay_headers.h"
 #include "relay/relay_terms.h"
+#include "resumes/settled_builds.h"
 #include "systems/lease_record.h"
 
 namespace hawthorndrum::message_samples {
@@ -91,4 +96,48 @@
   return record;
 }
 
+inline feed_message Feed() {
+  feed_message message;
+  message.from = 40;
+  message.to = 44;
+  message.newest_change = 43;
+  message.changes.push_back({"w1", 42, std::string(R"({"service":"llm"})")});
+  message.changes.push_back({"w2", 0, {}});
+  return message;
+}
+
+inline settled_builds SettledBuilds() {
+  settled_builds record;
+  record.era = 6;
+  record.routes = 0x1234;
+  record.builds["llm"] = software_build(17);
+  return record;
+}
+
+inline std::string TextOf(const std::vector<http_header>& headers) {
+  std::string text;
+  for (const http_header& each : headers) text += each.name + ": " + each.value + "\n";
+  return text;
+}
+
+/** Returns the bytes of each datagram by the name of its file, which ends in `.hex`. */
+inline std::vector<std::pair<std::string, std::vector<std::uint8_t>>> Datagrams() {
+  return {{"load_notice", EncodeLoadNotice(LoadNotice())},
+          {"digest", EncodeLoadNotice(Digest())},
+          {"origin_record", EncodeOriginMessage(Origins(origin_message_kind::kRecord))},
+          {"origin_question", EncodeOriginMessage(Origins(origin_message_kind::kQuestion))},
+          {"origin_answer", EncodeOriginMessage(Origins(origin_message_kind::kAnswer))},
+          {"crash_evidence", EncodeCrashMessage(Crashes(crash_message_kind::kEvidence), Now())},
+          {"crash_answer", EncodeCrashMessage(Crashes(crash_message_kind::kAnswer), Now())},
+          {"feed", EncodeFeedMessage(Feed())}};
+}
+
+/** Returns the messages that are text by the names of their files. */
+inline std::vector<std::pair<std::string, std::string>> Texts() {
+  return {{"relay_request.txt", TextOf(RelayRequest())},
+          {"relay_answer.txt", TextOf(RelayAnswer())},
+          {"lease.json", EncodeLease(Lease()) + "\n"},
+          {"settled_builds.json", EncodeSettledBuilds(SettledBuilds()) + "\n"}};
+}
+
 }  // namespace hawthorndrum::message_samples
