--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -10,6 +10,7 @@
 from limit_records import LimitRecords
 from rest_records import RestRecords
 from team_keys import TeamKeys
+from version_records import VersionRecords
 
 MIN_HOLDER_CHANGE_S = 3.0
 TIME_LIMIT_S = 2.9  # An answer that ends later than this may have reached its deadline of 3 s.
@@ -41,6 +42,7 @@
         self.keys = TeamKeys(seed, self.disturbances)
         self.duties = DutyRecords(self.disturbances)
         self.versions = {}  # Software version of each worker.
+        self.versions_of_gateways = VersionRecords(self.disturbances)
         self.stream_counts = {"new": 0, "begun": 0, "resumed": 0, "gone on": 0}
 
     def fail(self, what):
@@ -111,9 +113,11 @@
             self.check_answer(attempt, stream)
         if stream:
             self.crashes.on_attempt(attempt, stream)
+        after = stream.last_event if stream else 0
+        self.versions_of_gateways.on_attempt(attempt, stream, before, after > before)
         is_sound = stream and not stream.crashing_part
         if is_sound and attempt.asked[1].startswith("/stream/tell/"):
-            self.count_stream(attempt, before, stream.last_event > before, serving)
+            self.count_stream(attempt, before, after > before, serving)
         if attempt.request in self.silenced and not attempt.broken:
             kind = self.check_silenced(attempt)
             self.silence_counts[kind] = self.silence_counts.get(kind, 0) + 1
