Let a gateway end although nobody reads its standard output

What was seen: with a pipe for standard output that was full and not read, SIGTERM did not end the process; the platform had to kill it.

Cause: the log's destructor joins spdlog's thread, which was blocked in a write, and with it the lock of stdout that exit takes as well.

Lines are now written to the descriptor without standard I/O's buffer, and the end waits at most 200 ms for those that are queued, less than the 300 ms that are left of the grace at the latest stop. Flags of the descriptor, which other processes may share, are not changed, and lines are not cut short while the process runs. A write that fails for good (no reader) loses its line and nothing else.

Evidence: OutputTest.AFullPipeKeepsNothingFromEnding, grace of 1 s. APipeWithoutAReaderChangesNothing passed before too and guards the new way of writing.

--- a/src/gatewayd/json_log.cpp
+++ b/src/gatewayd/json_log.cpp
@@ -3,14 +3,18 @@
 
 #include <spdlog/async.h>
 #include <spdlog/async_logger.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <cstdio>
+#include <future>
+#include <system_error>
+#include <thread>
 #include <utility>
 
 #include "base/log_record.h"
 #include "base/metrics_registry.h"
+#include "output_sink.h"
 #include "ports/clock.h"
 
 namespace hawthorndrum {
@@ -19,6 +23,8 @@
 
 /** Lines that may wait for standard output; beyond that the oldest are dropped. */
 constexpr std::size_t kMaxQueuedLines = 256;
+/** How long the end of the process waits for lines that are still queued. */
+constexpr std::chrono::milliseconds kLastLines{200};
 /** Limits on each event's lines a second, by importance, so that a person can read the log. */
 constexpr std::uint32_t kRoutineLines = 40;
 constexpr std::uint32_t kNotableLines = 100;
@@ -45,13 +51,30 @@
       second_began_(time.Now()),
       writer_(std::make_shared<spdlog::details::thread_pool>(kMaxQueuedLines, 1)),
       logger_(std::make_shared<spdlog::async_logger>(
-          "json", std::make_shared<spdlog::sinks::stdout_sink_mt>(), writer_,
+          "json", std::make_shared<output_sink>(STDOUT_FILENO), writer_,
           spdlog::async_overflow_policy::overrun_oldest)) {
   logger_->set_pattern("%v");
   logger_->flush_on(spdlog::level::warn);
 }
 
-json_log::~json_log() = default;
+json_log::~json_log() {
+  // The destructor of the pool waits for its thread, which may be blocked for as long as nobody
+  // reads standard output; the end of the process does not wait for either thread.
+  std::promise<void> written;
+  const std::future<void> all_written = written.get_future();
+  auto* writer = new auto(std::move(writer_));
+  auto* logger = new auto(std::move(logger_));
+  try {
+    std::thread([writer, logger, written = std::move(written)]() mutable {
+      delete logger;
+      delete writer;
+      written.set_value();
+    }).detach();
+    all_written.wait_for(kLastLines);
+  } catch (const std::system_error&) {
+    // Without a thread to wait for it, the writer goes on until the process has ended.
+  }
+}
 
 void json_log::Write(log_importance importance, const log_record& record) {
   auto found = bounds_.find(record.event());
