Bound the writes of errors and of the fatal-signal line

What was seen: with a full pipe that nobody reads for standard output and standard error, a start that failed did not end, a SIGHUP with invalid settings stopped the whole event loop, and a process that got SIGSEGV hung in its handler instead of ending.

Cause: the messages were written with calls that block.

WriteBounded asks the descriptor before each write whether it takes bytes, writes at most PIPE_BUF at once, which then doesn't block, and gives up after 100 ms. It leaves the descriptor's flags alone and is async-signal-safe. If another writer fills the same pipe between question and write, that write can still block; for the fatal-signal line nothing bounds that.

Evidence: three tests in tests/starting/outputs.cpp.

--- a/src/libtransport/daemon_command_line.cpp
+++ b/src/libtransport/daemon_command_line.cpp
@@ -7,6 +7,8 @@
 #include <fstream>
 #include <iterator>
 
+#include "bounded_output.h"
+
 namespace hawthorndrum {
 
 namespace {
@@ -51,7 +53,7 @@
 std::optional<std::string> ReadSettingsFile(const char* program, const std::string& file) {
   std::ifstream stream(file);
   if (!stream) {
-    std::fprintf(stderr, "%s: can't read %s\n", program, file.c_str());
+    PrintError(std::string(program) + ": can't read " + file + "\n");
     return std::nullopt;
   }
   return std::string(std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>());
--- a/src/libtransport/fatal_signals.cpp
+++ b/src/libtransport/fatal_signals.cpp
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <cstring>
 
+#include "bounded_output.h"
+
 namespace hawthorndrum {
 
 namespace {
@@ -38,10 +40,7 @@
     } while (value > 0);
     return Text(digits + first);
   }
-  void Write() const {
-    const auto written = write(STDOUT_FILENO, bytes_, size_);
-    static_cast<void>(written);
-  }
+  void Write() const { WriteBounded(STDOUT_FILENO, {bytes_, size_}); }
 
  private:
   char bytes_[512];
--- a/tests/starting/outputs.cpp
+++ b/tests/starting/outputs.cpp
@@ -44,6 +44,34 @@
   ExpectToServeAndStop();
 }
 
+// Guards against a start that fails and does not end, and a SIGHUP that stops all work.
+TEST_F(OutputTest, MessagesOnAFullPipeAreGivenUp) {
+  FillPipe();
+  gateway.WriteSettings({{"callers", "192.0.2.1:8080"}});
+  gateway.Start(ends[1]);
+  EXPECT_EQ(gateway.Wait(), 1);
+}
+
+TEST_F(OutputTest, InvalidSettingsAtAHangupStopNoWork) {
+  FillPipe();
+  gateway.WriteSettings();
+  gateway.Start(ends[1]);
+  ASSERT_TRUE(WaitFor([&] { return gateway.serves(); }));
+  gateway.WriteSettings({{"stop_grace", "never"}});
+  gateway.Signal(SIGHUP);
+  gateway.Signal(SIGTERM);
+  EXPECT_EQ(gateway.Wait(), 0);
+}
+
+TEST_F(OutputTest, AFatalSignalEndsTheProcess) {
+  FillPipe();
+  gateway.WriteSettings();
+  gateway.Start(ends[1]);
+  ASSERT_TRUE(WaitFor([&] { return gateway.serves(); }));
+  gateway.Signal(SIGSEGV);
+  EXPECT_EQ(gateway.Wait(), -SIGSEGV);
+}
+
 TEST_F(OutputTest, APipeWithoutAReaderChangesNothing) {
   close(ends[0]);
   ends[0] = -1;
