Tell a lack of own descriptors from upstreams that are not reached

Callers saw 502 and then refusals for all services once a daemon was out of descriptors, and went on being refused: each connect that failed for that cause counted as an upstream that is not reached, so all upstreams were marked lost and the daemon cut off from them.

The client reported every failed connect alike, and the probes that should have regained the upstreams failed the same way. Idle connections, 64 for each upstream without a bound over all, held the descriptors that calls needed.

A connect that fails with EMFILE, ENFILE, ENOBUFS, ENOMEM or EADDRNOTAVAIL is now a failure of its own, kNoResources. It changes nothing that is known of the upstream; the request, of which no byte left this host, is refused at once (503 host_lacks_resources, Retry-After) rather than offered to other upstreams, which need a descriptor too.

Two tests of probes follow the handler's new signature; the one of a closed port now also checks that the failure is kNotConnected.

--- a/src/gatewayd/http_upstream_calls.cpp
+++ b/src/gatewayd/http_upstream_calls.cpp
@@ -1,6 +1,7 @@
 /// Sends the gateway's calls over HTTP and posts their results as events.
 #include "http_upstream_calls.h"
 
+#include <optional>
 #include <utility>
 
 #include "http_client.h"
@@ -51,9 +52,11 @@
 }
 
 void http_upstream_calls::Probe(upstream_id upstream, const std::string& address) {
-  client_.Probe(address, upstream.value(), kConnectTimeout, [this, upstream](bool connected) {
-    events_.Post(probe_ended{upstream, connected});
-  });
+  client_.Probe(address, upstream.value(), kConnectTimeout,
+                [this, upstream](std::optional<attempt_failure> failure) {
+                  const bool was_tried = failure != attempt_failure::kNoResources;
+                  events_.Post(probe_ended{upstream, !failure, was_tried});
+                });
 }
 
 void http_upstream_calls::Notify(const std::string& address, http_request request) {
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -125,6 +125,8 @@
   /** Failure reason: no connection could be made, and nothing was sent. */
   static constexpr std::string_view kNotConnected = "not_connected";
   static constexpr std::string_view kConnectionLost = "connection_lost";
+  /** This host has no descriptor, port or buffer left for a connection. */
+  static constexpr std::string_view kLacksResources = "host_lacks_resources";
   /** Refusal reasons: this daemon serves nothing yet, or enough requests of other daemons. */
   static constexpr std::string_view kNotStarted = "not_started";
   static constexpr std::string_view kRelayFull = "relay_full";
@@ -261,6 +263,8 @@
   void Recover(exchange& each, const call_problem& problem, time_point now);
   bool MayTryAgain(const exchange& each, const call_problem& problem, time_point now);
   void RecoverPrefill(exchange& each, std::string_view reason, time_point now);
+  /** Handles a call that this host lacked the resources to send. */
+  void RefuseUnsent(exchange& each, time_point now);
   /** Sends the final answer of a request that may have run. */
   void FailUnknown(exchange& each, std::string_view reason, int status);
   void GiveUp(exchange& each, const call_problem& problem, time_point now);
--- a/src/libhawthorndrum/gateway/gateway_recovery.cpp
+++ b/src/libhawthorndrum/gateway/gateway_recovery.cpp
@@ -49,6 +49,7 @@
   exchange* each = FindByAttempt(lost.attempt);
   if (each == nullptr) return;
   const time_point now = ports_.time->Now();
+  if (lost.failure == attempt_failure::kNoResources) return RefuseUnsent(*each, now);
   if (each->state == exchange_state::kPassedOn) return RecoverPassedOn(*each, lost, now);
   call_problem problem;
   problem.may_have_run = lost.bytes_sent;
@@ -66,6 +67,8 @@
     case attempt_failure::kTimeout:
       problem.reason = "no_answer_in_time";
       break;
+    case attempt_failure::kNoResources:
+      break;
   }
   const bool may_be_cut_off = cut_off_.IsSuspected(each->service->name);
   if (lost.failure == attempt_failure::kConnectionLost && lost.bytes_sent && !may_be_cut_off)
@@ -73,6 +76,18 @@
   Recover(*each, problem, now);
 }
 
+void gateway::RefuseUnsent(exchange& each, time_point now) {
+  LogFailedCall(each, {kLacksResources, false, false, false}, now);
+  if (each.state != exchange_state::kPrefilling) each.runs -= 1;
+  Release(each);
+  each.answer = {};
+  each.events.DropIncomplete();
+  if (each.caller_gone) return Close(each, "caller_gone", 0);
+  each.state = exchange_state::kRunning;
+  // A call to another upstream or daemon needs the same resources.
+  Refuse(each, {kLacksResources, kRetryAfterFailure});
+}
+
 void gateway::RecordFailure(fleet_upstream& row, const call_problem& problem, time_point now) {
   crossing_.OnFailure(row.entry.service, row.entry.data_centre, now);
   if (problem.reason == kNotConnected) {
@@ -112,6 +127,7 @@
 
 void gateway::OnProbeEnded(const probe_ended& ended) {
   const time_point now = ports_.time->Now();
+  if (!ended.was_tried) return reachability_.OnProbeNotTried(ended.upstream, now);
   reachability_.OnProbeEnded(ended.upstream, ended.connected, now);
   fleet_upstream* row = fleet_.Find(ended.upstream);
   if (row == nullptr) return;
--- a/src/libhawthorndrum/gateway/gateway_relay.cpp
+++ b/src/libhawthorndrum/gateway/gateway_relay.cpp
@@ -36,6 +36,7 @@
 }
 
 relay_outcome gateway::OutcomeOf(const exchange& each, std::string_view reason) const {
+  if (reason == kLacksResources) return relay_outcome::kUnavailable;
   if (!IsForLackOfUpstreams(reason)) return relay_outcome::kRefused;
   const bool is_cut_off = cut_off_.IsCutOff(each.service->name);
   return is_cut_off ? relay_outcome::kUnavailable : relay_outcome::kDeclined;
--- a/src/libhawthorndrum/gateway/reachability_monitor.cpp
+++ b/src/libhawthorndrum/gateway/reachability_monitor.cpp
@@ -77,9 +77,20 @@
   const int doublings = std::min(reachability.failed_probes, kMaxDoublings);
   const duration backoff = std::min(kInitialProbeBackoff * (1 << doublings), kMaxProbeBackoff);
   reachability.failed_probes += 1;
-  // Half of the backoff is random, so that daemons that lost an upstream together do not probe it
-  // together.
-  reachability.next_probe =
+  ProbeAfter(*row, backoff, now);
+}
+
+void reachability_monitor::OnProbeNotTried(upstream_id upstream, time_point now) {
+  if (open_probes_ > 0) open_probes_ -= 1;
+  fleet_upstream* row = fleet_.Find(upstream);
+  if (row == nullptr) return;
+  row->reachability.probing = false;
+  ProbeAfter(*row, kMaxProbeBackoff, now);
+}
+
+void reachability_monitor::ProbeAfter(fleet_upstream& row, duration backoff, time_point now) {
+  // Daemons that lost an upstream together do not probe it together.
+  row.reachability.next_probe =
       now + backoff / 2 +
       duration(static_cast<std::int64_t>(random_.Below(backoff.count() / 2 + 1)));
 }
--- a/src/libhawthorndrum/gateway/reachability_monitor.h
+++ b/src/libhawthorndrum/gateway/reachability_monitor.h
@@ -39,6 +39,8 @@
   /** The upstream answered a request or accepted a connection. */
   void OnAnswer(fleet_upstream& row, time_point now);
   void OnProbeEnded(upstream_id upstream, bool connected, time_point now);
+  /** A probe was not tried for a lack of this host's own resources. */
+  void OnProbeNotTried(upstream_id upstream, time_point now);
   /** Probes the upstream at that time, or before. */
   void ProbeAt(fleet_upstream& row, time_point when);
   /** Probes it at once, unless too many probes are open. */
@@ -49,6 +51,8 @@
  private:
   void StartProbe(fleet_upstream& row);
   void MarkLost(fleet_upstream& row, time_point now);
+  /** Has the upstream probed again after the backoff, half of which is random. */
+  void ProbeAfter(fleet_upstream& row, duration backoff, time_point now);
 
   fleet_table& fleet_;
   upstream_calls& calls_;
--- a/src/libhawthorndrum/ports/attempt_event.h
+++ b/src/libhawthorndrum/ports/attempt_event.h
@@ -34,7 +34,14 @@
   bool by_close = false;
 };
 
-enum class attempt_failure { kNotConnected, kConnectionLost, kMalformed, kTimeout };
+enum class attempt_failure {
+  kNotConnected,
+  kConnectionLost,
+  kMalformed,
+  kTimeout,
+  /** This host had no descriptor, port or buffer left, which says nothing about the upstream. */
+  kNoResources,
+};
 
 /**
  * The attempt ended without a complete answer. `bytes_sent` is false only when no byte of the
@@ -50,6 +57,8 @@
 struct probe_ended {
   upstream_id upstream;
   bool connected = false;
+  /** False if this host lacked the resources to connect. */
+  bool was_tried = true;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/systems/request_attempts.cpp
+++ b/src/libhawthorndrum/systems/request_attempts.cpp
@@ -37,6 +37,8 @@
       return "the upstream's answer was malformed";
     case attempt_failure::kTimeout:
       return "the upstream did not answer";
+    case attempt_failure::kNoResources:
+      return "this host had no resources for the connection";
   }
   return "the upstream failed";
 }
@@ -245,7 +247,8 @@
   const outcome what = lost.bytes_sent ? outcome::kUnknown : outcome::kNotRun;
   problem.why = UpstreamFailed(what, FailureText(lost.failure));
   problem.may_have_run = lost.bytes_sent;
-  problem.upstream_failed = lost.failure != attempt_failure::kMalformed;
+  problem.upstream_failed =
+      lost.failure != attempt_failure::kMalformed && lost.failure != attempt_failure::kNoResources;
   // A reused connection that broke and could not be reopened is reported as not connected.
   problem.crashed = lost.bytes_sent && (lost.failure == attempt_failure::kConnectionLost ||
                                         lost.failure == attempt_failure::kNotConnected);
--- a/src/libtransport/connection_pool.h
+++ b/src/libtransport/connection_pool.h
@@ -16,6 +16,9 @@
 
 namespace hawthorndrum {
 
+/** Returns whether the error is a lack of this host's own descriptors, ports or buffers. */
+bool LacksResources(const boost::system::error_code& failed);
+
 /** A connection to an upstream, with the bytes already read from it but not yet parsed. */
 struct client_connection {
   static constexpr std::size_t kMaxAnswered = 32;
@@ -33,10 +36,14 @@
 /**
  * Keeps idle connections for reuse and hands out the most recently used one first.
  *
- * Invariant: a connection in the pool has an empty buffer and belongs to no call.
+ * Invariant: a connection in the pool has an empty buffer and belongs to no call; size_ is their
+ * number, at most kMaxIdle.
  */
 class connection_pool {
  public:
+  /** Bounds the descriptors of all connections in the pool. */
+  static constexpr std::size_t kMaxIdle = 800;
+
   /** An address and its current owner; see http_call::owner. */
   using key = std::pair<std::string, std::uint64_t>;
 
@@ -54,7 +61,14 @@
    * unexpected bytes.
    */
   void Sweep();
-  std::size_t size() const;
+  /** Closes the connection that was idle for longest; returns false if there is none. */
+  bool CloseLongestIdle();
+  /**
+   * Opens the socket for a connection. While this host lacks resources for it, idle connections are
+   * closed, those that were idle for longest first. If none is left, the socket stays closed.
+   */
+  void Open(boost::asio::ip::tcp::socket& socket, const boost::asio::ip::tcp::endpoint& to);
+  std::size_t size() const { return size_; }
 
  private:
   using steady_time = std::chrono::steady_clock::time_point;
@@ -67,7 +81,9 @@
   /** Whether the other side has neither closed the connection nor sent unexpected bytes. */
   static bool IsReusable(client_connection& idle);
 
+  /** The connections of each key, the longest idle ones first. */
   std::map<key, std::deque<idle_connection>> idle_;
+  std::size_t size_ = 0;
 };
 
 }  // namespace hawthorndrum
--- a/src/libtransport/connection_probe.cpp
+++ b/src/libtransport/connection_probe.cpp
@@ -29,6 +29,10 @@
 
 }  // namespace
 
+attempt_failure FailureToConnect(const boost::system::error_code& failed) {
+  return LacksResources(failed) ? attempt_failure::kNoResources : attempt_failure::kNotConnected;
+}
+
 void SetClientOptions(asio::ip::tcp::socket& socket) {
   SetTcpOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
   SetTcpOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
@@ -44,26 +48,30 @@
 void connection_probe::Start(const std::string& address, duration timeout) {
   const auto endpoint = ParseEndpoint(address);
   if (!endpoint) {
-    asio::post(io_, [self = shared_from_this()] { self->End(false); });
+    asio::post(io_, [self = shared_from_this()] { self->End(attempt_failure::kNotConnected); });
     return;
   }
   connection_ = std::make_unique<client_connection>(io_.get_executor());
   timer_.expires_after(timeout);
   timer_.async_wait([self = shared_from_this()](boost::system::error_code failed) {
-    if (!failed) self->End(false);
+    if (!failed) self->End(attempt_failure::kNotConnected);
   });
   connection_->socket.async_connect(
-      *endpoint,
-      [self = shared_from_this()](boost::system::error_code failed) { self->End(!failed); });
+      *endpoint, [self = shared_from_this()](boost::system::error_code failed) {
+        self->End(failed ? std::optional(FailureToConnect(failed)) : std::nullopt);
+      });
 }
 
-void connection_probe::End(bool connected) {
+void connection_probe::End(std::optional<attempt_failure> failure) {
   if (!done_) return;
   timer_.cancel();
-  if (connected) SetClientOptions(connection_->socket);
   const handler done = std::exchange(done_, nullptr);
-  done(connected ? std::move(connection_) : nullptr);
-  connection_.reset();
+  if (failure) {
+    connection_.reset();
+    return done(nullptr, *failure);
+  }
+  SetClientOptions(connection_->socket);
+  done(std::move(connection_), {});
 }
 
 }  // namespace hawthorndrum
--- a/src/libtransport/http_client.cpp
+++ b/src/libtransport/http_client.cpp
@@ -47,8 +47,7 @@
   void CancelAll();
   std::size_t open_calls() const { return calls_.size(); }
   void Sweep() { idle_.Sweep(); }
-  void Probe(const std::string& address, std::uint64_t owner, duration timeout,
-             std::function<void(bool)> done);
+  void Probe(const std::string& address, std::uint64_t owner, duration timeout, probe_handler done);
 
  private:
   class running_call;
@@ -159,6 +158,8 @@
     return;
   }
   ExpireAfter(call_.connect_timeout);
+  // If it stays closed, connecting reports why.
+  if (const auto owner = owner_.lock()) owner->idle_.Open(connection_->socket, *endpoint);
   connection_->socket.async_connect(
       *endpoint, [self = shared_from_this(), connection = connection_](beast::error_code failed) {
         self->OnConnected(failed);
@@ -167,7 +168,7 @@
 
 void http_client::impl::running_call::OnConnected(beast::error_code failed) {
   if (ended_) return;
-  if (failed) return Fail(attempt_failure::kNotConnected);
+  if (failed) return Fail(FailureToConnect(failed));
   SetClientOptions(connection_->socket);
   listener_.OnConnected(id_);
   if (!ended_) Send();
@@ -343,16 +344,15 @@
 }
 
 void http_client::impl::Probe(const std::string& address, std::uint64_t owner, duration timeout,
-                              std::function<void(bool)> done) {
+                              probe_handler done) {
   const auto probe = std::make_shared<connection_probe>(
-      io_, [self = weak_from_this(), address, owner,
-            done = std::move(done)](std::unique_ptr<client_connection> opened) {
-        const bool connected = opened != nullptr;
+      io_, [self = weak_from_this(), address, owner, done = std::move(done)](
+               std::unique_ptr<client_connection> opened, attempt_failure failure) {
         const auto pool_owner = self.lock();
-        if (connected && pool_owner) {
-          pool_owner->idle_.Keep({address, owner}, std::move(opened), kDefaultKeepTime);
-        }
-        if (pool_owner) done(connected);
+        if (!pool_owner) return;
+        if (!opened) return done(failure);
+        pool_owner->idle_.Keep({address, owner}, std::move(opened), kDefaultKeepTime);
+        done(std::nullopt);
       });
   probe->Start(address, timeout);
 }
@@ -387,7 +387,7 @@
 void http_client::Cancel(http_call_id id) { impl_->Cancel(id); }
 
 void http_client::Probe(const std::string& address, std::uint64_t owner, duration timeout,
-                        std::function<void(bool)> done) {
+                        probe_handler done) {
   impl_->Probe(address, owner, timeout, std::move(done));
 }
 
--- a/src/libtransport/http_client.h
+++ b/src/libtransport/http_client.h
@@ -5,9 +5,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "http_call.h"
+#include "ports/attempt_event.h"
 
 namespace boost::asio {
 class io_context;
@@ -22,6 +24,8 @@
  */
 class http_client {
  public:
+  using probe_handler = std::function<void(std::optional<attempt_failure> failure)>;
+
   explicit http_client(boost::asio::io_context& io);
   ~http_client();
 
@@ -33,10 +37,9 @@
   void SetPaused(http_call_id id, bool paused);
   /**
    * Opens a connection without making a call and keeps it for calls with that owner. `done` is
-   * called with the result, never from within Probe.
+   * called with the failure, if any, never from within Probe.
    */
-  void Probe(const std::string& address, std::uint64_t owner, duration timeout,
-             std::function<void(bool connected)> done);
+  void Probe(const std::string& address, std::uint64_t owner, duration timeout, probe_handler done);
   std::size_t open_calls() const;
   /** Closes idle connections that can't be reused any more; call it about once a second. */
   void Sweep();
--- a/tests/http/client_timers.cpp
+++ b/tests/http/client_timers.cpp
@@ -106,7 +106,7 @@
   std::vector<bool> results;
   RunWithDelay([&] {
     client.Probe(address, 5, kConnectTimeout,
-                 [&](bool connected) { results.push_back(connected); });
+                 [&](std::optional<attempt_failure> failure) { results.push_back(!failure); });
   });
   ASSERT_TRUE(RunUntil([&] { return !results.empty(); }));
   result_listener listener;
--- a/tests/http/exchanges.cpp
+++ b/tests/http/exchanges.cpp
@@ -267,7 +267,8 @@
 TEST_F(ExchangeTest, AProbesConnectionIsKeptForTheNextCall) {
   std::optional<bool> connected;
   http_call call = Call("1");
-  client.Probe(call.address, 5, kWaitTimeout, [&](bool opened) { connected = opened; });
+  client.Probe(call.address, 5, kWaitTimeout,
+               [&](std::optional<attempt_failure> failure) { connected = !failure; });
   EXPECT_FALSE(connected.has_value());
   tcp::socket upstream = Accept();
   ASSERT_TRUE(RunUntil([&] { return connected.has_value(); }));
@@ -281,10 +282,11 @@
 TEST_F(ExchangeTest, AProbeOfAClosedPortReportsFailure) {
   const std::string address = Call("1").address;
   acceptor.close();
-  std::optional<bool> connected;
-  client.Probe(address, 5, kWaitTimeout, [&](bool opened) { connected = opened; });
-  ASSERT_TRUE(RunUntil([&] { return connected.has_value(); }));
-  EXPECT_FALSE(*connected);
+  std::optional<std::optional<attempt_failure>> ended;
+  client.Probe(address, 5, kWaitTimeout,
+               [&](std::optional<attempt_failure> failure) { ended = failure; });
+  ASSERT_TRUE(RunUntil([&] { return ended.has_value(); }));
+  EXPECT_EQ(*ended, attempt_failure::kNotConnected);
 }
 
 // Guards against a cancelled call that still reaches its upstream: without a reset, a call that was
--- a/tests/reach/test_reach.cpp
+++ b/tests/reach/test_reach.cpp
@@ -151,5 +151,77 @@
   EXPECT_LE(refused[other], 8);
 }
 
+/** Ends every call and probe as a host without descriptors does. */
+class NoDescriptorsTest : public ReachTest {
+ protected:
+  void EndAll(bool has_descriptors) {
+    for (; handled < upstreams.sent.size(); ++handled) {
+      if (has_descriptors) {
+        Answered("body");
+      } else {
+        Lost(attempt_failure::kNoResources, false);
+      }
+    }
+    for (const upstream_id id : std::exchange(upstreams.probes, {}))
+      served.OnProbeEnded({id, has_descriptors, has_descriptors});
+  }
+
+  std::size_t handled = 0;
+};
+
+// Guards against a daemon that takes all upstreams for lost since it is out of descriptors itself.
+TEST_F(NoDescriptorsTest, ALackOfDescriptorsLosesNoUpstream) {
+  std::vector<upstream_id> desks;
+  for (const char* id : {"d1", "d2", "d3"}) desks.push_back(Add(id, "desk"));
+  served.SetDaemons({{"g2", "10.9.0.2:7600", "south"}});
+  for (int i = 0; i < 40; ++i) {
+    for (const char* path : {"/look/1", "/pay/1"}) {
+      const std::size_t before = upstreams.sent.size();
+      const request_id id = Ask(path);
+      EndAll(false);
+      EXPECT_EQ(upstreams.sent.size(), before + 1) << path;
+      EXPECT_EQ(CallerOf(id).status, 503) << path;
+      EXPECT_NE(FindHeader(CallerOf(id).headers, "Retry-After"), "") << path;
+      EXPECT_NE(CallerOf(id).body.find("host_lacks_resources"), std::string::npos) << path;
+    }
+    Pass(milliseconds(100));
+    EndAll(false);
+  }
+  for (const upstream_id id : desks) EXPECT_FALSE(served.fleet().Find(id)->reachability.is_lost);
+  for (const char* line : {"upstream_lost", "upstreams_cut_off"}) EXPECT_EQ(log.LastOf(line), "");
+  for (const char* path : {"/look/1", "/pay/1"}) {
+    const request_id id = Ask(path);
+    EndAll(true);
+    EXPECT_EQ(CallerOf(id).status, 200) << path;
+  }
+}
+
+TEST_F(NoDescriptorsTest, ALostUpstreamIsProbedUntilDescriptorsAreFree) {
+  const upstream_id desk = Add("d1", "desk");
+  Ask("/look/1");
+  handled = upstreams.sent.size();
+  Lost(attempt_failure::kNotConnected, false);
+  for (int i = 0; i < 50; ++i) {
+    Pass(milliseconds(100));
+    EndAll(false);
+  }
+  EXPECT_TRUE(served.fleet().Find(desk)->reachability.is_lost);
+  EXPECT_EQ(served.fleet().Find(desk)->reachability.failed_probes, 0);
+  for (int i = 0; i < 9; ++i) {
+    Pass(milliseconds(100));
+    EndAll(true);
+  }
+  EXPECT_FALSE(served.fleet().Find(desk)->reachability.is_lost);
+}
+
+TEST_F(NoDescriptorsTest, APromptThatIsNotSentIsRefusedOnce) {
+  AddEngines(6, "north");
+  const request_id id = AskPrompt("/tell/", "a1", 4000, 1500);
+  EndAll(false);
+  EXPECT_EQ(upstreams.sent.size(), 1u);
+  EXPECT_EQ(CallerOf(id).status, 503);
+  EXPECT_EQ(served.in_flight(), 0u);
+}
+
 }  // namespace
 }  // namespace hawthorndrum
