Bound every number of a configuration

An operator's number beyond a type (1e300, -1 where a count is due) was cast from double as it was, which is undefined and gives one value on x86-64 and another on arm64: daemons of one version could hold different configurations. Negative weights and link speeds were taken as they were, a header limit or idle timeout of zero refused every caller, and an idle timeout beyond the range overflowed when it was added to a point in time.

All such conversions now go through Saturated, which gives the nearer bound; times end at 365 days, so that a point in time plus one can't overflow. Scaled and the estimates of placement use it too. Numbers of `scale`, teams, entries, notices, relays and Retry-After were bounded already.

--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "base/saturated.h"
 #include "crossing/crossing_policy.h"
 #include "gateway/engine_speeds.h"
 #include "gateway/fleet_table.h"
@@ -59,8 +60,6 @@
   return ids != nullptr && std::find(ids->begin(), ids->end(), id) != ids->end();
 }
 
-duration Milliseconds(double ms) { return duration(static_cast<std::int64_t>(ms * 1000)); }
-
 }  // namespace
 
 engine_placement::engine_placement(fleet_table& fleet, const engine_speeds& speeds,
@@ -278,7 +277,7 @@
     option there;
     there.place.runs_at = decode_engine->row->id;
     there.work_ms = decode_engine->DecodeMs();
-    there.place.expected = Milliseconds(there.ExpectedMs());
+    there.place.expected = BoundedMilliseconds(there.ExpectedMs());
     return there;
   }
   option best = RunThere(
@@ -295,8 +294,8 @@
     const option both = Split(*prefill_engine, *decode_engine, query);
     if (both.CostMs() < best.CostMs()) best = both;
   }
-  best.place.expected = Milliseconds(best.ExpectedMs());
-  best.place.wait = Milliseconds(best.wait_ms);
+  best.place.expected = BoundedMilliseconds(best.ExpectedMs());
+  best.place.wait = BoundedMilliseconds(best.wait_ms);
   const double longest_wait_ms = LongestWaitMs(query);
   const bool is_late = query.objective > duration(0) && best.wait_ms > longest_wait_ms;
   if (!is_late && best.place.expected <= query.time_left) return best;
@@ -304,7 +303,7 @@
   const double too_long_ms = is_late ? best.wait_ms - longest_wait_ms / 2
                                      : best.ExpectedMs() - ToSeconds(query.time_left) * 1000;
   return tl::make_unexpected(placement_failure{
-      "engines_behind", std::max<duration>(kMinRetryAfter, Milliseconds(too_long_ms))});
+      "engines_behind", std::max<duration>(kMinRetryAfter, BoundedMilliseconds(too_long_ms))});
 }
 
 const std::string* engine_placement::LeavesFor(const option& chosen) const {
