Let odd callers run beside the soak's own

They send HTTP/1.0, HEAD, pipelined, chunked and repeated ids, cut or hidden requests, bad framings and odd header values, close in half, leave, stop reading or read byte by byte, or stay idle until the process ends. Checked is what holds for any caller: what comes back is HTTP and belongs to the request, "not run" is true, and nothing runs that was not sent whole.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,6 +22,7 @@
 from fault_proxy import FaultProxy, Ports
 from gateway_cuts import GatewayCuts
 from gateway_processes import GatewayProcesses
+from odd_callers import OddCallers
 from platform_standin import Store, Worker
 from records import Records
 from team_keys import CONFIG_BOUND_S, OPEN_ROUTES
@@ -179,10 +180,11 @@
         calls = asyncio.ensure_future(self.api.faults(self))
         storms = asyncio.ensure_future(ConfigStorms(self).run())
         upgrade = asyncio.ensure_future(self.processes.upgrade())
+        odd = asyncio.ensure_future(OddCallers(self).run())
         await asyncio.sleep(self.options.seconds)
         self.faults_stopped = True
         await asyncio.gather(faults, breaks, crashes, limits, cuts, rests, calls, storms,
-                             upgrade)
+                             upgrade, odd)
         await asyncio.sleep(4 - MAX_SILENCE_S)
         self.silences_stopped = True
         await silences
