Count the fields of requests, and bound chunk headers and trailers

A field of 4 bytes takes up some 80 in the library's list and up to 128 in the request's, so requests with many short fields that stall take far more than is counted. The parser has no limit for the header of a chunk and for the trailer, and one read of the library goes on until it could parse something: the buffer grew for as long as the caller sent, and no claim was asked for.

A field counts 192 bytes beside the header's. The connection's buffer is bounded, for a chunked body by the header limit (8 KiB at least), which is counted when the body begins; what doesn't fit is rejected with 431.

Not done: a trailer's fields within the limit are still among the request's headers, as before.

--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -81,6 +81,10 @@
   /** A caller may send its body until then before it reads the refusal. */
   static constexpr duration kReadAfterRefusal = seconds(3);
   static constexpr std::size_t kDiscardBytes = 8 * 1024;
+  /** The most that is buffered and not parsed; the parser's own limit of a header comes first. */
+  static constexpr std::size_t kMaxUnparsedBytes = kLongestHeader + kFirstReadBytes;
+  /** What a field takes up beside its bytes, in the library's list and in the request's. */
+  static constexpr std::size_t kFieldBytes = 192;
   /** A caller sends its first request within this time after it connected. */
   static constexpr duration kFirstRequestTime = milliseconds(500);
   static constexpr bool kTls = !std::is_same_v<Stream, boost::beast::tcp_stream>;
@@ -104,6 +108,8 @@
   void OnHeader(error_type failed);
   /** Counts the request before its body is read; false if it doesn't fit. */
   bool ClaimRequest();
+  /** What the fields that were parsed take up beside their bytes. */
+  std::size_t FieldBytes() const;
   void RefuseUnread();
   void ReadBody();
   /** Reads the next part of a body without a known length. */
@@ -132,14 +138,14 @@
   /** Counts what is read and is to be read of a request that is not whole. */
   byte_claim reading_;
   byte_claim sending_;
-  /** What is counted for the header. */
+  /** What is counted for the header, and for what is not parsed of a chunked body. */
   std::size_t header_bytes_ = 0;
   /** Apart from the stream's timer, which can't be changed while a read is pending. */
   boost::asio::steady_timer idle_timer_;
   std::chrono::steady_clock::time_point idle_since_;
   /** Whether the first bytes of a request are waited for. */
   bool waiting_ = false;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::optional<parser> parser_;
   request_id request_;
   unsigned version_ = 11;
--- a/src/libtransport/http_stream_session_read.h
+++ b/src/libtransport/http_stream_session_read.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <boost/beast/http/error.hpp>
+#include <iterator>
 #include <utility>
 
 #include "http_stream_session.h"
@@ -18,6 +19,7 @@
   if (const auto owner = owner_.lock()) limits_ = owner->limits();
   parser_->header_limit(std::min(limits_.header_bytes, kLongestHeader));
   parser_->body_limit(limits_.body_bytes);
+  buffer_.max_size(kMaxUnparsedBytes);
   if (buffer_.size() == 0) return WaitForRequest();
   SetTimeout(limits_.header_timeout);
   ParseHeader();
@@ -52,14 +54,27 @@
 
 template <typename Stream>
 bool http_stream_session<Stream>::ClaimRequest() {
-  const auto length = parser_->content_length();
-  const std::uint64_t bytes = header_bytes_ + (length ? *length : 0);
-  if (bytes > kFirstReadBytes) return reading_.TryGrow(bytes);
-  // No more than an idle connection has; the handler decides on it.
-  reading_.Set(bytes);
+  const std::uint64_t length = parser_->content_length().value_or(0);
+  const bool is_first_read = header_bytes_ == kFirstReadBytes && length == 0;
+  if (parser_->chunked()) {
+    // Bounds the header of a chunk and the trailer, for which the parser has no limit.
+    const std::size_t header = std::min(limits_.header_bytes, kLongestHeader);
+    buffer_.max_size(std::max({header, buffer_.size(), kDiscardBytes}));
+    header_bytes_ = std::max(header_bytes_, buffer_.max_size());
+  }
+  header_bytes_ += FieldBytes();
+  if (!is_first_read) return reading_.TryGrow(header_bytes_ + length);
+  // Read already; the handler decides on it, or the body's chunks.
+  reading_.Set(header_bytes_);
   return true;
 }
 
+template <typename Stream>
+std::size_t http_stream_session<Stream>::FieldBytes() const {
+  const auto& fields = parser_->get().base();
+  return kFieldBytes * static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+}
+
 template <typename Stream>
 void http_stream_session<Stream>::RefuseUnread() {
   const auto owner = owner_.lock();
@@ -112,6 +127,8 @@
   if (!owner) return Close();
   keep_alive_ = parser_->get().keep_alive();
   boost::beast::get_lowest_layer(stream_).expires_never();
+  // The trailer's fields have come since the header was counted.
+  if (parser_->chunked()) header_bytes_ += FieldBytes();
   http_request request = ToRequest(parser_->release());
   reading_.Set(header_bytes_ + request.body.capacity());
   request.held = std::exchange(reading_, byte_claim{budget_});
@@ -125,6 +142,9 @@
   namespace http = boost::beast::http;
   if (failed == http::error::header_limit) return Reject(431, "the header is too large");
   if (failed == http::error::body_limit) return Reject(413, "the body is too large");
+  if (failed == http::error::buffer_overflow) {
+    return Reject(431, "the header of a chunk or the trailer is too large");
+  }
   if (failed == http::error::partial_message || failed == http::error::end_of_stream) {
     return Close();
   }
