Let the handler decide on whole requests within the first read

Their connection refused those with a body while seven eighths of the budget were taken, since a declared length counted beyond the first read, though all of it had arrived. Uploads that stall could so keep small requests with bodies out, which the handler would still have taken.

UnreadRequestsTest.AWholeRequestWithinTheFirstReadIsNotRefused failed on the code before: of a GET and a POST of 9 bytes, both whole within the first read, 1 of 2 reached the handler.

--- a/src/libtransport/http_stream_session_read.h
+++ b/src/libtransport/http_stream_session_read.h
@@ -55,7 +55,7 @@
 template <typename Stream>
 bool http_stream_session<Stream>::ClaimRequest() {
   const std::uint64_t length = parser_->content_length().value_or(0);
-  const bool is_first_read = header_bytes_ == kFirstReadBytes && length == 0;
+  const bool is_first_read = header_bytes_ == kFirstReadBytes && length <= buffer_.size();
   if (parser_->chunked()) {
     // Bounds the header of a chunk and the trailer, for which the parser has no limit.
     const std::size_t header = std::min(limits_.header_bytes, kLongestHeader);
@@ -65,7 +65,7 @@
   header_bytes_ += FieldBytes();
   if (!is_first_read) return reading_.TryGrow(header_bytes_ + length);
   // Read already; the handler decides on it, or the body's chunks.
-  reading_.Set(header_bytes_);
+  reading_.Set(header_bytes_ + length);
   return true;
 }
 
--- a/tests/http/unread_requests.cpp
+++ b/tests/http/unread_requests.cpp
@@ -134,6 +134,33 @@
   EXPECT_EQ(handler.refused, std::vector<std::uint64_t>{kLimit});
 }
 
+// Guards against a refused body, or what follows it, that is taken for requests.
+TEST_F(UnreadRequestsTest, NothingBehindARefusedHeaderIsTakenForARequest) {
+  const std::string further = "POST /further HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+  std::string body;
+  while (body.size() < kLimit) body += further;
+  for (const std::string& sent : {Post(body.size()) + body + further, Post(kLimit) + further}) {
+    tcp::socket socket = Send(sent.substr(0, 60'000));
+    const std::string answer = ReadAll(socket);
+    EXPECT_EQ(answer.rfind("HTTP/1.1 503", 0), 0u) << answer;
+    EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << "one answer: " << answer;
+  }
+  EXPECT_TRUE(handler.requests.empty());
+  EXPECT_EQ(handler.refused.size(), 2u);
+}
+
+// Guards against small requests that have arrived and are refused for the room that others take.
+TEST_F(UnreadRequestsTest, AWholeRequestWithinTheFirstReadIsNotRefused) {
+  budget->Add(kLimit - kLimit / 16);
+  std::vector<tcp::socket> callers;
+  callers.push_back(Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+  ASSERT_TRUE(RunUntil([&] { return handler.requests.size() + handler.refused.size() == 1; }));
+  callers.push_back(Send(Post(9) + "all of it"));
+  ASSERT_TRUE(RunUntil([&] { return handler.requests.size() + handler.refused.size() == 2; }));
+  EXPECT_EQ(handler.requests.size(), 2u);
+  budget->Remove(kLimit - kLimit / 16);
+}
+
 TEST_F(UnreadRequestsTest, HeadersThatStallCountToo) {
   constexpr std::size_t kStalled = 100;
   std::vector<tcp::socket> stalled;
