Handle signals that come while hawthorndrumd starts

What was seen and cause: as in the gateway, SIGTERM, SIGINT and SIGHUP ended the process by their default action until the ports were open. The same change: held back first in main, released once the handlers are in place. Errors of the start and of the settings are written with a bound as well.

Evidence: AStopOfHawthorndrumdIsOrderlyAndLogged sends the signal while the settings, a named pipe, are read. On the code before it ended by the signal (-15 and -2); now it logs the stop and ends with code 0, 2 of 2.

--- a/src/hawthorndrumd/main.cpp
+++ b/src/hawthorndrumd/main.cpp
@@ -5,15 +5,16 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdint>
-#include <cstdio>
 #include <limits>
 #include <optional>
 #include <string>
 
+#include "bounded_output.h"
 #include "daemon.h"
 #include "daemon_command_line.h"
 #include "log_setup.h"
 #include "open_files.h"
+#include "process_signals.h"
 #include "systems/settings_reader.h"
 
 namespace hawthorndrum {
@@ -39,7 +40,7 @@
   findings found;
   daemon_settings settings = ReadSettings(file, *text, found);
   if (found.empty()) return settings;
-  std::fputs(found.ToText().c_str(), stderr);
+  PrintError(found.ToText());
   return std::nullopt;
 }
 
@@ -63,14 +64,17 @@
   RaiseOpenFiles(std::numeric_limits<std::uint32_t>::max());
   boost::asio::io_context io(1);
   daemon instance(io, settings);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+  WaitForSignals(signals, instance);
   const auto started = instance.Start();
   if (!started) {
-    std::fprintf(stderr, "hawthorndrumd: %s\n", started.error().message.c_str());
+    PrintError(std::string(kProgram) + ": " + started.error().message + "\n");
     return 1;
   }
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
-  WaitForSignals(signals, instance);
+  ReleaseSignals();
   io.run();
+  // The handlers go before the process does.
+  HoldSignals();
   return 0;
 }
 
@@ -87,4 +91,7 @@
 }  // namespace
 }  // namespace hawthorndrum
 
-int main(int argc, char** argv) { return hawthorndrum::Run(argc, argv); }
+int main(int argc, char** argv) {
+  hawthorndrum::HoldSignals();
+  return hawthorndrum::Run(argc, argv);
+}
--- a/tests/starting/gateway_process.cpp
+++ b/tests/starting/gateway_process.cpp
@@ -16,6 +16,7 @@
 #include <iterator>
 #include <sstream>
 #include <thread>
+#include <utility>
 #include <vector>
 
 extern char** environ;
@@ -33,7 +34,7 @@
   return true;
 }
 
-gateway_process::gateway_process() {
+gateway_process::gateway_process(std::string program) : program_("build/" + std::move(program)) {
   std::string pattern = (std::filesystem::temp_directory_path() / "starting-XXXXXX").string();
   folder_ = mkdtemp(pattern.data());
   settings_ = folder_ + "/settings.yaml";
@@ -69,8 +70,7 @@
 
 void gateway_process::Start(int out) {
   const std::string log = folder_ + "/log";
-  const std::string program = "build/hawthorndrum-gateway";
-  std::string words[] = {program, "--settings", settings_};
+  std::string words[] = {program_, "--settings", settings_};
   char* arguments[] = {words[0].data(), words[1].data(), words[2].data(), nullptr};
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
@@ -80,7 +80,7 @@
     posix_spawn_file_actions_adddup2(&actions, out, 1);
   }
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
-  if (posix_spawn(&pid_, program.c_str(), &actions, nullptr, arguments, environ) != 0) pid_ = -1;
+  if (posix_spawn(&pid_, program_.c_str(), &actions, nullptr, arguments, environ) != 0) pid_ = -1;
   posix_spawn_file_actions_destroy(&actions);
 }
 
--- a/tests/starting/gateway_process.h
+++ b/tests/starting/gateway_process.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace hawthorndrum {
 
@@ -17,13 +18,17 @@
 /** The destructor kills the process and removes its folder. */
 class gateway_process {
  public:
-  gateway_process();
+  explicit gateway_process(std::string program = "hawthorndrum-gateway");
   ~gateway_process();
   gateway_process(const gateway_process&) = delete;
   gateway_process& operator=(const gateway_process&) = delete;
 
   /** Writes the settings as the file; `changes` replace or add keys. */
   void WriteSettings(const std::map<std::string, std::string>& changes = {});
+  /** Replaces all keys, for a program with other settings. */
+  void UseSettings(std::map<std::string, std::string> values) { values_ = std::move(values); }
+  /** An `ip:port` that was free. */
+  const std::string& FreeAddress(const std::string& key) const { return values_.at(key); }
   /** Starts the program; its output goes to `out`, else to the log. */
   void Start(int out = -1);
   void Signal(int signal) const;
@@ -42,6 +47,7 @@
   const std::string& settings() const { return settings_; }
 
  private:
+  std::string program_;
   std::string folder_;
   std::string settings_;
   std::map<std::string, std::string> values_;
--- a/tests/starting/test_starting.cpp
+++ b/tests/starting/test_starting.cpp
@@ -18,7 +18,7 @@
 class StartingSignalsTest : public testing::Test {
  protected:
   /** Sends the signal while the process waits, then writes the settings. */
-  void StartAndSignal(int signal) {
+  static void StartAndSignal(gateway_process& gateway, int signal) {
     gateway.WriteSettings();
     std::ifstream file(gateway.settings());
     const std::string text{std::istreambuf_iterator<char>(file), {}};
@@ -45,7 +45,7 @@
 
 // Guards against a start that SIGHUP ends, or that forgets it.
 TEST_F(StartingSignalsTest, HangupIsHandledOnceItServes) {
-  StartAndSignal(SIGHUP);
+  StartAndSignal(gateway, SIGHUP);
   EXPECT_TRUE(WaitFor([&] { return gateway.serves() || !gateway.running(); }));
   EXPECT_TRUE(WaitFor([&] { return gateway.logged("reloaded") || !gateway.running(); }));
   gateway.Signal(SIGTERM);
@@ -55,11 +55,28 @@
 
 // Guards against a start that the signal ends at once.
 TEST_P(StartingStopsTest, AStopIsOrderlyAndLogged) {
-  StartAndSignal(GetParam());
+  StartAndSignal(gateway, GetParam());
   EXPECT_EQ(gateway.Wait(), 0) << gateway.log();
   EXPECT_TRUE(gateway.logged("stopping") && gateway.logged("stopped")) << gateway.log();
 }
 
+TEST_P(StartingStopsTest, AStopOfHawthorndrumdIsOrderlyAndLogged) {
+  gateway_process daemon("hawthorndrumd");
+  daemon.UseSettings({{"data_centre", "north"},
+                      {"region", "midlands"},
+                      {"callers", daemon.FreeAddress("callers")},
+                      {"peers", daemon.FreeAddress("notices")},
+                      {"admin", daemon.FreeAddress("readiness")},
+                      {"object_api", "127.0.0.1:9"},
+                      {"host_list", "127.0.0.1:9"},
+                      {"admin_token", "starting-admin-token"},
+                      {"peer_key", "starting-peer-key-12345"},
+                      {"stop_grace", "200ms"}});
+  StartAndSignal(daemon, GetParam());
+  EXPECT_EQ(daemon.Wait(), 0) << daemon.log();
+  EXPECT_NE(daemon.log().find("stopping: "), std::string::npos) << daemon.log();
+}
+
 INSTANTIATE_TEST_SUITE_P(Signals, StartingStopsTest, testing::Values(SIGTERM, SIGINT));
 
 // Guards against an end by the default action once the handlers are gone.
