Make two dereferences in the client and the placement impossible

buffered_calls took the entry of a call that need not be open, and created one without a handler for a report on such a call; engine_placement used the second sample of decode engines without a check, which has none where every cost is beyond all numbers. No input is known that reaches either.

Take now returns an empty entry if no call of that id is open, reports on it are ignored, and placement falls back to the engine of the first sample.

On the code before, AReportOnACallThatIsNotOpenIsIgnored fails with an exception from the missing handler, before it reaches the iterator.

--- a/src/libhawthorndrum/gateway/engine_placement.cpp
+++ b/src/libhawthorndrum/gateway/engine_placement.cpp
@@ -280,10 +280,11 @@
     there.place.expected = BoundedMilliseconds(there.ExpectedMs());
     return there;
   }
-  option best = RunThere(
-      *SampleDecodeEngine(among, crossing_.own_data_centre(),
-                          [&](const candidate& each) { return RunThere(each, query).CostMs(); }),
-      query);
+  const candidate* runs_all =
+      SampleDecodeEngine(among, crossing_.own_data_centre(),
+                         [&](const candidate& each) { return RunThere(each, query).CostMs(); });
+  // None is found where each cost is beyond all numbers.
+  option best = RunThere(runs_all == nullptr ? *decode_engine : *runs_all, query);
   for (const candidate* each : among) {
     const bool holds_most = 2 * each->unread < query.asked->tokens();
     if (each->row->entry.stage == engine_stage::kPrefill || !holds_most) continue;
--- a/src/libtransport/buffered_calls.cpp
+++ b/src/libtransport/buffered_calls.cpp
@@ -14,32 +14,33 @@
 }
 
 void buffered_calls::OnHead(http_call_id id, int status, std::vector<http_header> headers) {
-  http_answer& answer = calls_[id].collected.answer;
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  http_answer& answer = found->second.collected.answer;
   answer.status = status;
   answer.headers = std::move(headers);
 }
 
 void buffered_calls::OnBody(http_call_id id, std::string bytes) {
-  calls_[id].collected.answer.body += bytes;
+  const auto found = calls_.find(id);
+  if (found != calls_.end()) found->second.collected.answer.body += bytes;
 }
 
 void buffered_calls::OnFinished(http_call_id id) {
   open_call ended = Take(id);
   ended.collected.received = true;
-  ended.done(std::move(ended.collected));
+  if (ended.done) ended.done(std::move(ended.collected));
 }
 
 void buffered_calls::OnLost(http_call_id id, attempt_failure, bool bytes_sent) {
   open_call ended = Take(id);
   ended.collected.bytes_sent = bytes_sent;
-  ended.done(std::move(ended.collected));
+  if (ended.done) ended.done(std::move(ended.collected));
 }
 
 buffered_calls::open_call buffered_calls::Take(http_call_id id) {
-  const auto found = calls_.find(id);
-  open_call taken = std::move(found->second);
-  calls_.erase(found);
-  return taken;
+  auto taken = calls_.extract(id);
+  return taken ? std::move(taken.mapped()) : open_call();
 }
 
 }  // namespace hawthorndrum
--- a/src/libtransport/buffered_calls.h
+++ b/src/libtransport/buffered_calls.h
@@ -40,6 +40,7 @@
     buffered_answer collected;
   };
 
+  /** Removes the call; it has no handler if none of that id is open. */
   open_call Take(http_call_id id);
 
   http_client& client_;
--- a/tests/http/exchanges.cpp
+++ b/tests/http/exchanges.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "buffered_calls.h"
 #include "http_call_listener.h"
 #include "http_client.h"
 
@@ -264,6 +265,22 @@
   ReadUntil(fresh, "POST /x");
 }
 
+// Guards against a report on a call that is not open, which read past the end of the open ones.
+TEST_F(ExchangeTest, AReportOnACallThatIsNotOpenIsIgnored) {
+  buffered_calls calls(client);
+  const http_call_id closed(99);
+  calls.OnHead(closed, 200, {});
+  calls.OnBody(closed, "body");
+  calls.OnFinished(closed);
+  calls.OnLost(closed, attempt_failure::kTimeout, true);
+  std::optional<buffered_answer> ended;
+  calls.Start(Call("1"), [&](buffered_answer answer) { ended = std::move(answer); });
+  tcp::socket upstream = Accept();
+  upstream.close();
+  ASSERT_TRUE(RunUntil([&] { return ended.has_value(); }));
+  EXPECT_FALSE(ended->received);
+}
+
 TEST_F(ExchangeTest, AProbesConnectionIsKeptForTheNextCall) {
   std::optional<bool> connected;
   http_call call = Call("1");
