Serve without metrics while their address is held

What was seen: a gateway whose metrics address is held by another program does not start. The address is fixed in the deploy file's template and lies outside the ports that a machine keeps free, so several gateways on one machine, or an exporter that has the port, keep all but one from starting.

Cause: the ports that serve and the one for metrics were all required.

Metrics are now served as soon as their address is free; the line metrics_unavailable says that they are not.

--- a/src/gatewayd/gateway_daemon.cpp
+++ b/src/gatewayd/gateway_daemon.cpp
@@ -181,7 +181,6 @@
         },
         [&server] { return server.Listen(); });
   };
-  if (!settings_.metrics_address.empty()) add(metrics_server_, settings_.metrics_address);
   add(ready_server_, settings_.readiness_address);
   add(relay_server_, settings_.notices_address);
   ports_.Add([this] { return notices_.Open(settings_.notices_address); }, nullptr);
@@ -213,8 +212,18 @@
   });
 }
 
+void gateway_daemon::OpenMetrics() {
+  if (metrics_open_ || settings_.metrics_address.empty()) return;
+  const auto port = metrics_server_.Listen(settings_.metrics_address);
+  metrics_open_ = port.has_value();
+  if (metrics_open_ || std::exchange(lacks_metrics_, true)) return;
+  log_.Write(log_importance::kImportant,
+             log_record("metrics_unavailable").Text("why", port.error().message));
+}
+
 void gateway_daemon::OnPortsOpen() {
   started_ = true;
+  OpenMetrics();
   ticks_.Start();
   log_.Write(log_importance::kImportant, log_record("started")
                                              .Text("version", HAWTHORNDRUM_VERSION)
@@ -282,6 +291,7 @@
   log_.Run(now);
   if (now - swept_at_ < kSweepPeriod) return;
   swept_at_ = now;
+  OpenMetrics();
   client_.Sweep();
   memory_.Observe({ResidentBytes(), gateway_.held_bytes(),
                    caller_server_.connections() + relay_server_.connections(),
--- a/src/gatewayd/gateway_daemon.h
+++ b/src/gatewayd/gateway_daemon.h
@@ -96,6 +96,8 @@
   expected<void> OpenPorts();
   void WaitForAddresses();
   void OnPortsOpen();
+  /** Serves metrics as soon as their address is free; nothing else depends on it. */
+  void OpenMetrics();
   http_answer ReadyPage() const;
   void ApplyLimits();
   void FollowDaemons(time_point now);
@@ -142,6 +144,8 @@
   boost::asio::steady_timer start_timer_;
   std::optional<error> start_error_;
   bool started_ = false;
+  bool metrics_open_ = false;
+  bool lacks_metrics_ = false;
   boost::asio::steady_timer stop_timer_;
   bool stopping_ = false;
   bool ended_all_ = false;
