Send TRACE with a body, and refuse trailers that the library cannot hold

Two requests from outside ended the process with SIGABRT, and all that was in flight was lost: - TRACE with a body, on any route that is allowed: the library throws at it when it prepares the message for an upstream. - a chunked body whose trailer has a field of 65,534 bytes or more: the library throws at the field while it reads, before any route is looked up, so any caller could do it. The limit on headers doesn't hold for trailers.

Nothing caught these exceptions. TRACE is now sent as it came, with its length. The buffer of a caller's connection is bounded by the longest header that the library holds, so a trailer's field can't be longer: 431.

--- a/src/libtransport/http_stream_session.h
+++ b/src/libtransport/http_stream_session.h
@@ -82,7 +82,7 @@
   static constexpr duration kReadAfterRefusal = seconds(3);
   static constexpr std::size_t kDiscardBytes = 8 * 1024;
   /** The most that is buffered and not parsed; the parser's own limit of a header comes first. */
-  static constexpr std::size_t kMaxUnparsedBytes = kLongestHeader + kFirstReadBytes;
+  static constexpr std::size_t kMaxUnparsedBytes = kLongestHeader;
   /** What a field takes up beside its bytes, in the library's list and in the request's. */
   static constexpr std::size_t kFieldBytes = 192;
   /** A caller sends its first request within this time after it connected. */
--- a/src/libtransport/http_wire.cpp
+++ b/src/libtransport/http_wire.cpp
@@ -93,7 +93,12 @@
     message.set(http::field::host, boost::beast::string_view(address.data(), address.size()));
   }
   message.body() = std::move(request.body);
-  message.prepare_payload();
+  // The library throws at a body of TRACE.
+  if (message.method() == http::verb::trace && !message.body().empty()) {
+    message.content_length(message.body().size());
+  } else {
+    message.prepare_payload();
+  }
   return message;
 }
 
--- a/tests/http/many_fields.cpp
+++ b/tests/http/many_fields.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -131,6 +132,22 @@
   EXPECT_TRUE(handler.requests.empty());
 }
 
+// Guards against a caller that ends the process: the library throws at a longer field.
+TEST_F(ManyFieldsTest, ATrailerThatTheLibraryCannotHoldIsRefused) {
+  for (const std::uint32_t header_bytes : {1024u, 16 * 1024u, 256 * 1024u}) {
+    http_limits limits;
+    limits.header_bytes = header_bytes;
+    server.SetLimits(limits);
+    for (const std::size_t size : {std::size_t{60'000}, std::size_t{65'534}, std::size_t{70'000}}) {
+      std::vector<tcp::socket> sockets;
+      sockets.push_back(Connect());
+      const std::string bytes = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " +
+                                std::string(size, 'x') + "\r\n\r\n";
+      EXPECT_NO_THROW(MostUncounted(sockets, bytes, [&] { return IsQuiet(); }));
+    }
+  }
+}
+
 // Guards against a chunk extension without an end.
 TEST_F(ManyFieldsTest, AnEndlessChunkExtensionIsNotTaken) {
   std::vector<tcp::socket> sockets;
