Take names and ids that can't be sent in a header for malformed

Handles, ids of events and names of entries come from workers and the store, and are written into headers of requests (the handle also into a target). A line end in one added headers to requests to upstreams, and one beyond 65,533 bytes makes the HTTP library throw, by reading; that a process ends by it was not shown.

--- a/src/libhawthorndrum/gateway/event_splitter.cpp
+++ b/src/libhawthorndrum/gateway/event_splitter.cpp
@@ -7,6 +7,8 @@
 #include <cstdint>
 #include <optional>
 
+#include "base/sendable_value.h"
+
 namespace hawthorndrum {
 
 namespace {
@@ -92,6 +94,8 @@
 }
 
 event_fault event_splitter::ReadId(std::string_view id) {
+  // It is sent on in a header when the stream is resumed.
+  if (!IsSendableValue(id)) return event_fault::kNotAnEvent;
   const auto before = ReadNumber(last_id_);
   const auto number = ReadNumber(id);
   if (id == last_id_ || (before && number && *number <= *before)) return event_fault::kRepeated;
