--- a/tests/http/many_fields.cpp
+++ b/tests/http/many_fields.cpp
@@ -141,8 +141,9 @@
     for (const std::size_t size : {std::size_t{60'000}, std::size_t{65'534}, std::size_t{70'000}}) {
       std::vector<tcp::socket> sockets;
       sockets.push_back(Connect());
-      const std::string bytes = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " +
-                                std::string(size, 'x') + "\r\n\r\n";
+      const std::string bytes =
+          "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + std::string(size, 'x') +
+          "\r\n\r\n";
       EXPECT_NO_THROW(MostUncounted(sockets, bytes, [&] { return IsQuiet(); }));
     }
   }
