--- a/tests/message_versions/test_message_versions.cpp
+++ b/tests/message_versions/test_message_versions.cpp
@@ -38,7 +38,8 @@
     if (is_commit) versions.push_back(name);
   }
   std::sort(versions.begin(), versions.end());
-  EXPECT_FALSE(versions.empty());
+  EXPECT_EQ(std::count(versions.begin(), versions.end(), kBeforeTheFeed), 1);
+  EXPECT_GT(versions.size(), 1u);
   return versions;
 }
 
