--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -360,6 +360,55 @@
         return False
 
 
+class Proxy:
+    """Forwards connections to `target`. silence() makes the open ones silent for good, without a
+    reset, while new ones work."""
+
+    def __init__(self, target):
+        host, port = target.split(":")
+        self.target = (host, int(port))
+        self.links = []
+
+    async def start(self):
+        self.server, self.address = await serve(self.accept)
+
+    def silence(self):
+        for link in self.links:
+            link["silent"] = True
+        count = len(self.links)
+        self.links = []
+        return count
+
+    async def accept(self, reader, writer):
+        try:
+            other_reader, other_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            reset(writer)
+            return
+        link = {"silent": False}
+        self.links.append(link)
+        await asyncio.gather(self.copy(reader, other_writer, link),
+                             self.copy(other_reader, writer, link))
+        if link in self.links:
+            self.links.remove(link)
+
+    @staticmethod
+    async def copy(reader, writer, link):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if not data:
+                    break
+                if link["silent"]:
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        if not link["silent"]:
+            writer.close()
+
+
 class Answer:
     def __init__(self, status, headers, body):
         self.status, self.headers, self.body = status, headers, body
