--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -461,8 +462,13 @@
                        "header_timeout_ms": 5000, "idle_timeout_ms": 15000}}
 
 
+FOLDERS = []
+
+
 def temporary_folder():
-    return tempfile.mkdtemp(prefix="review-")
+    """Returns a folder for settings and logs; main() removes it unless KEEP_LOGS=1."""
+    FOLDERS.append(tempfile.mkdtemp(prefix="review-"))
+    return FOLDERS[-1]
 
 
 def trouble():
@@ -476,5 +482,8 @@
     except BaseException:
         traceback.print_exc()
         code = 2
+    for folder in FOLDERS:
+        if os.environ.get("KEEP_LOGS") != "1":
+            shutil.rmtree(folder, ignore_errors=True)
     sys.stdout.flush()
     os._exit(code)
