Encode names in request targets

Names of own records, of kept prompts and of the command line's items were put in the same way.

UrlTarget builds targets from segments and parameters and encodes each (Boost.URL). A part of a list that the store rejects for good ends the list, which begins again with its first part; store_call_rejected says which call was rejected and why, which no line did before. It works since an encoded name has no character that ends or divides a request line.

--- a/src/hawthorndrumctl/section_command.cpp
+++ b/src/hawthorndrumctl/section_command.cpp
@@ -5,6 +5,7 @@
 #include <ostream>
 
 #include "admin_client.h"
+#include "base/url.h"
 #include "json_text.h"
 
 namespace hawthorndrum {
@@ -40,8 +41,9 @@
                                 const std::vector<std::string>& operands, bool as_json,
                                 command_streams streams) const {
   if (operands.size() > 1) return Fail(streams, {error_code::kInvalid, "too many arguments"});
-  const std::string item = operands.empty() ? "" : "/" + operands.front();
-  return Print(client.Get("/admin/" + std::string(spec_.section) + item), as_json, streams);
+  // An item may consist of several segments, such as a claim's kind and name.
+  const std::string item = operands.empty() ? "" : "/" + EscapePath(operands.front());
+  return Print(client.Get(UrlTarget({"admin", spec_.section}) + item), as_json, streams);
 }
 
 exit_code section_command::Act(const admin_client& client, const section_verb& verb,
@@ -56,7 +58,7 @@
   for (std::size_t i = 0; i < operands.size(); ++i) {
     body[std::string(verb.fields[i])] = operands[i];
   }
-  const std::string path = "/admin/" + std::string(spec_.section) + "/" + std::string(verb.verb);
+  const std::string path = UrlTarget({"admin", spec_.section, verb.verb});
   return Print(client.Post(path, body), as_json, streams);
 }
 
--- a/src/hawthorndrumd/admin_endpoint.cpp
+++ b/src/hawthorndrumd/admin_endpoint.cpp
@@ -9,6 +9,7 @@
 #include "base/counter.h"
 #include "base/hash.h"
 #include "base/metrics_registry.h"
+#include "base/url.h"
 #include "ports/admin_section.h"
 #include "ports/caller_port.h"
 
@@ -101,8 +102,8 @@
 http_answer admin_endpoint::ServeSection(const http_request& message, std::string_view path) const {
   const std::size_t slash = path.find('/');
   const std::string_view name = path.substr(0, slash);
-  const std::string_view item =
-      slash == std::string_view::npos ? std::string_view() : path.substr(slash + 1);
+  const std::string item =
+      slash == std::string_view::npos ? std::string() : DecodeUrl(path.substr(slash + 1));
   const auto found = sections_.find(name);
   if (found == sections_.end()) return ProblemAnswer(404, "no such section");
   expected<json> result;
--- a/src/hawthorndrumd/http_lookup_port.cpp
+++ b/src/hawthorndrumd/http_lookup_port.cpp
@@ -51,7 +51,7 @@
   http_call call;
   call.address = worker->address;
   call.request.method = "GET";
-  call.request.target = question.lookup_path + "?key=" + EscapeUrl(question.key);
+  call.request.target = question.lookup_path + UrlTarget({}, {{"key", question.key}});
   call.total_timeout = kTimeout;
   calls_.Start(std::move(call),
                [this, request = question.request, target = &listener](buffered_answer ended) {
--- a/src/libhawthorndrum/base/url.cpp
+++ b/src/libhawthorndrum/base/url.cpp
@@ -1,31 +1,55 @@
-/// Escapes text for use in a URL.
+/// Builds and reads the targets of requests whose parts may have any characters.
 #include "base/url.h"
 
-#include <boost/algorithm/hex.hpp>
-#include <iterator>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
+#include <cctype>
+#include <charconv>
 
 namespace hawthorndrum {
 
 namespace {
 
-bool IsUnreserved(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
-         c == '_' || c == '.' || c == '~' || c == '/';
+namespace urls = boost::urls;
+
+std::string Escape(std::string_view text, const urls::grammar::lut_chars& kept) {
+  return urls::encode({text.data(), text.size()}, kept);
 }
 
 }  // namespace
 
-std::string EscapeUrl(std::string_view text) {
-  std::string escaped;
-  for (const char c : text) {
-    if (IsUnreserved(c)) {
-      escaped += c;
+std::string UrlTarget(std::initializer_list<std::string_view> segments,
+                      std::initializer_list<query_parameter> query) {
+  std::string target;
+  for (const std::string_view segment : segments)
+    target += "/" + Escape(segment, urls::unreserved_chars);
+  char separator = '?';
+  for (const query_parameter& each : query) {
+    target += separator + Escape(each.name, urls::unreserved_chars) + "=" +
+              Escape(each.value, urls::unreserved_chars);
+    separator = '&';
+  }
+  return target;
+}
+
+std::string EscapePath(std::string_view path) { return Escape(path, urls::unreserved_chars + '/'); }
+
+std::string DecodeUrl(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const bool is_encoded = text[i] == '%' && i + 2 < text.size() &&
+                            std::isxdigit(static_cast<unsigned char>(text[i + 1])) != 0 &&
+                            std::isxdigit(static_cast<unsigned char>(text[i + 2])) != 0;
+    if (!is_encoded) {
+      decoded += text[i];
       continue;
     }
-    escaped += '%';
-    boost::algorithm::hex(std::string(1, c), std::back_inserter(escaped));
+    unsigned value = 0;
+    std::from_chars(text.data() + i + 1, text.data() + i + 3, value, 16);
+    decoded += static_cast<char>(value);
+    i += 2;
   }
-  return escaped;
+  return decoded;
 }
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/gateway/object_watch.cpp
+++ b/src/libhawthorndrum/gateway/object_watch.cpp
@@ -32,6 +32,8 @@
       return "history_gone";
     case store_trouble::kRefused:
       return "refused";
+    case store_trouble::kRejected:
+      return "rejected";
     case store_trouble::kUnreadable:
       return "unreadable";
     case store_trouble::kNoAnswer:
@@ -172,8 +174,9 @@
                    .Text("trouble", NameOf(trouble))
                    .Number("revision", static_cast<std::int64_t>(revision_)));
   }
-  // A watch from the same revision would bring the same body; a list has the present objects only.
-  if (trouble == store_trouble::kUnreadable) StartList();
+  // The same call would fail again; a new list may be divided at other names, and has the present
+  // objects only.
+  if (trouble == store_trouble::kUnreadable || trouble == store_trouble::kRejected) StartList();
   const duration backoff =
       std::min<duration>(kInitialBackoff * (1 << std::min(failures_, 5)), kMaxBackoff);
   failures_ += 1;
--- a/src/libhawthorndrum/gateway/object_watch.h
+++ b/src/libhawthorndrum/gateway/object_watch.h
@@ -26,8 +26,10 @@
 enum class store_trouble {
   /** The store no longer has the changes after the watch's revision. */
   kHistoryGone,
-  /** The store answered with an error. */
+  /** The store answered with an error that may pass. */
   kRefused,
+  /** The store does not accept the call, and would not accept it again. */
+  kRejected,
   /** The store answered with a body that cannot be divided into objects. */
   kUnreadable,
   /** No complete answer was received. */
--- a/src/libtransport/object_api.cpp
+++ b/src/libtransport/object_api.cpp
@@ -59,7 +59,7 @@
 
 http_request ObjectApiRequest(const store_call& call) {
   http_request request;
-  const std::string object = "/v1/objects/" + EscapeUrl(call.key);
+  const std::string object = "/v1/objects/" + EscapePath(call.key);
   const std::string version = "\"" + std::to_string(call.expected.value()) + "\"";
   request.method = "GET";
   request.target = object;
@@ -81,12 +81,13 @@
       request.headers.push_back({"If-Match", version});
       return request;
     case store_operation::kList:
-      request.target = "/v1/list?prefix=" + EscapeUrl(call.key);
+      request.target = UrlTarget({"v1", "list"}, {{"prefix", call.key}});
       return request;
     case store_operation::kWatch:
-      request.target = "/v1/watch?prefix=" + EscapeUrl(call.key) +
-                       "&after=" + std::to_string(call.expected.value()) +
-                       "&timeout_ms=" + std::to_string(ToMilliseconds(call.timeout) / 2);
+      request.target = UrlTarget(
+          {"v1", "watch"}, {{"prefix", call.key},
+                            {"after", std::to_string(call.expected.value())},
+                            {"timeout_ms", std::to_string(ToMilliseconds(call.timeout) / 2)}});
       return request;
   }
   return request;
--- a/src/standin/query.cpp
+++ b/src/standin/query.cpp
@@ -1,28 +1,12 @@
 /// Parsing of the query part of a request target.
 #include "query.h"
 
+#include <algorithm>
 #include <charconv>
 
-namespace hawthorndrum {
-
-namespace {
-
-std::string Decode(std::string_view text) {
-  std::string decoded;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    unsigned value = 0;
-    if (text[i] == '%' && i + 2 < text.size() &&
-        std::from_chars(text.data() + i + 1, text.data() + i + 3, value, 16).ec == std::errc()) {
-      decoded += static_cast<char>(value);
-      i += 2;
-      continue;
-    }
-    decoded += text[i] == '+' ? ' ' : text[i];
-  }
-  return decoded;
-}
+#include "base/url.h"
 
-}  // namespace
+namespace hawthorndrum {
 
 std::string_view TargetPath(std::string_view target) { return target.substr(0, target.find('?')); }
 
@@ -35,7 +19,9 @@
     rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
     const std::size_t equals = pair.find('=');
     if (equals == std::string_view::npos || pair.substr(0, equals) != name) continue;
-    return Decode(pair.substr(equals + 1));
+    std::string value(pair.substr(equals + 1));
+    std::replace(value.begin(), value.end(), '+', ' ');
+    return DecodeUrl(value);
   }
   return {};
 }
--- /dev/null
+++ b/tests/platform/object_names.cpp
@@ -0,0 +1,175 @@
+/// Tests of objects of other writers, whose names may have any characters.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "base/url.h"
+#include "fake_clock.h"
+#include "fake_random_source.h"
+#include "gateway/daemon_directory.h"
+#include "gateway/object_watch.h"
+#include "http_client.h"
+#include "object_sink.h"
+#include "ports/event_sink.h"
+#include "query.h"
+#include "record_store.h"
+#include "recording_log.h"
+#include "scripted_store.h"
+#include "store_link.h"
+
+namespace hawthorndrum {
+namespace {
+
+using nlohmann::json;
+
+const std::vector<std::string> kNames = {"front-1",   "Brindley shelf 499",
+                                         "a&after=b", "a#b",
+                                         "50%",       "%41",
+                                         "a+b",       "a/b",
+                                         "a?b",       "a\r\nX: y",
+                                         "a\tb",      "l\xc3\xa4ger",
+                                         "..",        "\"a\\b\"",
+                                         "a;b=c,:@",  std::string("a\0b", 3)};
+
+http_answer ListOf(const std::vector<std::string>& names, bool has_more) {
+  json body = {{"items", json::array()}, {"has_more", has_more}, {"store_revision", 9}};
+  for (const std::string& name : names)
+    body["items"].push_back({{"metadata", {{"name", name}, {"rev", 7}}}, {"spec", json::object()}});
+  return {200, {}, body.dump()};
+}
+
+/** Returns whether the line is `METHOD TARGET VERSION`, with visible characters of ASCII only. */
+bool IsRequestLine(const std::string& line) {
+  const auto is_visible = [](unsigned char c) { return c >= ' ' && c < 0x7f; };
+  return std::count(line.begin(), line.end(), ' ') == 2 && line.find('#') == std::string::npos &&
+         std::all_of(line.begin(), line.end(), is_visible);
+}
+
+struct ignoring_sink : public object_sink {
+  void OnObject(const std::string&, const json&) override {}
+  void OnDeleted(const std::string&) override {}
+};
+
+struct ignoring_listener : public object_watch_listener {
+  void OnListBegins() override {}
+  void OnListComplete() override {}
+  void OnCurrent(bool) override {}
+  void OnStoreRecovered(duration) override {}
+};
+
+struct ignoring_events : public event_sink {
+  void Post(event) override {}
+};
+
+struct ignoring_store_listener : public store_listener {
+  void OnStoreAnswer(store_call_id, const store_answer&) override {}
+};
+
+/** Every list is divided behind the name; the rest of it is asked for with that name. */
+class ObjectNamesTest : public testing::TestWithParam<std::string> {
+ protected:
+  http_answer Answer(const std::string& target) {
+    if (target.find("watch=") != std::string::npos) return {503, {}, "{}"};
+    const std::string after = QueryValue(target, "after");
+    if (after.empty()) return ListOf({"a", GetParam()}, true);
+    return after == GetParam() ? ListOf({"z"}, false) : http_answer{400, {}, "{}"};
+  }
+  /** Returns the decoded last segment of the path of the last call with that method. */
+  std::string NameInLast(const std::string& method) const {
+    for (auto line = store.lines.rbegin(); line != store.lines.rend(); ++line) {
+      if (line->rfind(method + " ", 0) != 0) continue;
+      const std::string target =
+          line->substr(method.size() + 1, line->rfind(' ') - method.size() - 1);
+      return DecodeUrl(target.substr(target.rfind('/') + 1));
+    }
+    return "no call";
+  }
+
+  boost::asio::io_context io;
+  http_client client{io};
+  fake_clock clock;
+  fake_random_source random;
+  recording_log log;
+  scripted_store store{io, [this](const std::string& target) { return Answer(target); }};
+  store_link link{client, clock, log, store.address()};
+};
+
+// Guards against a name that ends or alters the request line, after which a list never completes.
+TEST_P(ObjectNamesTest, AListGoesOnBehindIt) {
+  ignoring_sink sink;
+  ignoring_listener listener;
+  object_watch watch("servers", link, listener, random, log);
+  link.Follow("servers", sink, watch);
+  watch.Run(clock.Now());
+  EXPECT_TRUE(store.RunUntil([&] { return watch.is_listed(); })) << store.lines.back();
+  EXPECT_TRUE(std::all_of(store.lines.begin(), store.lines.end(), IsRequestLine));
+  EXPECT_EQ(log.LastOf("store_call_rejected"), "");
+}
+
+TEST_P(ObjectNamesTest, AListOfDaemonsGoesOnBehindIt) {
+  daemon_directory directory("own");
+  link.PublishRecord({"own", "10.0.0.1:7380", "north"}, directory);
+  link.Run(clock.Now());
+  EXPECT_TRUE(store.RunUntil([&] { return directory.read_at().has_value(); }))
+      << store.lines.back();
+}
+
+TEST_P(ObjectNamesTest, ARecordIsWrittenAndRemovedUnderIt) {
+  daemon_directory directory(GetParam());
+  link.PublishRecord({GetParam(), "10.0.0.1:7380", "north"}, directory);
+  link.RemoveRecord();
+  ASSERT_TRUE(store.RunUntil([&] { return !store.lines.empty(); }));
+  EXPECT_EQ(NameInLast("DELETE"), GetParam());
+  ignoring_events events;
+  record_store records(client, events, store.address());
+  for (const store_operation operation : {store_operation::kGet, store_operation::kUpdate}) {
+    store.lines.clear();
+    store_call call;
+    call.operation = operation;
+    call.key = "leases/" + GetParam();
+    call.timeout = seconds(5);
+    ignoring_store_listener listener;
+    records.Submit(call, listener);
+    ASSERT_TRUE(store.RunUntil([&] { return !store.lines.empty(); }));
+    EXPECT_EQ(NameInLast(operation == store_operation::kGet ? "GET" : "PUT"), GetParam());
+    EXPECT_TRUE(IsRequestLine(store.lines.back())) << store.lines.back();
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Names, ObjectNamesTest, testing::ValuesIn(kNames));
+
+// Guards against a list that asks for the same refused part for ever, without a word in the log.
+TEST(RejectedLists, AListWhosePartIsRejectedIsReportedAndBegunAgain) {
+  boost::asio::io_context io;
+  http_client client(io);
+  fake_clock clock;
+  fake_random_source random;
+  recording_log log;
+  bool is_sound = false;
+  scripted_store store(io, [&](const std::string& target) -> http_answer {
+    if (target.find("after=") == std::string::npos) return ListOf({"a", "b"}, !is_sound);
+    return {400, {}, "{}"};
+  });
+  store_link link(client, clock, log, store.address());
+  ignoring_sink sink;
+  ignoring_listener listener;
+  object_watch watch("servers", link, listener, random, log);
+  link.Follow("servers", sink, watch);
+  watch.Run(clock.Now());
+  ASSERT_TRUE(store.RunUntil([&] { return !log.LastOf("store_lost").empty(); }));
+  EXPECT_NE(log.LastOf("store_lost").find("rejected"), std::string::npos);
+  EXPECT_NE(log.LastOf("store_call_rejected").find("after=b"), std::string::npos);
+  is_sound = true;
+  EXPECT_TRUE(store.RunUntil([&] {
+    clock.Advance(milliseconds(100));
+    watch.Run(clock.Now());
+    return watch.is_listed();
+  }));
+}
+
+}  // namespace
+}  // namespace hawthorndrum
