Let no reset during an upload end an answer

The error of the write was ignored.

An answer that ends with its connection is now whole only once its request is written; the end waits for the write, and the call is lost if that fails. It works since a reset is then reported to one of the two.

--- a/src/libtransport/running_call.cpp
+++ b/src/libtransport/running_call.cpp
@@ -95,15 +95,22 @@
   if (call_.may_send && !call_.may_send()) return Fail(attempt_failure::kTimeout);
   bytes_sent_ = true;
   written_ = false;
+  write_failed_ = false;
   http::async_write(
       connection_->socket, *message_,
       [self = shared_from_this(), connection = connection_](beast::error_code failed, std::size_t) {
-        // A failed write is reported by the read, which may still return an answer.
-        if (!failed && connection == self->connection_) self->written_ = true;
+        if (connection == self->connection_) self->OnWritten(failed);
       });
   ReadHead();
 }
 
+void running_call::OnWritten(beast::error_code failed) {
+  written_ = !failed;
+  write_failed_ = !written_;
+  // The connection may still carry an answer, which the read returns.
+  if (!ended_ && std::exchange(end_waits_, false)) FinishByClose();
+}
+
 void running_call::ReadHead() {
   parser_.emplace();
   parser_->body_limit(call_.answer_bytes);
@@ -179,7 +186,7 @@
   if (ended_) return;
   if (failed) return FailWithError(failed);
   if (!parser_->is_done()) return ReadBody();
-  if (!discarding_) return Finish();
+  if (!discarding_) return parser_->need_eof() ? FinishByClose() : Finish();
   if (!parser_->get().keep_alive()) return Fail(attempt_failure::kConnectionLost);
   ReadHead();
 }
@@ -194,6 +201,12 @@
   if (discarded_bytes_ > kMaxDiscardedBytes) Fail(attempt_failure::kMalformed);
 }
 
+void running_call::FinishByClose() {
+  if (write_failed_) return Fail(attempt_failure::kConnectionLost);
+  if (written_) return Finish();
+  end_waits_ = true;
+}
+
 void running_call::Finish() {
   const auto self = shared_from_this();
   // A server that answered before the request was written may or may not read the rest of it, so
--- a/src/libtransport/running_call.h
+++ b/src/libtransport/running_call.h
@@ -34,6 +34,10 @@
  * One call on one connection at a time. The answer is read while the request is being written,
  * since a server may answer before it has read the whole request.
  *
+ * An answer without a length or chunks is whole only if its connection was closed and not reset.
+ * The system reports a reset to one call only: when that is a write, the next read sees an end. So
+ * such an answer is whole only once the request is written.
+ *
  * Invariant: after ended_ is set the listener is not called, except for the final OnFinished or
  * OnLost.
  */
@@ -51,6 +55,7 @@
   void Connect();
   void OnConnected(boost::system::error_code failed);
   void Send();
+  void OnWritten(boost::system::error_code failed);
   void ExpireAfter(duration time);
   void ReadHead();
   void OnHeadRead(boost::system::error_code failed);
@@ -59,6 +64,8 @@
   void ReadBody();
   void OnBodyRead(boost::system::error_code failed);
   void DeliverBody();
+  /** Ends the call with an answer that ends with its connection. */
+  void FinishByClose();
   void Finish();
   void Fail(attempt_failure failure);
   void FailWithError(boost::system::error_code failed);
@@ -78,7 +85,11 @@
   /** How often idle_timer_ was armed or cancelled. */
   std::uint64_t idle_timer_uses_ = 0;
   bool bytes_sent_ = false;
+  /** Whether the request is written, or writing it has failed. */
   bool written_ = false;
+  bool write_failed_ = false;
+  /** Whether the connection has ended an answer while the request was still being written. */
+  bool end_waits_ = false;
   /** Whether the body is not read, and whether a read waits for the end of that. */
   bool paused_ = false;
   bool read_waits_ = false;
