Take answers whose status is none for malformed

The command line took 000 for a success, and 103 for the final answer.

KindOf tells final, interim and other heads apart for both readers of answers. It works since the two classes of RFC 9110 are now named and all else is refused at the head.

--- a/src/hawthorndrumctl/http_client.cpp
+++ b/src/hawthorndrumctl/http_client.cpp
@@ -7,8 +7,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/beast/ssl.hpp>
+#include <optional>
 
 #include "base/quantity.h"
+#include "http_wire.h"
 
 namespace hawthorndrum {
 namespace {
@@ -20,6 +22,7 @@
 using boost::system::error_code;
 
 constexpr unsigned kHttpVersion = 11;
+constexpr int kMaxInterimAnswers = 16;
 constexpr std::uint64_t kMaxAnswerBytes = 64ULL * 1024 * 1024;
 
 expected<tcp::endpoint> ParseEndpoint(const std::string& address) {
@@ -62,9 +65,7 @@
 class http_call {
  public:
   http_call(const http_endpoint& endpoint, const http_request& request, duration timeout)
-      : endpoint_(endpoint), message_(ToBeast(request, endpoint.address)), timeout_(timeout) {
-    parser_.body_limit(kMaxAnswerBytes);
-  }
+      : endpoint_(endpoint), message_(ToBeast(request, endpoint.address)), timeout_(timeout) {}
 
   expected<http_answer> Run() {
     const expected<tcp::endpoint> target = ParseEndpoint(endpoint_.address);
@@ -116,10 +117,17 @@
     error_code problem =
         RunToCompletion([&](auto done) { http::async_write(stream, message_, std::move(done)); });
     if (problem) return NoAnswer(problem);
-    problem = RunToCompletion(
-        [&](auto done) { http::async_read(stream, buffer_, parser_, std::move(done)); });
-    if (problem) return NoAnswer(problem);
-    return FromBeast(parser_.release());
+    for (int interim = 0; interim <= kMaxInterimAnswers; ++interim) {
+      parser_.emplace();
+      parser_->body_limit(kMaxAnswerBytes);
+      problem = RunToCompletion(
+          [&](auto done) { http::async_read(stream, buffer_, *parser_, std::move(done)); });
+      if (problem) return NoAnswer(problem);
+      const head_kind kind = KindOf(parser_->get().result_int(), parser_->get());
+      if (kind == head_kind::kFinalAnswer) return FromBeast(parser_->release());
+      if (kind == head_kind::kNoAnswer) break;
+    }
+    return NoAnswer(http::error::bad_status);
   }
 
   tl::unexpected<error> NotSent(const error_code& problem) const {
@@ -137,7 +145,7 @@
   duration timeout_;
   asio::io_context context_;
   beast::flat_buffer buffer_;
-  http::response_parser<http::string_body> parser_;
+  std::optional<http::response_parser<http::string_body>> parser_;
 };
 
 }  // namespace
--- a/src/libtransport/http_wire.cpp
+++ b/src/libtransport/http_wire.cpp
@@ -57,6 +57,15 @@
 
 }  // namespace
 
+head_kind KindOf(unsigned status, const http::fields& fields) {
+  constexpr unsigned kSwitchingProtocols = 101;
+  if (status < 100 || status > 599 || status == kSwitchingProtocols) return head_kind::kNoAnswer;
+  if (status >= 200) return head_kind::kFinalAnswer;
+  const bool has_body =
+      fields.count(http::field::content_length) + fields.count(http::field::transfer_encoding) > 0;
+  return has_body ? head_kind::kNoAnswer : head_kind::kInterimAnswer;
+}
+
 std::vector<http_header> ToHeaders(const http::fields& fields) {
   std::vector<http_header> headers;
   http::token_list named(fields[http::field::connection]);
--- a/src/libtransport/http_wire.h
+++ b/src/libtransport/http_wire.h
@@ -24,6 +24,16 @@
 /** Converts a parsed request to the core's type. */
 http_request ToRequest(beast_request&& message);
 
+/** What the head of an answer begins. */
+enum class head_kind { kFinalAnswer, kInterimAnswer, kNoAnswer };
+
+/**
+ * Returns what a head begins that the library parsed, which takes any three digits for a status. An
+ * interim answer (100 to 199) has no body and is followed by another answer. 101 is no answer, as
+ * no request asks for another protocol.
+ */
+head_kind KindOf(unsigned status, const boost::beast::http::fields& fields);
+
 std::vector<http_header> ToHeaders(const boost::beast::http::fields& fields);
 
 /** How long an idle connection is kept, unless the server asks for less. */
--- a/src/libtransport/running_call.cpp
+++ b/src/libtransport/running_call.cpp
@@ -139,8 +139,9 @@
 void running_call::OnHeadRead(beast::error_code failed) {
   if (failed && RetryOnFreshConnection()) return;
   if (failed) return FailWithError(failed);
-  // An informational answer (100 to 199) precedes the final one.
-  const bool is_interim = parser_->get().result_int() < 200;
+  const head_kind kind = KindOf(parser_->get().result_int(), parser_->get());
+  if (kind == head_kind::kNoAnswer) return Fail(attempt_failure::kMalformed);
+  const bool is_interim = kind == head_kind::kInterimAnswer;
   discarding_ = !is_interim && IsForAnotherRequest();
   if ((is_interim || discarding_) && ++unrelated_answers_ > kMaxUnrelatedAnswers)
     return Fail(attempt_failure::kMalformed);
