Refuse answers with folded lines in their heads

Callers got a body that was not the worker's, with a changed seal, when a line of the worker's head began with a blank (MIXED): the library adds such a line to the value of the line before, so that a length in it was lost and the answer ended with its connection.

head_buffer looks at a head's bytes as the library takes them, and the client takes an answer with such a line for malformed. It works since no folded line gets past the one place where heads are read.

--- a/src/libtransport/connection_pool.h
+++ b/src/libtransport/connection_pool.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -13,6 +12,7 @@
 #include <utility>
 
 #include "base/units.h"
+#include "head_buffer.h"
 
 namespace hawthorndrum {
 
@@ -27,7 +27,7 @@
 
   explicit client_connection(const boost::asio::any_io_executor& executor) : socket(executor) {}
   boost::asio::ip::tcp::socket socket;
-  boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
+  head_buffer buffer{kMaxUnparsedBytes};
   bool used_before = false;
   /** Ids of the last requests answered on it, the latest at the end. */
   std::deque<std::string> answered;
--- a/src/libtransport/running_call.cpp
+++ b/src/libtransport/running_call.cpp
@@ -116,6 +116,7 @@
   parser_->body_limit(call_.answer_bytes);
   if (message_->method() == http::verb::head) parser_->skip(true);
   ExpireAfter(call_.idle_timeout);
+  connection_->buffer.BeginHead();
   http::async_read_header(
       connection_->socket, connection_->buffer, *parser_,
       [self = shared_from_this(), connection = connection_](beast::error_code failed, std::size_t) {
@@ -139,6 +140,7 @@
 void running_call::OnHeadRead(beast::error_code failed) {
   if (failed && RetryOnFreshConnection()) return;
   if (failed) return FailWithError(failed);
+  if (connection_->buffer.EndHead()) return Fail(attempt_failure::kMalformed);
   const head_kind kind = KindOf(parser_->get().result_int(), parser_->get());
   if (kind == head_kind::kNoAnswer) return Fail(attempt_failure::kMalformed);
   const bool is_interim = kind == head_kind::kInterimAnswer;
--- a/tests/http/odd_answers.cpp
+++ b/tests/http/odd_answers.cpp
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <string>
+#include <vector>
 
 #include "exchange_fixture.h"
 
@@ -60,5 +61,55 @@
   }
 }
 
+/** Lines that are no field of a head or trailer. */
+const std::vector<std::string> kOddLines = {
+    "Na me: x",    "Na\tme: x",   "Na\x01me: x",
+    "Na\x7fme: x", "N\xe4me: x",  "Na(me: x",
+    "Name : x",    "Name",        ": x",
+    " : x",        " Name: x",    std::string("Na\0me: x", 8),
+    "Name: a\x01", "Name: a\x7f", std::string("Name: a\0b", 9),
+    "Name: a\rb",  "Name: a\nb",  "Name: a\r\r\n"};
+
+// Guards against a line that is no field being passed on, or hiding where the body begins.
+TEST_F(OddAnswerTest, ALineThatIsNoFieldMakesTheAnswerMalformed) {
+  const std::string begin = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+  for (const std::string& line : kOddLines) {
+    for (const std::string& bytes :
+         {begin + line + "\r\nContent-Length: 4\r\n\r\nbody",
+          "HTTP/1.1 200 OK\r\n" + line + "\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+          "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + AnswerOf("200"),
+          begin + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + line + "\r\n\r\n"}) {
+      const answer_recorder& recorder = AnswerWith(bytes);
+      EXPECT_FALSE(recorder.finished) << bytes;
+      EXPECT_EQ(recorder.lost, attempt_failure::kMalformed) << bytes;
+    }
+  }
+}
+
+TEST_F(OddAnswerTest, AnAnswerWithTwoFramingsIsMalformed) {
+  for (const std::string framing :
+       {"Content-Length: 4\r\nContent-Length: 2\r\n", "Content-Length: 4, 2\r\n",
+        "Content-Length: +4\r\n", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n"}) {
+    const answer_recorder& recorder =
+        AnswerWith("HTTP/1.1 200 OK\r\nId: 1\r\n" + framing + "\r\n4\r\nbody\r\n0\r\n\r\n");
+    EXPECT_EQ(recorder.lost, attempt_failure::kMalformed) << framing;
+  }
+}
+
+// A trailer can't change how its answer was framed, nor become one of its header fields.
+TEST_F(OddAnswerTest, ATrailerIsNoPartOfTheHead) {
+  for (const std::string trailer : {"Content-Length: 2", "Transfer-Encoding: chunked", "Id: 2",
+                                    "Connection: close", "Status: 500"}) {
+    const answer_recorder& recorder = AnswerWith(
+        "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "4\r\nbody\r\n0\r\n" +
+        trailer + "\r\n\r\n");
+    EXPECT_TRUE(!recorder.finished || recorder.body == "body") << trailer;
+    EXPECT_EQ(recorder.headers.size(), 1u) << trailer;
+  }
+}
+
 }  // namespace
 }  // namespace hawthorndrum
