Refuse answers in unknown transfer codings

Requests with such codings were refused already.

KindOf takes these answers for none, in both readers of answers. It works since the only coding that is left is the one that the library decodes.

OddAnswerTest.AnAnswerInAnUnknownTransferCodingIsMalformed failed before for each of its six codings and passes now.

--- a/src/libtransport/http_wire.cpp
+++ b/src/libtransport/http_wire.cpp
@@ -57,9 +57,16 @@
 
 }  // namespace
 
+bool HasKnownCoding(const http::fields& fields) {
+  const auto count = fields.count(http::field::transfer_encoding);
+  return count == 0 ||
+         (count == 1 && boost::beast::iequals(fields[http::field::transfer_encoding], "chunked"));
+}
+
 head_kind KindOf(unsigned status, const http::fields& fields) {
   constexpr unsigned kSwitchingProtocols = 101;
   if (status < 100 || status > 599 || status == kSwitchingProtocols) return head_kind::kNoAnswer;
+  if (!HasKnownCoding(fields)) return head_kind::kNoAnswer;
   if (status >= 200) return head_kind::kFinalAnswer;
   const bool has_body =
       fields.count(http::field::content_length) + fields.count(http::field::transfer_encoding) > 0;
@@ -77,12 +84,6 @@
   return headers;
 }
 
-bool HasKnownCoding(const http::fields& fields) {
-  const auto count = fields.count(http::field::transfer_encoding);
-  return count == 0 ||
-         (count == 1 && boost::beast::iequals(fields[http::field::transfer_encoding], "chunked"));
-}
-
 http_request ToRequest(beast_request&& message) {
   http_request request;
   request.method = std::string(message.method_string());
--- a/src/libtransport/http_wire.h
+++ b/src/libtransport/http_wire.h
@@ -16,8 +16,9 @@
 using beast_request = boost::beast::http::request<boost::beast::http::string_body>;
 
 /**
- * Returns whether the body ends where its length or its chunks say. With other transfer codings it
- * cannot be told from the next request.
+ * Returns whether the message has no transfer coding but chunks, which the library decodes. With
+ * another one, the end of a request can't be told from the next, and an answer's body is not
+ * decoded.
  */
 bool HasKnownCoding(const boost::beast::http::fields& fields);
 
@@ -30,7 +31,8 @@
 /**
  * Returns what a head begins that the library parsed, which takes any three digits for a status. An
  * interim answer (100 to 199) has no body and is followed by another answer. 101 is no answer, as
- * no request asks for another protocol.
+ * no request asks for another protocol; nor is one whose body has an unknown transfer coding, whose
+ * name would not be passed on.
  */
 head_kind KindOf(unsigned status, const boost::beast::http::fields& fields);
 
--- a/tests/http/odd_answers.cpp
+++ b/tests/http/odd_answers.cpp
@@ -98,6 +98,19 @@
   }
 }
 
+// Guards against a body that is passed on as it was coded, without the name of its coding.
+TEST_F(OddAnswerTest, AnAnswerInAnUnknownTransferCodingIsMalformed) {
+  for (const std::string coding : {"x", "gzip", "chunked, x", "gzip, chunked", "chunkedx", ""}) {
+    const answer_recorder& recorder =
+        AnswerWith("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: " + coding +
+                   "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    EXPECT_EQ(recorder.lost, attempt_failure::kMalformed) << coding;
+  }
+  EXPECT_TRUE(AnswerWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"
+                         "4\r\nbody\r\n0\r\n\r\n")
+                  .finished);
+}
+
 // A trailer can't change how its answer was framed, nor become one of its header fields.
 TEST_F(OddAnswerTest, ATrailerIsNoPartOfTheHead) {
   for (const std::string trailer : {"Content-Length: 2", "Transfer-Encoding: chunked", "Id: 2",
