Bound the answers that are buffered at once by equal shares

While the process holds more than its limit, no answer may now have more than an equal share of it, and incomplete events count. It works since what is held then is the limit and one read at most, and the answers that are cut off are those above the share.

EndlessBodiesTest: 300 answers held 300 MiB and 200 streams 200 MiB of a limit of 64 MiB before, 65 at most now, and an answer of 100 kB is delivered beside them.

--- a/src/libhawthorndrum/flow/flow_control.cpp
+++ b/src/libhawthorndrum/flow/flow_control.cpp
@@ -43,6 +43,11 @@
   return budget_->MaySend(request.held.bytes(), request.body.size());
 }
 
+bool flow_control::MayBuffer(std::size_t answer_bytes) const {
+  if (MayTake(0)) return true;
+  return answer_bytes <= limits_.total / std::max<std::size_t>(1, answers_.size());
+}
+
 bool flow_control::IsPaused(bool paused_before, std::size_t unsent_bytes) const {
   const bool is_short = held() > limits_.total / 2;
   const std::size_t most = is_short ? limits_.pause_above_when_short : limits_.pause_above;
--- a/src/libhawthorndrum/flow/flow_control.h
+++ b/src/libhawthorndrum/flow/flow_control.h
@@ -35,6 +35,11 @@
   bool MayTake(const http_request& request) const;
   /** Returns whether a request may be taken whose body, of this size, is not counted yet. */
   bool MayTake(std::size_t body_bytes) const { return budget_->MaySend(0, body_bytes); }
+  /**
+   * Returns whether that much of one answer may be buffered. While all parts of the process hold
+   * more than the limit, no answer may have more than an equal share of it.
+   */
+  bool MayBuffer(std::size_t answer_bytes) const;
   /** Returns whether the upstream is to be paused, given the answer's unsent bytes. */
   bool IsPaused(bool paused_before, std::size_t unsent_bytes) const;
 
--- a/src/libhawthorndrum/gateway/event_splitter.h
+++ b/src/libhawthorndrum/gateway/event_splitter.h
@@ -38,6 +38,7 @@
   std::size_t events() const { return events_; }
   /** Returns whether the bytes so far end at an event boundary. */
   bool between_events() const { return rest_.empty(); }
+  std::size_t incomplete_bytes() const { return rest_.size(); }
   /** Discards the bytes of an incomplete event. */
   void DropIncomplete() { rest_.clear(); }
 
--- a/src/libhawthorndrum/gateway/gateway.h
+++ b/src/libhawthorndrum/gateway/gateway.h
@@ -240,6 +240,8 @@
   void ForwardEvents(exchange& each, std::string_view events, time_point now);
   /** Reads the call's upstream no faster than the caller reads. */
   void FollowCaller(exchange& each, time_point now);
+  /** Counts what is buffered of a stream; `unsent` is what its caller has not taken. */
+  void CountStream(const exchange& each, std::size_t unsent);
   void Deliver(exchange& each);
   /** Closes the caller's connection in the middle of its stream. */
   void AbortStream(exchange& each);
--- a/src/libhawthorndrum/gateway/gateway_answers.cpp
+++ b/src/libhawthorndrum/gateway/gateway_answers.cpp
@@ -21,8 +21,6 @@
 constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
 /** A prefill's answer only names what the engine keeps. */
 constexpr std::size_t kMaxPrefillAnswerBytes = 64 * 1024;
-/** Smaller answers count towards the sum, but none is cut off for it. */
-constexpr std::size_t kSmallAnswerBytes = 1024 * 1024;
 /** Minimum silence in mid-stream after which the stream may move to another upstream. */
 constexpr duration kMinEventStall = milliseconds(1000);
 constexpr int kStallPauses = 4;
@@ -104,17 +102,20 @@
 bool gateway::FitsBuffer(const exchange& each) const {
   const std::size_t size = each.answer.body.size();
   if (each.state == exchange_state::kPrefilling) return size <= kMaxPrefillAnswerBytes;
-  if (size <= kSmallAnswerBytes) return true;
-  return size <= kMaxAnswerBytes && flow_.MayTake(0);
+  return size <= kMaxAnswerBytes && flow_.MayBuffer(size);
 }
 
 void gateway::RelayEvents(exchange& each, std::string_view bytes) {
   const time_point now = ports_.time->Now();
   std::string complete_events;
-  const event_fault fault = each.events.Feed(bytes, complete_events);
+  event_fault fault = each.events.Feed(bytes, complete_events);
   each.call.has_part = complete_events.empty();
   // Bytes that complete no event are no progress: a stalled upstream may send some now and then.
   if (!complete_events.empty()) ForwardEvents(each, complete_events, now);
+  if (const std::size_t incomplete = each.events.incomplete_bytes(); incomplete > 0) {
+    CountStream(each, ports_.callers->UnsentBytes(each.id));
+    if (fault == event_fault::kNone && !flow_.MayBuffer(incomplete)) fault = event_fault::kTooLong;
+  }
   if (fault == event_fault::kNone) return;
   ports_.upstreams->Cancel(each.call.attempt);
   if (each.state == exchange_state::kPassedOn) return FailUnknown(each, NameOf(fault), 502);
@@ -145,10 +146,14 @@
   FollowCaller(each, now);
 }
 
+void gateway::CountStream(const exchange& each, std::size_t unsent) {
+  flow_.SetHeld(each.id, each.answer.body.size() + each.events.incomplete_bytes() + unsent);
+}
+
 void gateway::FollowCaller(exchange& each, time_point now) {
   const std::size_t unsent = ports_.callers->UnsentBytes(each.id);
   const bool paused = flow_.IsPaused(each.call.paused, unsent);
-  flow_.SetHeld(each.id, each.answer.body.size() + unsent);
+  CountStream(each, unsent);
   // The upstream's silence is no stall while it is not read.
   if (paused || each.call.paused) each.call.stalls_at = now + each.call.stall_timeout;
   if (paused == each.call.paused) return;
