Bound each answer to a daemon's own calls

buffered_calls::Start takes the longest answer that the call has, gives it up beyond that, and counts what the store and other daemons send towards the process's budget. A watch that was given up is replaced by a list. It works since no call can be made without such a bound.

Not run with several engines in trouble at once.

--- a/src/gatewayd/gateway_daemon.h
+++ b/src/gatewayd/gateway_daemon.h
@@ -82,6 +82,7 @@
   daemon_directory& daemons() { return daemons_; }
   notice_socket& notices() { return notices_; }
   http_client& client() { return client_; }
+  const std::shared_ptr<byte_budget>& budget() const { return budget_; }
   const clock& time() const { return clock_; }
   random_source& random() { return random_; }
   json_log& log() { return log_; }
--- a/src/hawthorndrumd/event_object_store.cpp
+++ b/src/hawthorndrumd/event_object_store.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr duration kConnectTimeout = seconds(1);
+/** A value of a megabyte at most, or a list of some ten thousand keys. */
+constexpr std::size_t kLongestAnswer = 16 * 1024 * 1024;
 
 }  // namespace
 
@@ -28,12 +30,13 @@
   // request was written to it, and the client would then send the request again.
   sent.reuse = !IsStoreWrite(call.operation);
   call.value.clear();
-  calls_.Start(std::move(sent), [this, id, call = std::move(call),
-                                 target = &listener](buffered_answer ended) {
-    store_answer answer = ended.received ? ObjectApiAnswer(call, std::move(ended.answer))
-                                         : ObjectApiNoAnswer(call, ended.bytes_sent);
-    events_.Post(store_answered{id, std::move(answer), target});
-  });
+  calls_.Start(std::move(sent), kLongestAnswer,
+               [this, id, call = std::move(call), target = &listener](buffered_answer ended) {
+                 store_answer answer = ended.received
+                                           ? ObjectApiAnswer(call, std::move(ended.answer))
+                                           : ObjectApiNoAnswer(call, ended.bytes_sent);
+                 events_.Post(store_answered{id, std::move(answer), target});
+               });
   return id;
 }
 
--- a/src/hawthorndrumd/host_list_reader.cpp
+++ b/src/hawthorndrumd/host_list_reader.cpp
@@ -20,6 +20,8 @@
 constexpr duration kInterval = milliseconds(1000);
 constexpr duration kJitter = milliseconds(200);
 constexpr duration kTimeout = seconds(2);
+/** Some ten thousand hosts. */
+constexpr std::size_t kLongestList = 8 * 1024 * 1024;
 
 std::string ReadText(const json& item, const char* name) {
   const auto found = item.find(name);
@@ -80,7 +82,7 @@
   call.request.method = "GET";
   call.request.target = "/v1/hosts";
   call.total_timeout = kTimeout;
-  calls_.Start(std::move(call), [this](buffered_answer ended) {
+  calls_.Start(std::move(call), kLongestList, [this](buffered_answer ended) {
     if (ended.received && ended.answer.status == 200) {
       if (auto hosts = ReadHostList(ended.answer.body))
         events_.Post(hosts_listed{std::move(*hosts)});
--- a/src/hawthorndrumd/http_engine_port.cpp
+++ b/src/hawthorndrumd/http_engine_port.cpp
@@ -18,6 +18,8 @@
 
 constexpr duration kOrderTimeout = seconds(1);
 constexpr duration kLoadTimeout = seconds(1);
+/** A report names the engine's models and their adapters. */
+constexpr std::size_t kLongestAnswer = 256 * 1024;
 
 std::string OrderName(order_id id) { return std::to_string(id.value()); }
 
@@ -132,9 +134,10 @@
   call.reuse = false;
   call.may_send = [this, send_by = order.send_by] { return clock_.Now() < send_by; };
   call.total_timeout = kOrderTimeout;
-  calls_.Start(std::move(call), [this, id = order.id, target = &listener](buffered_answer ended) {
-    events_.Post(order_answered{ToOrderAnswer(id, ended), target});
-  });
+  calls_.Start(std::move(call), kLongestAnswer,
+               [this, id = order.id, target = &listener](buffered_answer ended) {
+                 events_.Post(order_answered{ToOrderAnswer(id, ended), target});
+               });
 }
 
 void http_engine_port::PollLoad(upstream_id upstream, std::string_view address) {
@@ -143,7 +146,7 @@
   call.request.method = "GET";
   call.request.target = "/v1/load";
   call.total_timeout = kLoadTimeout;
-  calls_.Start(std::move(call), [this, upstream](buffered_answer ended) {
+  calls_.Start(std::move(call), kLongestAnswer, [this, upstream](buffered_answer ended) {
     const json text = ended.received && ended.answer.status == 200
                           ? json::parse(ended.answer.body, nullptr, false)
                           : json();
--- a/src/hawthorndrumd/http_lookup_port.cpp
+++ b/src/hawthorndrumd/http_lookup_port.cpp
@@ -17,6 +17,9 @@
 using nlohmann::json;
 
 constexpr duration kTimeout = seconds(2);
+/** The answer contains that of the request, which a daemon buffers up to 8 MiB; escapes may double
+ * it. */
+constexpr std::size_t kLongestAnswer = 16 * 1024 * 1024;
 
 /** Reads `{"state":"done|not_run","status":N,"body":"..."}`. */
 lookup_answer ReadAnswer(request_id request, const buffered_answer& ended) {
@@ -53,7 +56,7 @@
   call.request.method = "GET";
   call.request.target = question.lookup_path + UrlTarget({}, {{"key", question.key}});
   call.total_timeout = kTimeout;
-  calls_.Start(std::move(call),
+  calls_.Start(std::move(call), kLongestAnswer,
                [this, request = question.request, target = &listener](buffered_answer ended) {
                  pending_.push_back({ReadAnswer(request, ended), target});
                });
--- a/src/hawthorndrumd/otlp_exporter.cpp
+++ b/src/hawthorndrumd/otlp_exporter.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t kMaxBufferedSpans = 4096;
 constexpr duration kInterval = seconds(1);
 constexpr duration kTimeout = seconds(5);
+constexpr std::size_t kLongestAnswer = 64 * 1024;
 constexpr int kSpanKindServer = 2;
 
 std::string Hex(std::uint64_t value) {
@@ -85,7 +86,7 @@
   const std::size_t count = spans_.size();
   spans_.clear();
   sending_ = true;
-  calls_.Start(std::move(call), [this, count](buffered_answer ended) {
+  calls_.Start(std::move(call), kLongestAnswer, [this, count](buffered_answer ended) {
     sending_ = false;
     const bool accepted = ended.received && ended.answer.status / 100 == 2;
     (accepted ? sent_ : dropped_).Add(count);
--- a/src/libtransport/buffered_calls.cpp
+++ b/src/libtransport/buffered_calls.cpp
@@ -7,9 +7,12 @@
 
 namespace hawthorndrum {
 
-http_call_id buffered_calls::Start(http_call call, handler done) {
+http_call_id buffered_calls::Start(http_call call, std::size_t longest_answer, handler done) {
   const http_call_id id = client_.Start(std::move(call), *this);
-  calls_[id].done = std::move(done);
+  open_call& started = calls_[id];
+  started.done = std::move(done);
+  started.longest_answer = longest_answer;
+  started.held = byte_claim(budget_);
   return id;
 }
 
@@ -23,7 +26,17 @@
 
 void buffered_calls::OnBody(http_call_id id, std::string bytes) {
   const auto found = calls_.find(id);
-  if (found != calls_.end()) found->second.collected.answer.body += bytes;
+  if (found == calls_.end()) return;
+  open_call& open = found->second;
+  std::string& body = open.collected.answer.body;
+  if (bytes.size() <= open.longest_answer - body.size()) {
+    body += bytes;
+    return open.held.Set(body.size());
+  }
+  client_.Cancel(id);
+  open_call ended = Take(id);
+  ended.collected.is_too_long = true;
+  if (ended.done) ended.done(std::move(ended.collected));
 }
 
 void buffered_calls::OnFinished(http_call_id id) {
--- a/tests/fakes/scripted_store.h
+++ b/tests/fakes/scripted_store.h
@@ -58,20 +58,20 @@
   void Serve(const std::shared_ptr<connection>& with) {
     boost::asio::async_read_until(with->socket, boost::asio::dynamic_buffer(with->text), "\r\n\r\n",
                                   [this, with](boost::system::error_code failed, std::size_t) {
-                                    if (!failed) Answer(*with);
+                                    if (!failed) Answer(with);
                                   });
   }
-  void Answer(connection& with) {
-    lines.push_back(with.text.substr(0, with.text.find("\r\n")));
+  void Answer(const std::shared_ptr<connection>& with) {
+    lines.push_back(with->text.substr(0, with->text.find("\r\n")));
     const std::string& line = lines.back();
     const std::size_t begin = line.find(' ') + 1;
     const http_answer answer = answers_(line.substr(begin, line.rfind(' ') - begin));
-    const std::string text =
+    with->text =
         "HTTP/1.1 " + std::to_string(answer.status) +
         " x\r\nConnection: close\r\nContent-Length: " + std::to_string(answer.body.size()) +
         "\r\n\r\n" + answer.body;
-    boost::system::error_code ignored;
-    boost::asio::write(with.socket, boost::asio::buffer(text), ignored);
+    boost::asio::async_write(with->socket, boost::asio::buffer(with->text),
+                             [with](boost::system::error_code, std::size_t) {});
   }
 
   boost::asio::io_context& io_;
--- a/tests/http/early_answers.cpp
+++ b/tests/http/early_answers.cpp
@@ -57,7 +57,7 @@
 TEST_F(EarlyAnswerTest, ABufferedAnswerIsNotReceivedAfterAReset) {
   buffered_calls calls(client);
   std::optional<buffered_answer> ended;
-  calls.Start(Call("1", std::string(kLongUpload, 'x')),
+  calls.Start(Call("1", std::string(kLongUpload, 'x')), 1024,
               [&](buffered_answer answer) { ended = std::move(answer); });
   tcp::socket upstream = Accept();
   ReadUntil(upstream, "POST /x");
--- a/tests/http/exchanges.cpp
+++ b/tests/http/exchanges.cpp
@@ -194,7 +194,7 @@
   calls.OnFinished(closed);
   calls.OnLost(closed, attempt_failure::kTimeout, true);
   std::optional<buffered_answer> ended;
-  calls.Start(Call("1"), [&](buffered_answer answer) { ended = std::move(answer); });
+  calls.Start(Call("1"), 1024, [&](buffered_answer answer) { ended = std::move(answer); });
   tcp::socket upstream = Accept();
   upstream.close();
   ASSERT_TRUE(RunUntil([&] { return ended.has_value(); }));
--- a/tests/platform/object_names.cpp
+++ b/tests/platform/object_names.cpp
@@ -171,5 +171,33 @@
   }));
 }
 
+// Guards against a watch that is given up for its length and begun at the same revision for ever.
+TEST(RejectedLists, AnAnswerToAWatchThatIsTooLongIsReplacedByAList) {
+  boost::asio::io_context io;
+  http_client client(io);
+  fake_clock clock;
+  fake_random_source random;
+  recording_log log;
+  std::size_t lists = 0;
+  scripted_store store(io, [&](const std::string& target) -> http_answer {
+    if (target.find("watch=") != std::string::npos)
+      return {200, {}, R"({"events":[],"store_revision":9})" + std::string(5 << 20, ' ')};
+    ++lists;
+    return ListOf({"a", "b"}, false);
+  });
+  store_link link(client, clock, log, store.address());
+  ignoring_sink sink;
+  ignoring_listener listener;
+  object_watch watch("servers", link, listener, random, log);
+  link.Follow("servers", sink, watch);
+  watch.Run(clock.Now());
+  EXPECT_TRUE(store.RunUntil([&] {
+    clock.Advance(milliseconds(1));
+    watch.Run(clock.Now());
+    return lists >= 2;
+  }));
+  EXPECT_NE(log.LastOf("store_lost").find("unreadable"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace hawthorndrum
