Let a list go on behind any name

The list goes on from the last name as the store keeps it. A part without any name, or one that brings the list to where it was, is a failed call. It works since only the store's own word ends a list now.

--- a/src/libhawthorndrum/base/json_parts.cpp
+++ b/src/libhawthorndrum/base/json_parts.cpp
@@ -2,6 +2,7 @@
 #include "base/json_parts.h"
 
 #include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace hawthorndrum {
@@ -72,6 +73,36 @@
   return at < text.size() && text[at] == close && SkipSpace(text, at + 1) == text.size();
 }
 
+/** The length of an escaped code unit of UTF-16, as in \uDCFF. */
+constexpr std::size_t kUnitLength = 6;
+
+/** Returns the escaped code unit that begins there. */
+std::optional<unsigned> ReadUnit(std::string_view text, std::size_t at) {
+  if (at > text.size() || text.substr(at, 2) != "\\u") return std::nullopt;
+  const std::string_view digits = text.substr(at + 2, kUnitLength - 2);
+  unsigned unit = 0;
+  const auto read = std::from_chars(digits.data(), digits.data() + digits.size(), unit, 16);
+  const bool is_whole = digits.size() == 4 && read.ptr == digits.data() + 4;
+  return is_whole ? std::optional(unit) : std::nullopt;
+}
+
+bool IsSurrogate(unsigned unit) { return unit >= 0xd800 && unit <= 0xdfff; }
+
+bool IsPair(unsigned first, unsigned second) {
+  return first >= 0xd800 && first <= 0xdbff && second >= 0xdc00 && second <= 0xdfff;
+}
+
+/** Appends the byte that it stands for, or else its code point like any other in UTF-8. */
+void AppendLoneSurrogate(unsigned unit, std::string& bytes) {
+  if (unit >= 0xdc80 && unit <= 0xdcff) {
+    bytes += static_cast<char>(unit - 0xdc00);
+    return;
+  }
+  bytes += static_cast<char>(0xe0 | (unit >> 12));
+  bytes += static_cast<char>(0x80 | ((unit >> 6) & 0x3f));
+  bytes += static_cast<char>(0x80 | (unit & 0x3f));
+}
+
 }  // namespace
 
 std::optional<std::vector<json_member>> MembersOf(std::string_view text) {
@@ -120,4 +151,32 @@
   return nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
 }
 
+std::string BytesOfString(std::string_view text) {
+  const nlohmann::json whole = ReadJson(text);
+  if (whole.is_string()) return whole.get<std::string>();
+  if (text.size() < 2 || text.front() != '"' || text.back() != '"') return {};
+  text = text.substr(1, text.size() - 2);
+  std::string bytes;
+  std::size_t begin = 0;
+  const auto append_until = [&](std::size_t end) {
+    const std::string run(text.substr(begin, end - begin));
+    const nlohmann::json read = ReadJson('"' + run + '"');
+    bytes += read.is_string() ? read.get<std::string>() : run;
+  };
+  for (std::size_t i = 0; i < text.size();) {
+    const std::optional<unsigned> unit = ReadUnit(text, i);
+    if (!unit || !IsSurrogate(*unit)) {
+      i += text[i] != '\\' ? 1 : unit ? kUnitLength : 2;
+    } else if (const auto next = ReadUnit(text, i + kUnitLength); next && IsPair(*unit, *next)) {
+      i += 2 * kUnitLength;
+    } else {
+      append_until(i);
+      AppendLoneSurrogate(*unit, bytes);
+      begin = i += kUnitLength;
+    }
+  }
+  append_until(text.size());
+  return bytes;
+}
+
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/base/json_parts.h
+++ b/src/libhawthorndrum/base/json_parts.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -30,6 +31,12 @@
 std::optional<std::vector<std::string_view>> ElementsOf(std::string_view text);
 /** Returns the value of the first member of that name; empty if there is none. */
 std::string_view ValueOf(const std::vector<json_member>& members, std::string_view name);
+/**
+ * Returns the bytes of a string, also of one that is no text; empty if the value is no string.
+ * Encoders write bytes that are no UTF-8 as U+DC80 to U+DCFF, which stand alone; they become these
+ * bytes again. What can't be decoded otherwise stays as written.
+ */
+std::string BytesOfString(std::string_view text);
 /** Returns the value, or a discarded one if it cannot be read or is deeper than kMaxJsonDepth. */
 nlohmann::json ReadJson(std::string_view text);
 
--- a/src/libhawthorndrum/gateway/object_watch.cpp
+++ b/src/libhawthorndrum/gateway/object_watch.cpp
@@ -110,6 +110,9 @@
 
 void object_watch::OnListPart(std::uint64_t call, const listed_part& part, time_point now) {
   if (call != call_ || !call_open_) return;
+  // A list that goes on where it went on before has no end.
+  if (!after_.empty() && part.next_after == after_)
+    return OnCallFailed(call, store_trouble::kUnreadable, now);
   OnCallSucceeded(now);
   after_ = part.next_after;
   last_change_revision_ = std::max(last_change_revision_, part.newest_change);
--- a/tests/platform/malformed_entries.cpp
+++ b/tests/platform/malformed_entries.cpp
@@ -112,6 +112,7 @@
   if (!answer) return;
   for (const stored_object& each : answer->Objects()) DecodeEntry(each.name, each.spec);
   answer->Events();
+  answer->LastName();
 }
 
 }  // namespace
--- a/tests/platform/object_names.cpp
+++ b/tests/platform/object_names.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/url.h"
@@ -49,9 +50,10 @@
          std::all_of(line.begin(), line.end(), is_visible);
 }
 
-struct ignoring_sink : public object_sink {
-  void OnObject(const std::string&, const json&) override {}
+struct recording_sink : public object_sink {
+  void OnObject(const std::string& name, const json&) override { names.push_back(name); }
   void OnDeleted(const std::string&) override {}
+  std::vector<std::string> names;
 };
 
 struct ignoring_listener : public object_watch_listener {
@@ -100,7 +102,7 @@
 
 // Guards against a name that ends or alters the request line, after which a list never completes.
 TEST_P(ObjectNamesTest, AListGoesOnBehindIt) {
-  ignoring_sink sink;
+  recording_sink sink;
   ignoring_listener listener;
   object_watch watch("servers", link, listener, random, log);
   link.Follow("servers", sink, watch);
@@ -155,7 +157,7 @@
     return {400, {}, "{}"};
   });
   store_link link(client, clock, log, store.address());
-  ignoring_sink sink;
+  recording_sink sink;
   ignoring_listener listener;
   object_watch watch("servers", link, listener, random, log);
   link.Follow("servers", sink, watch);
@@ -186,7 +188,7 @@
     return ListOf({"a", "b"}, false);
   });
   store_link link(client, clock, log, store.address());
-  ignoring_sink sink;
+  recording_sink sink;
   ignoring_listener listener;
   object_watch watch("servers", link, listener, random, log);
   link.Follow("servers", sink, watch);
@@ -199,5 +201,78 @@
   EXPECT_NE(log.LastOf("store_lost").find("unreadable"), std::string::npos);
 }
 
+/** A list of upstreams whose first part has one object, with a name that the test writes. */
+class UnreadableNamesTest : public testing::Test {
+ protected:
+  http_answer Answer(const std::string& target) {
+    if (target.find("watch=") != std::string::npos) return {503, {}, "{}"};
+    ++lists;
+    const std::string after = QueryValue(target, "after");
+    if (after.empty() || is_repeating) {
+      return {200,
+              {},
+              R"({"items":[{"metadata":{"name":)" + written +
+                  R"(,"rev":7},"spec":{}}],"has_more":true,"store_revision":9})"};
+    }
+    return after == expected_after ? ListOf({"z"}, false) : http_answer{400, {}, "{}"};
+  }
+  /** Lists the objects; returns whether the list was completed before a call failed. */
+  bool List() {
+    lists = 0;
+    recording_log log;
+    http_client client(io);
+    store_link link(client, clock, log, store.address());
+    object_watch watch("servers", link, listener, random, log);
+    sink.names.clear();
+    link.Follow("servers", sink, watch);
+    watch.Run(clock.Now());
+    store.RunUntil([&] { return watch.is_listed() || !log.LastOf("store_lost").empty(); });
+    return watch.is_listed();
+  }
+
+  std::string written;
+  std::string expected_after;
+  bool is_repeating = false;
+  int lists = 0;
+  boost::asio::io_context io;
+  fake_clock clock;
+  fake_random_source random;
+  recording_sink sink;
+  ignoring_listener listener;
+  scripted_store store{io, [this](const std::string& target) { return Answer(target); }};
+};
+
+// Guards against a list that counts as whole although the store said that it goes on.
+TEST_F(UnreadableNamesTest, TheListGoesOnBehindAnyName) {
+  const std::string longest(600, 'x');
+  const std::vector<std::pair<std::string, std::string>> names = {
+      {R"("shelf \udcff\udcfe")", "shelf \xff\xfe"},
+      {"\"shelf \xff\"", "shelf \xff"},
+      {R"("\ud800\u00e4\n")", "\xed\xa0\x80\xc3\xa4\n"},
+      {R"("\ud83d\ude00\udcff")", "\xf0\x9f\x98\x80\xff"},
+      {'"' + longest + '"', longest}};
+  for (const auto& [name, bytes] : names) {
+    written = name;
+    expected_after = bytes;
+    EXPECT_TRUE(List()) << name;
+    EXPECT_EQ(sink.names, std::vector<std::string>{"z"}) << name;
+  }
+}
+
+TEST_F(UnreadableNamesTest, APartWithoutANameIsNotTheLast) {
+  for (const char* name : {"7", R"("")", "null", R"(["a"])"}) {
+    written = name;
+    EXPECT_FALSE(List()) << name;
+    EXPECT_EQ(lists, 1) << name;
+  }
+}
+
+TEST_F(UnreadableNamesTest, AListThatDoesNotGoOnIsGivenUp) {
+  written = R"("a")";
+  is_repeating = true;
+  EXPECT_FALSE(List());
+  EXPECT_EQ(lists, 2);
+}
+
 }  // namespace
 }  // namespace hawthorndrum
