Tell an era of 0 from no era

Records and the lease read it in the same way.

An era is a number or nothing. What other daemons and stored records hold is unchanged. It works since the first header seen is now an era that a later one differs from.

--- a/src/libhawthorndrum/feed/feed_target.h
+++ b/src/libhawthorndrum/feed/feed_target.h
@@ -13,7 +13,7 @@
   virtual ~feed_target() = default;
   /** The revision up to which all changes are applied; 0 before the first complete list. */
   virtual std::uint64_t feed_revision() const = 0;
-  /** The store's era to which that revision belongs; 0 where it names none. */
+  /** The store's era to which that revision belongs; 0 also where it names none. */
   virtual std::uint64_t feed_era() const = 0;
   /** Applies the changes after feed_revision() up to `to`, the last one of each object. */
   virtual void Apply(boost::span<const object_change> changes, std::uint64_t to,
--- a/src/libhawthorndrum/gateway/object_watch.cpp
+++ b/src/libhawthorndrum/gateway/object_watch.cpp
@@ -140,14 +140,14 @@
   revision_ = 0;
 }
 
-bool object_watch::AcceptEra(std::uint64_t call, std::uint64_t era, time_point now) {
-  if (era == 0 || !IsOpen(call)) return true;
-  const std::uint64_t before = std::exchange(era_, era);
-  if (before == 0 || before == era) return true;
+bool object_watch::AcceptEra(std::uint64_t call, std::optional<std::uint64_t> era, time_point now) {
+  if (!era || !IsOpen(call)) return true;
+  const std::optional<std::uint64_t> before = std::exchange(era_, era);
+  if (!before || before == era) return true;
   log_.Write(log_importance::kImportant,
              log_record("store_restored")
                  .Text("kind", kind_)
-                 .Number("era", static_cast<std::int64_t>(era))
+                 .Number("era", static_cast<std::int64_t>(*era))
                  .Number("revision", static_cast<std::int64_t>(revision_)));
   call_open_ = false;
   last_change_revision_ = 0;
--- a/src/libhawthorndrum/gateway/object_watch.h
+++ b/src/libhawthorndrum/gateway/object_watch.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -91,11 +92,11 @@
   void OnCallFailed(std::uint64_t call, store_trouble trouble, time_point now);
   /**
    * Notes the store's era, which rises when it comes back from an older copy and gives revisions
-   * out again; 0 where it names none. Returns whether the answer to the call is still of use: after
-   * a change of era the objects are listed again instead.
+   * out again; nothing where it names none. Returns whether the answer to the call is still of use:
+   * after a change of era the objects are listed again instead.
    */
-  bool AcceptEra(std::uint64_t call, std::uint64_t era, time_point now);
-  std::uint64_t era() const { return era_; }
+  bool AcceptEra(std::uint64_t call, std::optional<std::uint64_t> era, time_point now);
+  std::optional<std::uint64_t> era() const { return era_; }
   /** Whether the call is the one that is open; the answer to any other one is to be ignored. */
   bool IsOpen(std::uint64_t call) const { return call_open_ && call == call_; }
   /**
@@ -132,7 +133,7 @@
   time_point next_call_;
   std::string after_;
   std::uint64_t revision_ = 0;
-  std::uint64_t era_ = 0;
+  std::optional<std::uint64_t> era_;
   bool held_ = false;
   int failures_ = 0;
   time_point failed_since_;
--- a/src/libhawthorndrum/ports/store_call.h
+++ b/src/libhawthorndrum/ports/store_call.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,9 +50,9 @@
   std::vector<store_entry> entries;
   /**
    * Rises whenever the store comes back from an older copy, in which versions are given out again;
-   * 0 where the store has no such number, or if no answer was received.
+   * nothing where the store has no such number, or if no answer was received.
    */
-  std::uint64_t era = 0;
+  std::optional<std::uint64_t> era;
 };
 
 }  // namespace hawthorndrum
--- a/src/libhawthorndrum/resumes/build_record.cpp
+++ b/src/libhawthorndrum/resumes/build_record.cpp
@@ -97,7 +97,7 @@
     return resumes_.OnRecord(nullptr);
   }
   failures_ = 0;
-  era_ = answer.era;
+  era_ = answer.era.value_or(0);
   version_ = answer.outcome == store_outcome::kDone ? answer.version : object_version();
   known_ = settled_builds();
   if (!version_) return resumes_.OnRecord(nullptr);
@@ -108,7 +108,7 @@
     log_.Write(log_importance::kImportant,
                log_record("builds_unreadable").Text("why", record.error().message));
   }
-  const bool is_trusted = record && record->era == answer.era;
+  const bool is_trusted = record && record->era == era_;
   resumes_.OnRecord(is_trusted ? &*known_ : nullptr);
 }
 
@@ -118,7 +118,7 @@
     failures_ = 0;
     version_ = answer.version;
     // Written under an older era, it is not trusted; the next check writes it again.
-    era_ = answer.era;
+    era_ = answer.era.value_or(0);
     known_ = std::move(written);
     return;
   }
--- a/src/libhawthorndrum/systems/lease_system.cpp
+++ b/src/libhawthorndrum/systems/lease_system.cpp
@@ -91,8 +91,8 @@
 }
 
 void lease_system::NoteStoreEra(std::uint64_t era) {
-  if (era <= era_) return;
-  saw_former_era_ = era_ != 0;
+  if (era_ && era <= *era_) return;
+  saw_former_era_ = era_.has_value();
   era_ = era;
   era_since_ = clock_.Now();
   has_seen_ = false;
@@ -100,7 +100,8 @@
 }
 
 void lease_system::TakeIfAvailable(time_point now) {
-  if (era_ != 0 && now - era_since_ < std::max(timing_.length, seen_.length)) return;
+  // In the first era, nothing of a former one can be under way.
+  if (era_.value_or(0) != 0 && now - era_since_ < std::max(timing_.length, seen_.length)) return;
   const bool released = seen_version_ && seen_.term && !seen_.holder;
   const bool own = seen_version_ && seen_.incarnation == self_;
   const bool never_held = timing_.take_missing_at_once && !seen_version_;
@@ -109,9 +110,10 @@
 }
 
 void lease_system::Take() {
-  const std::uint64_t largest = era_ == 0 ? kLargestTerm : kLargestTermOfEras;
-  if (era_ > (largest >> kEraShift)) return;
-  const std::uint64_t next = std::max(highest_.value() + 1, era_ << kEraShift);
+  const std::uint64_t era = era_.value_or(0);
+  const std::uint64_t largest = era == 0 ? kLargestTerm : kLargestTermOfEras;
+  if (era > (largest >> kEraShift)) return;
+  const std::uint64_t next = std::max(highest_.value() + 1, era << kEraShift);
   if (next > largest) return;
   took_missing_ = !seen_version_ && !saw_former_era_;
   WriteRecord(lease_term(next), peers_.self(), write_purpose::kTake);
--- a/src/libhawthorndrum/systems/lease_system.h
+++ b/src/libhawthorndrum/systems/lease_system.h
@@ -1,6 +1,7 @@
 /// The lease of this daemon's data centre; only its holder may send orders to the engines.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -125,7 +126,7 @@
   lease_term term_;
   lease_term highest_;
   /** The latest era of the store, and when this daemon first saw it. */
-  std::uint64_t era_ = 0;
+  std::optional<std::uint64_t> era_;
   time_point era_since_;
   bool saw_former_era_ = false;
   bool took_missing_ = false;
--- a/src/libhawthorndrum/systems/stored_record.cpp
+++ b/src/libhawthorndrum/systems/stored_record.cpp
@@ -82,16 +82,16 @@
 }
 
 bool stored_record::AcceptEra(const store_answer& answer) {
-  if (answer.era == 0 || answer.era == era_) return true;
-  if (answer.era < era_) {
+  if (!answer.era || answer.era == era_) return true;
+  if (era_ && *answer.era < *era_) {
     // A late answer of the store before its restore. A write in it is lost, or was undone.
     settling_ = goal_ == goal::kWrite;
     RetryLater();
     return false;
   }
-  const bool is_first = era_ == 0;
+  const bool is_first = !era_;
   era_ = answer.era;
-  listener_.OnStoreEra(era_);
+  listener_.OnStoreEra(*era_);
   const bool was_write = operation_ != store_operation::kGet;
   // Nothing was known of the object before the first era, so no version can be mistaken.
   if (is_first && !(was_write && state_.version)) return true;
--- a/src/libhawthorndrum/systems/stored_record.h
+++ b/src/libhawthorndrum/systems/stored_record.h
@@ -1,6 +1,7 @@
 /// A single store object that is read and replaced; resolves writes whose answer was lost.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "base/counter.h"
@@ -96,7 +97,7 @@
   std::string new_value_;
   record_state state_;
   /** The latest era of the store; state_ is of this era. */
-  std::uint64_t era_ = 0;
+  std::optional<std::uint64_t> era_;
   store_call_id call_;
   store_operation operation_ = store_operation::kGet;
   int consecutive_failures_ = 0;
--- a/tests/discovery/test_discovery.cpp
+++ b/tests/discovery/test_discovery.cpp
@@ -114,6 +114,15 @@
   EXPECT_TRUE(TakesWork("b")) << "it has yet to write its entry again";
 }
 
+// Guards against a first drill that goes unnoticed where the store counts its drills from 0.
+TEST_F(DiscoveryTest, AnEraOfZeroIsTheOneBeforeTheFirst) {
+  ListOnce();
+  EXPECT_TRUE(watch.AcceptEra(reader.last, 0, clock.Now()));
+  EXPECT_TRUE(watch.AcceptEra(reader.last, std::nullopt, clock.Now())) << "no era is named";
+  EXPECT_FALSE(watch.AcceptEra(reader.last, 1, clock.Now()));
+  EXPECT_EQ(reader.calls.back(), "list ");
+}
+
 TEST_F(DiscoveryTest, OnlyChangesOfTheKindAreNews) {
   watch.Run(clock.Now());
   watch.OnListPart(reader.last, {"", 40, 12}, clock.Now());
--- a/tests/fakes/fake_object_store.h
+++ b/tests/fakes/fake_object_store.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,7 +47,7 @@
   }
 
   /** Makes the store name its era in its answers. */
-  void BeginEras() { era_ = 1; }
+  void BeginEras(std::uint64_t first = 1) { era_ = first; }
   void SetEra(std::uint64_t era) { era_ = era; }
   /** Keeps a copy of the present objects for Restore(). */
   void Copy() {
@@ -59,7 +60,7 @@
     objects_ = copy_;
     revision_ = copy_revision_;
     changes_.clear();
-    if (era_ != 0) era_ += 1;
+    if (era_) *era_ += 1;
   }
 
   /** Applies and answers calls until only watches without a change are left waiting. */
@@ -152,7 +153,7 @@
   /** Every change, oldest first, for watches. */
   std::vector<store_entry> changes_;
   std::uint64_t revision_ = 0;
-  std::uint64_t era_ = 0;
+  std::optional<std::uint64_t> era_;
   std::map<std::string, object> copy_;
   std::uint64_t copy_revision_ = 0;
   std::uint64_t last_call_ = 0;
--- a/tests/lease/store_restores.cpp
+++ b/tests/lease/store_restores.cpp
@@ -30,8 +30,8 @@
 /** Daemons that compete for one lease, and a record of who held it with which term. */
 class restored_store_run {
  public:
-  explicit restored_store_run(int daemons) {
-    store.BeginEras();
+  restored_store_run(int daemons, std::uint64_t first_era) {
+    store.BeginEras(first_era);
     for (int i = 0; i < daemons; ++i) all.push_back(std::make_unique<daemon>(*this, i + 1));
   }
 
@@ -108,9 +108,13 @@
   lease_term term_;
 };
 
+/** The parameter is the era in which the store begins. */
+class StoreRestores : public testing::TestWithParam<std::uint64_t> {};
+INSTANTIATE_TEST_SUITE_P(FirstEras, StoreRestores, testing::Values(0, 1));
+
 // The restored store has no lease, and the holder still trusts its own for up to 3.5 s.
-TEST(StoreRestores, ALostLeaseIsNotTakenWhileItsHolderTrustsIt) {
-  restored_store_run run(2);
+TEST_P(StoreRestores, ALostLeaseIsNotTakenWhileItsHolderTrustsIt) {
+  restored_store_run run(2, GetParam());
   run.store.Copy();
   ASSERT_EQ(run.Run(seconds(20)), "");
   const int first = run.Holder();
@@ -122,8 +126,8 @@
 }
 
 // The copy names a holder of before, whose term was followed by others that are lost.
-TEST(StoreRestores, TermsRiseOverARestoreForADaemonThatSawNothingOfThem) {
-  restored_store_run run(2);
+TEST_P(StoreRestores, TermsRiseOverARestoreForADaemonThatSawNothingOfThem) {
+  restored_store_run run(2, GetParam());
   ASSERT_EQ(run.Run(seconds(20)), "");
   const int first = run.Holder();
   ASSERT_GE(first, 0);
@@ -139,8 +143,8 @@
 }
 
 // A renewal that the restored store accepts has met its condition on another content.
-TEST(StoreRestores, ARenewalInANewEraIsNoRenewal) {
-  restored_store_run run(1);
+TEST_P(StoreRestores, ARenewalInANewEraIsNoRenewal) {
+  restored_store_run run(1, GetParam());
   ASSERT_EQ(run.Run(seconds(20)), "");
   ASSERT_EQ(run.Holder(), 0);
   run.store.Copy();
@@ -151,8 +155,8 @@
   EXPECT_EQ(run.Holder(), 0);
 }
 
-TEST(StoreRestores, OnlyALeaseOfTheFirstEraWasNeverHeldBefore) {
-  restored_store_run run(1);
+TEST_P(StoreRestores, OnlyALeaseOfTheFirstEraWasNeverHeldBefore) {
+  restored_store_run run(1, GetParam());
   run.store.Copy();
   ASSERT_EQ(run.Run(seconds(20)), "");
   EXPECT_TRUE(run.all[0]->lease.took_missing());
@@ -163,22 +167,22 @@
 }
 
 // An era beyond the numbers that JSON holds exactly gives no terms, rather than repeated ones.
-TEST(StoreRestores, AnEraThatLeavesNoRoomForTermsGivesNoLease) {
-  restored_store_run run(1);
+TEST_P(StoreRestores, AnEraThatLeavesNoRoomForTermsGivesNoLease) {
+  restored_store_run run(1, GetParam());
   run.store.SetEra(UINT64_MAX);
   EXPECT_EQ(run.Run(seconds(30)), "");
   EXPECT_EQ(run.Holder(), -1);
 }
 
-TEST(StoreRestores, TheLargestEraStillGivesTerms) {
-  restored_store_run run(1);
+TEST_P(StoreRestores, TheLargestEraStillGivesTerms) {
+  restored_store_run run(1, GetParam());
   run.store.SetEra(std::uint64_t{1} << 31);
   EXPECT_EQ(run.Run(seconds(30)), "");
   EXPECT_EQ(run.Holder(), 0);
 }
 
 RC_GTEST_PROP(StoreRestoresProperties, AtMostOneHolderAndRisingTermsUnderAnySeries, ()) {
-  restored_store_run run(3);
+  restored_store_run run(3, *rc::gen::inRange<std::uint64_t>(0, 2));
   run.store.Copy();
   const auto events = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
   for (const int event : events) {
