--- a/tests/platform/malformed_entries.cpp
+++ b/tests/platform/malformed_entries.cpp
@@ -2,11 +2,14 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "buffered_calls.h"
 #include "entry_decoder.h"
+#include "process_memory.h"
 #include "store_body.h"
 
 namespace hawthorndrum {
@@ -34,6 +37,12 @@
   return AnswerWith(R"({"items":[)" + items + R"(],"has_more":false,"store_revision":9})");
 }
 
+std::vector<stored_object> ObjectsOf(const store_body& body) {
+  std::vector<stored_object> objects;
+  body.ForEachObject([&](stored_object each) { objects.push_back(std::move(each)); });
+  return objects;
+}
+
 /** Entries that name no upstream; all of them are JSON as the store keeps it. */
 std::vector<std::string> MalformedSpecs() {
   const std::string sound = kSound;
@@ -71,7 +80,7 @@
     const auto answer = store_body::Read(ended);
     ASSERT_TRUE(answer) << malformed.substr(0, 200);
     EXPECT_EQ(answer->revision(), 9u);
-    const std::vector<stored_object> objects = answer->Objects();
+    const std::vector<stored_object> objects = ObjectsOf(*answer);
     ASSERT_EQ(objects.size(), 3u) << malformed.substr(0, 200);
     EXPECT_TRUE(DecodeEntry(objects[0].name, objects[0].spec));
     EXPECT_EQ(objects[1].name, "malformed");
@@ -87,7 +96,8 @@
   const std::string gone = R"({"object":)" + ItemOf("a", kSound) + R"(,"deleted":true})";
   const buffered_answer ended =
       AnswerWith(R"({"events":[)" + event + "," + gone + R"(],"store_revision":9})");
-  const auto events = store_body::Read(ended)->Events();
+  std::vector<stored_event> events;
+  store_body::Read(ended)->ForEachEvent([&](stored_event each) { events.push_back(each); });
   ASSERT_EQ(events.size(), 2u);
   EXPECT_EQ(events[0].object.spec_text, "null");
   EXPECT_FALSE(events[0].deleted);
@@ -99,7 +109,29 @@
   for (const char* body : {"", "[]", "{", R"({"items":[)", R"({"items":[]} x)", "null"})
     EXPECT_FALSE(store_body::Read(AnswerWith(body))) << body;
   const buffered_answer empty = ListOf("");
-  EXPECT_TRUE(store_body::Read(empty)->Objects().empty());
+  EXPECT_TRUE(ObjectsOf(*store_body::Read(empty)).empty());
+}
+
+// Guards against large entries that change together and end a process for its memory: an empty
+// object takes 3 bytes of text and some 80 when it is parsed.
+TEST(MalformedEntries, LargeOnesAreParsedOneAtATime) {
+  std::string large = "[1";
+  while (large.size() < 1'000'000) large += ",{}";
+  std::string events;
+  for (int i = 0; i < 12; ++i)
+    events += (i == 0 ? "" : ",") + (R"({"object":)" + ItemOf("plan", large + "]") + "}");
+  const buffered_answer ended = AnswerWith(R"({"events":[)" + events + R"(],"store_revision":9})");
+  const auto answer = store_body::Read(ended);
+  constexpr std::size_t kMegabyte = 1024 * 1024;
+  const std::size_t before = ResidentBytes();
+  std::size_t most = 0;
+  int parsed = 0;
+  answer->ForEachEvent([&](const stored_event& each) {
+    parsed += each.object.spec.is_array() ? 1 : 0;
+    most = std::max(most, ResidentBytes());
+  });
+  EXPECT_EQ(parsed, 12);
+  EXPECT_LT(most, before + 80 * kMegabyte);
 }
 
 RC_GTEST_PROP(MalformedEntriesProperties, NoBytesEndTheProcess, ()) {
@@ -110,8 +142,8 @@
   const buffered_answer ended = AnswerWith(body);
   const auto answer = store_body::Read(ended);
   if (!answer) return;
-  for (const stored_object& each : answer->Objects()) DecodeEntry(each.name, each.spec);
-  answer->Events();
+  for (const stored_object& each : ObjectsOf(*answer)) DecodeEntry(each.name, each.spec);
+  answer->ForEachEvent([](const stored_event&) {});
   answer->LastName();
 }
 
