--- a/tests/platform/object_names.cpp
+++ b/tests/platform/object_names.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -71,6 +72,33 @@
   void OnStoreAnswer(store_call_id, const store_answer&) override {}
 };
 
+/** The upstreams' list, followed from a store whose answers the test decides. */
+struct followed_list {
+  explicit followed_list(scripted_store::script answers) : store(io, std::move(answers)) {
+    link.Follow("servers", sink, watch);
+    watch.Run(clock.Now());
+  }
+  /** Lets time pass, so that calls are repeated, until the condition holds. */
+  bool PassUntil(const std::function<bool()>& done) {
+    return store.RunUntil([&] {
+      clock.Advance(milliseconds(10));
+      watch.Run(clock.Now());
+      return done();
+    });
+  }
+
+  boost::asio::io_context io;
+  http_client client{io};
+  fake_clock clock;
+  fake_random_source random;
+  recording_log log;
+  scripted_store store;
+  store_link link{client, clock, log, store.address()};
+  recording_sink sink;
+  ignoring_listener listener;
+  object_watch watch{"servers", link, listener, random, log};
+};
+
 /** Every list is divided behind the name; the rest of it is asked for with that name. */
 class ObjectNamesTest : public testing::TestWithParam<std::string> {
  protected:
@@ -102,14 +130,11 @@
 
 // Guards against a name that ends or alters the request line, after which a list never completes.
 TEST_P(ObjectNamesTest, AListGoesOnBehindIt) {
-  recording_sink sink;
-  ignoring_listener listener;
-  object_watch watch("servers", link, listener, random, log);
-  link.Follow("servers", sink, watch);
-  watch.Run(clock.Now());
-  EXPECT_TRUE(store.RunUntil([&] { return watch.is_listed(); })) << store.lines.back();
-  EXPECT_TRUE(std::all_of(store.lines.begin(), store.lines.end(), IsRequestLine));
-  EXPECT_EQ(log.LastOf("store_call_rejected"), "");
+  followed_list list([this](const std::string& target) { return Answer(target); });
+  const std::vector<std::string>& lines = list.store.lines;
+  EXPECT_TRUE(list.store.RunUntil([&] { return list.watch.is_listed(); })) << lines.back();
+  EXPECT_TRUE(std::all_of(lines.begin(), lines.end(), IsRequestLine));
+  EXPECT_EQ(list.log.LastOf("store_call_rejected"), "");
 }
 
 TEST_P(ObjectNamesTest, AListOfDaemonsGoesOnBehindIt) {
@@ -146,116 +171,76 @@
 
 // Guards against a list that asks for the same refused part for ever, without a word in the log.
 TEST(RejectedLists, AListWhosePartIsRejectedIsReportedAndBegunAgain) {
-  boost::asio::io_context io;
-  http_client client(io);
-  fake_clock clock;
-  fake_random_source random;
-  recording_log log;
   bool is_sound = false;
-  scripted_store store(io, [&](const std::string& target) -> http_answer {
+  followed_list list([&](const std::string& target) -> http_answer {
     if (target.find("after=") == std::string::npos) return ListOf({"a", "b"}, !is_sound);
     return {400, {}, "{}"};
   });
-  store_link link(client, clock, log, store.address());
-  recording_sink sink;
-  ignoring_listener listener;
-  object_watch watch("servers", link, listener, random, log);
-  link.Follow("servers", sink, watch);
-  watch.Run(clock.Now());
-  ASSERT_TRUE(store.RunUntil([&] { return !log.LastOf("store_lost").empty(); }));
+  const recording_log& log = list.log;
+  ASSERT_TRUE(list.store.RunUntil([&] { return !log.LastOf("store_lost").empty(); }));
   EXPECT_NE(log.LastOf("store_lost").find("rejected"), std::string::npos);
   EXPECT_NE(log.LastOf("store_call_rejected").find("after=b"), std::string::npos);
   is_sound = true;
-  EXPECT_TRUE(store.RunUntil([&] {
-    clock.Advance(milliseconds(100));
-    watch.Run(clock.Now());
-    return watch.is_listed();
-  }));
+  EXPECT_TRUE(list.PassUntil([&] { return list.watch.is_listed(); }));
 }
 
 // Guards against a watch that is given up for its length and begun at the same revision for ever.
 TEST(RejectedLists, AnAnswerToAWatchThatIsTooLongIsReplacedByAList) {
-  boost::asio::io_context io;
-  http_client client(io);
-  fake_clock clock;
-  fake_random_source random;
-  recording_log log;
   std::size_t lists = 0;
-  scripted_store store(io, [&](const std::string& target) -> http_answer {
+  followed_list list([&](const std::string& target) -> http_answer {
     if (target.find("watch=") != std::string::npos)
       return {200, {}, R"({"events":[],"store_revision":9})" + std::string(5 << 20, ' ')};
     ++lists;
     return ListOf({"a", "b"}, false);
   });
-  store_link link(client, clock, log, store.address());
-  recording_sink sink;
-  ignoring_listener listener;
-  object_watch watch("servers", link, listener, random, log);
-  link.Follow("servers", sink, watch);
-  watch.Run(clock.Now());
-  EXPECT_TRUE(store.RunUntil([&] {
-    clock.Advance(milliseconds(1));
-    watch.Run(clock.Now());
-    return lists >= 2;
-  }));
-  EXPECT_NE(log.LastOf("store_lost").find("unreadable"), std::string::npos);
+  EXPECT_TRUE(list.PassUntil([&] { return lists >= 2; }));
+  EXPECT_NE(list.log.LastOf("store_lost").find("unreadable"), std::string::npos);
 }
 
-/** A list of upstreams whose first part has one object, with a name that the test writes. */
+/** Lists whose first part has one object, with a name that the test writes. */
 class UnreadableNamesTest : public testing::Test {
  protected:
   http_answer Answer(const std::string& target) {
     if (target.find("watch=") != std::string::npos) return {503, {}, "{}"};
     ++lists;
     const std::string after = QueryValue(target, "after");
-    if (after.empty() || is_repeating) {
-      return {200,
-              {},
-              R"({"items":[{"metadata":{"name":)" + written +
-                  R"(,"rev":7},"spec":{}}],"has_more":true,"store_revision":9})"};
-    }
+    const std::string object = R"({"metadata":{"name":)" + written + R"(,"rev":7},"spec":{}})";
+    if (after.empty() || is_repeating)
+      return {200, {}, R"({"items":[)" + object + R"(],"has_more":true,"store_revision":9})"};
     return after == expected_after ? ListOf({"z"}, false) : http_answer{400, {}, "{}"};
   }
   /** Lists the objects; returns whether the list was completed before a call failed. */
   bool List() {
     lists = 0;
-    recording_log log;
-    http_client client(io);
-    store_link link(client, clock, log, store.address());
-    object_watch watch("servers", link, listener, random, log);
-    sink.names.clear();
-    link.Follow("servers", sink, watch);
-    watch.Run(clock.Now());
-    store.RunUntil([&] { return watch.is_listed() || !log.LastOf("store_lost").empty(); });
-    return watch.is_listed();
+    followed_list list([this](const std::string& target) { return Answer(target); });
+    list.store.RunUntil(
+        [&] { return list.watch.is_listed() || !list.log.LastOf("store_lost").empty(); });
+    names = list.sink.names;
+    return list.watch.is_listed();
   }
 
   std::string written;
   std::string expected_after;
   bool is_repeating = false;
   int lists = 0;
-  boost::asio::io_context io;
-  fake_clock clock;
-  fake_random_source random;
-  recording_sink sink;
-  ignoring_listener listener;
-  scripted_store store{io, [this](const std::string& target) { return Answer(target); }};
+  /** The readable names that the last list had. */
+  std::vector<std::string> names;
 };
 
 // Guards against a list that counts as whole although the store said that it goes on.
 TEST_F(UnreadableNamesTest, TheListGoesOnBehindAnyName) {
   const std::string longest(600, 'x');
-  const std::vector<std::pair<std::string, std::string>> names = {
+  const std::vector<std::pair<std::string, std::string>> cases = {
       {R"("shelf \udcff\udcfe")", "shelf \xff\xfe"},
       {"\"shelf \xff\"", "shelf \xff"},
       {R"("\ud800\u00e4\n")", "\xed\xa0\x80\xc3\xa4\n"},
       {R"("\ud83d\ude00\udcff")", "\xf0\x9f\x98\x80\xff"},
       {'"' + longest + '"', longest}};
-  for (const auto& [name, bytes] : names) {
+  for (const auto& [name, bytes] : cases) {
     written = name;
     expected_after = bytes;
     EXPECT_TRUE(List()) << name;
-    EXPECT_EQ(sink.names, std::vector<std::string>{"z"}) << name;
+    EXPECT_EQ(names, std::vector<std::string>{"z"}) << name;
   }
 }
 
