--- a/tests/lease/store_restores.cpp
+++ b/tests/lease/store_restores.cpp
@@ -109,11 +109,11 @@
 };
 
 /** The parameter is the era in which the store begins. */
-class StoreRestores : public testing::TestWithParam<std::uint64_t> {};
-INSTANTIATE_TEST_SUITE_P(FirstEras, StoreRestores, testing::Values(0, 1));
+class StoreRestoresTest : public testing::TestWithParam<std::uint64_t> {};
+INSTANTIATE_TEST_SUITE_P(FirstEras, StoreRestoresTest, testing::Values(0, 1));
 
 // The restored store has no lease, and the holder still trusts its own for up to 3.5 s.
-TEST_P(StoreRestores, ALostLeaseIsNotTakenWhileItsHolderTrustsIt) {
+TEST_P(StoreRestoresTest, ALostLeaseIsNotTakenWhileItsHolderTrustsIt) {
   restored_store_run run(2, GetParam());
   run.store.Copy();
   ASSERT_EQ(run.Run(seconds(20)), "");
@@ -126,7 +126,7 @@
 }
 
 // The copy names a holder of before, whose term was followed by others that are lost.
-TEST_P(StoreRestores, TermsRiseOverARestoreForADaemonThatSawNothingOfThem) {
+TEST_P(StoreRestoresTest, TermsRiseOverARestoreForADaemonThatSawNothingOfThem) {
   restored_store_run run(2, GetParam());
   ASSERT_EQ(run.Run(seconds(20)), "");
   const int first = run.Holder();
@@ -143,7 +143,7 @@
 }
 
 // A renewal that the restored store accepts has met its condition on another content.
-TEST_P(StoreRestores, ARenewalInANewEraIsNoRenewal) {
+TEST_P(StoreRestoresTest, ARenewalInANewEraIsNoRenewal) {
   restored_store_run run(1, GetParam());
   ASSERT_EQ(run.Run(seconds(20)), "");
   ASSERT_EQ(run.Holder(), 0);
@@ -155,7 +155,7 @@
   EXPECT_EQ(run.Holder(), 0);
 }
 
-TEST_P(StoreRestores, OnlyALeaseOfTheFirstEraWasNeverHeldBefore) {
+TEST_P(StoreRestoresTest, OnlyALeaseOfTheFirstEraWasNeverHeldBefore) {
   restored_store_run run(1, GetParam());
   run.store.Copy();
   ASSERT_EQ(run.Run(seconds(20)), "");
@@ -167,14 +167,14 @@
 }
 
 // An era beyond the numbers that JSON holds exactly gives no terms, rather than repeated ones.
-TEST_P(StoreRestores, AnEraThatLeavesNoRoomForTermsGivesNoLease) {
+TEST_P(StoreRestoresTest, AnEraThatLeavesNoRoomForTermsGivesNoLease) {
   restored_store_run run(1, GetParam());
   run.store.SetEra(UINT64_MAX);
   EXPECT_EQ(run.Run(seconds(30)), "");
   EXPECT_EQ(run.Holder(), -1);
 }
 
-TEST_P(StoreRestores, TheLargestEraStillGivesTerms) {
+TEST_P(StoreRestoresTest, TheLargestEraStillGivesTerms) {
   restored_store_run run(1, GetParam());
   run.store.SetEra(std::uint64_t{1} << 31);
   EXPECT_EQ(run.Run(seconds(30)), "");
