--- a/tests/soak/duty_records.py
+++ b/tests/soak/duty_records.py
@@ -4,7 +4,7 @@
 import json
 import time
 
-from platform_standin import answer, read_message
+from http_messages import answer, read_message
 
 WINDOW_S = 1
 LATENESS_S = 4
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,8 +23,9 @@
 from gateway_cuts import GatewayCuts
 from gateway_processes import GatewayProcesses
 from odd_callers import OddCallers
-from platform_standin import Store, Worker
+from platform_standin import Worker
 from records import Records
+from store_standin import Store
 from team_keys import CONFIG_BOUND_S, OPEN_ROUTES
 from worker_faults import MAX_SILENCE_S, WorkerFaults
 from worker_statements import WorkerStatements
