--- a/src/libhawthorndrum/base/url.cpp
+++ b/src/libhawthorndrum/base/url.cpp
@@ -1,6 +1,7 @@
 /// Builds and reads the targets of requests whose parts may have any characters.
 #include "base/url.h"
 
+#include <algorithm>
 #include <boost/url/encode.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
 #include <cctype>
@@ -34,6 +35,10 @@
 
 std::string EscapePath(std::string_view path) { return Escape(path, urls::unreserved_chars + '/'); }
 
+bool IsUnreserved(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) { return urls::unreserved_chars(c); });
+}
+
 std::string DecodeUrl(std::string_view text) {
   std::string decoded;
   for (std::size_t i = 0; i < text.size(); ++i) {
--- a/src/libhawthorndrum/base/url.h
+++ b/src/libhawthorndrum/base/url.h
@@ -24,6 +24,9 @@
 /** Percent-encodes everything except unreserved characters and slashes, which divide the path. */
 std::string EscapePath(std::string_view path);
 
+/** Returns whether the text consists of unreserved characters only, which no encoding changes. */
+bool IsUnreserved(std::string_view text);
+
 /** Decodes percent-encoded characters; a `%` that is followed by no two digits stays as it is. */
 std::string DecodeUrl(std::string_view text);
 
--- a/src/libhawthorndrum/gateway/object_watch.cpp
+++ b/src/libhawthorndrum/gateway/object_watch.cpp
@@ -110,8 +110,8 @@
 
 void object_watch::OnListPart(std::uint64_t call, const listed_part& part, time_point now) {
   if (call != call_ || !call_open_) return;
-  // A list that goes on where it went on before has no end.
-  if (!after_.empty() && part.next_after == after_)
+  // A list that goes on twice behind one name has no end.
+  if (!part.next_after.empty() && !continued_after_.insert(part.next_after).second)
     return OnCallFailed(call, store_trouble::kUnreadable, now);
   OnCallSucceeded(now);
   after_ = part.next_after;
@@ -137,6 +137,7 @@
 void object_watch::StartList() {
   phase_ = phase::kListing;
   after_.clear();
+  continued_after_.clear();
   revision_ = 0;
 }
 
--- a/src/libhawthorndrum/gateway/object_watch.h
+++ b/src/libhawthorndrum/gateway/object_watch.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -132,6 +133,8 @@
   std::uint64_t last_change_revision_ = 0;
   time_point next_call_;
   std::string after_;
+  /** The names behind which the list has gone on. */
+  std::set<std::string> continued_after_;
   std::uint64_t revision_ = 0;
   std::optional<std::uint64_t> era_;
   bool held_ = false;
--- a/tests/platform/daemon_lists.cpp
+++ b/tests/platform/daemon_lists.cpp
@@ -49,5 +49,41 @@
   EXPECT_TRUE(directory.lists_this());
 }
 
+// Guards against a daemon that counts twice, and a list without an end.
+TEST(DaemonLists, ARecordInTwoPartsCountsOnce) {
+  boost::asio::io_context io;
+  std::size_t lists = 0;
+  bool is_circle = false;
+  scripted_store store(io, [&](const std::string& target) -> http_answer {
+    if (target.find('?') == std::string::npos) return {200, {}, "{}"};
+    ++lists;
+    const bool is_second = target.find("after=a") != std::string::npos;
+    if (is_second) return {200, {}, ListOf({"b c"}, is_circle)};
+    return {200, {}, ListOf({"a", "b c"}, true)};
+  });
+  http_client client(io);
+  fake_clock clock;
+  recording_log log;
+  store_link link(client, clock, log, store.address());
+  daemon_directory directory("own");
+  link.PublishRecord({"own", "10.0.0.1:7380", "north"}, directory);
+  link.Run(clock.Now());
+  ASSERT_TRUE(store.RunUntil([&] { return directory.read_at().has_value(); }));
+  EXPECT_EQ(directory.others().size(), 2u);
+  is_circle = true;
+  lists = 0;
+  clock.Advance(seconds(10));
+  link.Run(clock.Now());
+  constexpr std::size_t kListsOfCircle = 3;
+  ASSERT_TRUE(store.RunUntil([&] { return lists == kListsOfCircle; }));
+  clock.Advance(seconds(10));
+  ASSERT_TRUE(store.RunUntil([&] {
+    link.Run(clock.Now());
+    return lists > kListsOfCircle;
+  }));
+  EXPECT_EQ(store.lines.back().find("after="), std::string::npos) << store.lines.back();
+  EXPECT_EQ(directory.others().size(), 2u);
+}
+
 }  // namespace
 }  // namespace hawthorndrum
