Leave out only the entries of the store that can't be read

At the product's own interface one object or event without a proper key or version made a whole list or watch count as refused: operators could not prune configurations while another writer's object stood under the same prefix, and a watch was repeated for nothing, with a pause after each. The body was parsed as one value, so a key that is no text, or a number that no type holds, had the same effect.

The body is divided first (json_parts) and each entry is read by itself, as those of the platform's store are; one without a key or version is left out. It works since the pruner needs both to remove an object, and a watch only tells that something changed.

--- a/src/libtransport/object_api.cpp
+++ b/src/libtransport/object_api.cpp
@@ -3,10 +3,13 @@
 
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string_view>
 #include <utility>
 
+#include "base/json_parts.h"
 #include "base/url.h"
+#include "systems/json_fields.h"
 
 namespace hawthorndrum {
 
@@ -21,24 +24,33 @@
   return object_version(version);
 }
 
-/** Parses the entries of a list or watch answer; returns false if the body is malformed. */
+/** Returns nothing for an object or event whose key or version can't be read. */
+std::optional<store_entry> ReadEntry(std::string_view text) {
+  const nlohmann::json item = ReadJson(text);
+  json_fields fields(item);
+  store_entry entry;
+  entry.key = fields.Text("key");
+  entry.version = object_version(fields.Unsigned("version"));
+  if (!fields.ok()) return std::nullopt;
+  const auto deleted = item.find("deleted");
+  entry.deleted = deleted != item.end() && *deleted == true;
+  return entry;
+}
+
+/**
+ * Parses the entries of a list or watch answer, each by itself, as any writer may have written
+ * them; unreadable ones are left out. Returns false if the answer can't be divided into entries or
+ * has no revision.
+ */
 bool ReadEntries(const http_answer& answer, std::string_view member, store_answer& result) {
-  const auto text = nlohmann::json::parse(answer.body, nullptr, false);
-  if (!text.is_object() || !text.contains(member) || !text[std::string(member)].is_array()) {
-    return false;
-  }
-  const auto revision = text.find("revision");
-  if (revision == text.end() || !revision->is_number_unsigned()) return false;
-  result.version = object_version(revision->get<std::uint64_t>());
-  for (const auto& item : text[std::string(member)]) {
-    if (!item.is_object() || !item.contains("key") || !item["key"].is_string()) return false;
-    if (!item.contains("version") || !item["version"].is_number_unsigned()) return false;
-    store_entry entry;
-    entry.key = item["key"].get<std::string>();
-    entry.version = object_version(item["version"].get<std::uint64_t>());
-    const auto deleted = item.find("deleted");
-    entry.deleted = deleted != item.end() && *deleted == true;
-    result.entries.push_back(std::move(entry));
+  const auto members = MembersOf(answer.body);
+  if (!members) return false;
+  const auto items = ElementsOf(ValueOf(*members, member));
+  const nlohmann::json revision = ReadJson(ValueOf(*members, "revision"));
+  if (!items || !revision.is_number_unsigned()) return false;
+  result.version = object_version(revision.get<std::uint64_t>());
+  for (const std::string_view item : *items) {
+    if (auto entry = ReadEntry(item)) result.entries.push_back(std::move(*entry));
   }
   return true;
 }
--- a/src/libtransport/object_api.h
+++ b/src/libtransport/object_api.h
@@ -12,8 +12,9 @@
 http_request ObjectApiRequest(const store_call& call);
 
 /**
- * Interprets a complete answer. A list or watch answer that can't be parsed counts as refused; the
- * outcome of a create or update whose answer has no version is unknown.
+ * Interprets a complete answer. A list or watch answer that can't be parsed counts as refused,
+ * while one of its entries that can't be read is left out; the outcome of a create or update whose
+ * answer has no version is unknown.
  */
 store_answer ObjectApiAnswer(const store_call& call, http_answer answer);
 
