Let terms of a lease rise over an unreadable record

A record that can't be read was taken for one whose term is 0. Now the next term exceeds the era's first one by the record's version at least: each term was given out by a write, and the version counts all writes of the store. Where the version exceeds the 2^20 terms of an era no term is known to be free, and no lease is taken; the lease's report shows why.

StoreRestoresTest.TermsRiseOverAnUnreadableRecordAndARestartOfAll failed for both first eras before ("a term does not exceed the ones before"), and TermsThatMayBeUsedAreNotGivenOut in the store with eras; both pass now.

--- a/src/libhawthorndrum/systems/lease_system.cpp
+++ b/src/libhawthorndrum/systems/lease_system.cpp
@@ -86,7 +86,9 @@
     // first.
     holder_active_at_ = now;
   }
-  seen_ = DecodeLease(state.value).value_or(lease_record{});
+  const expected<lease_record> read = DecodeLease(state.value);
+  is_unreadable_ = state.version && !read;
+  seen_ = read.value_or(lease_record{});
   highest_ = std::max(highest_, seen_.term);
 }
 
@@ -113,7 +115,15 @@
   const std::uint64_t era = era_.value_or(0);
   const std::uint64_t largest = era == 0 ? kLargestTerm : kLargestTermOfEras;
   if (era > (largest >> kEraShift)) return;
-  const std::uint64_t next = std::max(highest_.value() + 1, era << kEraShift);
+  const std::uint64_t first = era << kEraShift;
+  std::uint64_t next = std::max(highest_.value() + 1, first);
+  if (is_unreadable_) {
+    // Each of the era's terms was given out by a write, and the version exceeds the number of all.
+    const std::uint64_t writes = seen_version_.value();
+    const bool is_within_era = era == 0 || writes < (std::uint64_t{1} << kEraShift);
+    if (!is_within_era) return;
+    next = std::max(next, first + writes);
+  }
   if (next > largest) return;
   took_missing_ = !seen_version_ && !saw_former_era_;
   WriteRecord(lease_term(next), peers_.self(), write_purpose::kTake);
@@ -236,6 +246,7 @@
                            {"term", holds ? term_.value() : highest_.value()},
                            {"holder", known_holder_.value()},
                            {"rank", Rank()}};
+  if (is_unreadable_) report["record"] = "unreadable";
   if (holds) report["trusted_for_ms"] = ToMilliseconds(valid_until_ - clock_.Now());
   return report;
 }
--- a/src/libhawthorndrum/systems/lease_system.h
+++ b/src/libhawthorndrum/systems/lease_system.h
@@ -139,6 +139,8 @@
   bool has_seen_ = false;
   object_version seen_version_;
   lease_record seen_;
+  /** Whether there is a record that can't be read: which terms were given out is not known. */
+  bool is_unreadable_ = false;
   time_point seen_since_;
   time_point next_poll_;
 
--- a/tests/lease/store_restores.cpp
+++ b/tests/lease/store_restores.cpp
@@ -1,9 +1,11 @@
-/// Tests of the lease while the store comes back from an older copy of itself.
+/// Tests of the lease while the store comes back from an older copy of itself, or another writer
+/// replaces its record.
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <memory>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "base/metrics_registry.h"
@@ -36,11 +38,12 @@
   }
 
   struct daemon {
-    daemon(restored_store_run& run, int number)
+    daemon(restored_store_run& run, int number, int former_incarnations = 0)
         : client(run.store, number),
           directory("host" + std::to_string(number)),
           peers(directory, peer_id(number)),
-          lease(client, peers, run.clock, run.random, run.metrics, "fleet", incarnation_id(number),
+          lease(client, peers, run.clock, run.random, run.metrics, "fleet",
+                incarnation_id(static_cast<std::uint64_t>(former_incarnations + number)),
                 Timing()) {}
 
     fake_store_client client;
@@ -64,6 +67,25 @@
     }
     return {};
   }
+  /** Ends all daemons and starts others in their places. */
+  void RestartAll() {
+    const std::size_t count = all.size();
+    all.clear();
+    for (std::size_t i = 0; i < count; ++i) {
+      restarts_ += 1;
+      all.push_back(std::make_unique<daemon>(*this, static_cast<int>(i) + 1, 100 * restarts_));
+    }
+  }
+  /** Another writer replaces the lease's record. */
+  void Overwrite(const std::string& value) {
+    const auto& [key, object] = *store.objects().begin();
+    store_call call;
+    call.operation = store_operation::kUpdate;
+    call.key = key;
+    call.expected = object.version;
+    call.value = value;
+    ASSERT_EQ(store.Apply(call).outcome, store_outcome::kDone);
+  }
   int Holder() const {
     for (std::size_t i = 0; i < all.size(); ++i) {
       if (all[i]->lease.Holds()) return static_cast<int>(i);
@@ -105,6 +127,7 @@
   }
 
   int holder_ = -1;
+  int restarts_ = 0;
   lease_term term_;
 };
 
@@ -181,6 +204,31 @@
   EXPECT_EQ(run.Holder(), 0);
 }
 
+// Guards against terms that begin anew once no daemon remembers those before.
+TEST_P(StoreRestoresTest, TermsRiseOverAnUnreadableRecordAndARestartOfAll) {
+  restored_store_run run(2, GetParam());
+  for (const char* value : {"", "not json", "{}", R"({"term":"3"})", R"({"term":-1})", "[]"}) {
+    ASSERT_EQ(run.Run(seconds(20)), "") << value;
+    ASSERT_GE(run.Holder(), 0) << value;
+    run.Overwrite(value);
+    run.RestartAll();
+    ASSERT_EQ(run.Run(seconds(20)), "") << value;
+    ASSERT_GE(run.Holder(), 0) << value;
+    run.RestartAll();
+  }
+}
+
+// Guards against terms of an era that reach into the next one's.
+TEST_P(StoreRestoresTest, TermsThatMayBeUsedAreNotGivenOut) {
+  restored_store_run run(1, GetParam());
+  ASSERT_EQ(run.Run(seconds(20)), "");
+  for (int i = 0; i < 1 << kEraShift; ++i) run.Overwrite("not json");
+  run.RestartAll();
+  EXPECT_EQ(run.Run(seconds(20)), "");
+  const bool has_eras = GetParam() != 0;
+  EXPECT_EQ(run.Holder(), has_eras ? -1 : 0);
+}
+
 RC_GTEST_PROP(StoreRestoresProperties, AtMostOneHolderAndRisingTermsUnderAnySeries, ()) {
   restored_store_run run(3, *rc::gen::inRange<std::uint64_t>(0, 2));
   run.store.Copy();
