Separate the choice of a lease's term from taking it

Take() had grown three reasons to return; UnusedTerm() says what it looks for. No change of behaviour.

Measured: test_lease passes (28 tests).

--- a/src/libhawthorndrum/systems/lease_system.cpp
+++ b/src/libhawthorndrum/systems/lease_system.cpp
@@ -111,22 +111,27 @@
   if (released || own || never_held || now - seen_since_ >= wait) Take();
 }
 
-void lease_system::Take() {
+std::optional<lease_term> lease_system::UnusedTerm() const {
   const std::uint64_t era = era_.value_or(0);
   const std::uint64_t largest = era == 0 ? kLargestTerm : kLargestTermOfEras;
-  if (era > (largest >> kEraShift)) return;
+  if (era > (largest >> kEraShift)) return std::nullopt;
   const std::uint64_t first = era << kEraShift;
   std::uint64_t next = std::max(highest_.value() + 1, first);
   if (is_unreadable_) {
-    // Each of the era's terms was given out by a write, and the version exceeds the number of all.
+    // Each of the era's terms was given out by a write, and the version counts all writes.
     const std::uint64_t writes = seen_version_.value();
     const bool is_within_era = era == 0 || writes < (std::uint64_t{1} << kEraShift);
-    if (!is_within_era) return;
+    if (!is_within_era) return std::nullopt;
     next = std::max(next, first + writes);
   }
-  if (next > largest) return;
+  return next <= largest ? std::optional(lease_term(next)) : std::nullopt;
+}
+
+void lease_system::Take() {
+  const std::optional<lease_term> next = UnusedTerm();
+  if (!next) return;
   took_missing_ = !seen_version_ && !saw_former_era_;
-  WriteRecord(lease_term(next), peers_.self(), write_purpose::kTake);
+  WriteRecord(*next, peers_.self(), write_purpose::kTake);
 }
 
 void lease_system::Renew() { WriteRecord(term_, peers_.self(), write_purpose::kRenew); }
--- a/src/libhawthorndrum/systems/lease_system.h
+++ b/src/libhawthorndrum/systems/lease_system.h
@@ -97,6 +97,8 @@
   void OnStoreEra(std::uint64_t era) override { NoteStoreEra(era); }
 
   void TakeIfAvailable(time_point now);
+  /** Returns a term above all that were given out; nothing if none is known to be. */
+  std::optional<lease_term> UnusedTerm() const;
   void Take();
   void Renew();
   void Release();
