--- a/tests/odd_entries/odd_entries.py
+++ b/tests/odd_entries/odd_entries.py
@@ -25,8 +25,8 @@
 
 HOST = "shop.example"
 WORKERS = ["w1", "w2", "w3", "w4"]
-BEHIND = {"w3", "w4"}  # Those in the second part of the list, in which the entry ends the first.
-MAX_ITEMS = 3
+BEHIND = {"w3", "w4"}
+MAX_ITEMS = 3  # Objects in one part of a list, so that the entry ends the first.
 # All of them sort between w2 and w3.
 NAMES = ["w2&", "w2+", "w2#", "w2%", "w2 ", "w2 &+#%", "w2%2B", "w2&after=w4", "w2?watch=1",
          "w2\r\nX: y", "w2\u00e4"]
@@ -128,7 +128,7 @@
     def __init__(self, options, ports, name, accepts_escapes):
         self.options, self.ports, self.name = options, ports, name
         self.store = Store(random.Random(1))
-        self.store.accepts_escapes, self.store.max_items = accepts_escapes, MAX_ITEMS
+        self.store.accepts_escapes, self.store.max_items = accepts_escapes, options.max_items
         self.label = "%r, escapes %s" % (name, "read" if accepts_escapes else "rejected")
 
     async def serve_store(self, reader, writer):
@@ -199,6 +199,7 @@
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--binary", default="build/hawthorndrum-gateway")
+    parser.add_argument("--max-items", type=int, default=MAX_ITEMS)
     return asyncio.run(run(parser.parse_args()))
 
 
