--- a/tests/odd_entries/odd_entries.py
+++ b/tests/odd_entries/odd_entries.py
@@ -25,14 +25,14 @@
 
 HOST = "shop.example"
 WORKERS = ["w1", "w2", "w3", "w4"]
-BEHIND = {"w3", "w4"}
+BEHIND = {"w3", "w4"}  # The workers that are listed behind the entry.
 MAX_ITEMS = 3  # Objects in one part of a list, so that the entry ends the first.
 # All of them sort between w2 and w3.
 NAMES = ["w2&", "w2+", "w2#", "w2%", "w2 ", "w2 &+#%", "w2%2B", "w2&after=w4", "w2?watch=1",
          "w2\r\nX: y", "w2\u00e4"]
 GATEWAYS = 2
 REQUESTS = 40
-READY_S = 15  # Within recover_s of the deployments there are 12 s, and the first start.
+READY_S = 12  # recover_s of the deployments.
 REQUEST_S = 3
 CASES_AT_ONCE = 4
 
