--- a/tests/odd_entries/odd_entries.py
+++ b/tests/odd_entries/odd_entries.py
@@ -30,6 +30,7 @@
 # All of them sort between w2 and w3.
 NAMES = ["w2&", "w2+", "w2#", "w2%", "w2 ", "w2 &+#%", "w2%2B", "w2&after=w4", "w2?watch=1",
          "w2\r\nX: y", "w2\u00e4"]
+BODY = b"whole"
 GATEWAYS = 2
 REQUESTS = 40
 READY_S = 12  # recover_s of the deployments.
@@ -61,7 +62,7 @@
                 self.runs += bool(request)
                 writer.write(answer(200, {"X-Hawthorndrum-Request-Id": request,
                                           "X-Hawthorndrum-Instance-Id": self.name,
-                                          "X-Hawthorndrum-Response-Seal": self.name}, b"whole"))
+                                          "X-Hawthorndrum-Response-Seal": self.name}, BODY))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             pass
@@ -92,20 +93,21 @@
         """Returns once it is ready; requests show whether it became so in time."""
         end = time.monotonic() + READY_S
         while time.monotonic() < end:
-            if await request(self.readiness, "/api/ready", "") == 200:
+            got = await request(self.readiness, "/api/ready", "")
+            if got and got[0] == 200:
                 return
             await asyncio.sleep(0.05)
 
 
 async def request(port, target, name):
-    """Returns the status of the answer on a connection of its own; None without an answer."""
+    """Returns the status, headers and body of an answer on a connection of its own; None without one."""
     async def exchange():
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         try:
             writer.write(("GET %s HTTP/1.1\r\nHost: %s\r\nX-Hawthorndrum-Request-Id: %s\r\n"
                           "X-Hawthorndrum-Deadline-Ms: 2000\r\n\r\n" % (target, HOST, name)).encode())
             message = await read_message(reader)
-            return message and int(message[0][1])
+            return message and (int(message[0][1]), message[1], message[2])
         finally:
             writer.close()
     try:
@@ -176,10 +178,11 @@
             gateway.start()
         for gateway in gateways:
             await gateway.wait_until_ready()
-        statuses = await asyncio.gather(*[
+        answers = await asyncio.gather(*[
             request(gateways[number % GATEWAYS].callers, "/look/x", "%s%d" % (prefix, number))
             for number in range(REQUESTS)])
-        return statuses.count(200)
+        return sum(got is not None and got[0] == 200 and got[2] == BODY
+                   and got[1].get("x-hawthorndrum-response-seal") in WORKERS for got in answers)
 
 
 async def run(options):
